--- /dev/null
+++ b/gateway/src/daemon.rs
@@ -0,0 +1,169 @@
+//! Puts the parts together and runs them on one thread until the process is told to end.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use deckhub::{Scope, Settings};
+use serde::Deserialize;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::Semaphore;
+use tokio::task::{spawn_local, LocalSet};
+use tokio::time::sleep;
+
+use crate::config::{self, Bounds};
+use crate::core::{duration, Clock, Core};
+use crate::discovery::{self, List, Names};
+use crate::engine::{Engine, Limits};
+use crate::front::{inference, platform, server, Budget, Entry};
+use crate::log;
+use crate::plugin::Plugin;
+use crate::shutdown::{Phase, Shutdown};
+
+/// Connections still come for a while after the process was told to end (0.4 s on the platform).
+const LEAVING: Duration = Duration::from_millis(600);
+/// Servers close idle connections after their own time; here they go at this share of it.
+const IDLE_SHARE: f64 = 0.5;
+/// Releases under way are waited for in steps of this length.
+const SETTLE: Duration = Duration::from_millis(20);
+
+/// One pool of servers: a router of its own, and the connections to them.
+#[derive(Clone)]
+pub struct Pool {
+    pub core: Core<Engine>,
+    pub engine: Engine,
+    pub clock: Clock,
+}
+
+impl Pool {
+    pub fn new(seed: u64, settings: Settings, limits: Limits, slots: Arc<Semaphore>) -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let clock = Clock::new(unix);
+        let engine = Engine::new(limits, slots);
+        Pool { core: Core::new(seed, settings, clock, engine.clone()), engine, clock }
+    }
+
+    /// The pool as a front calls it, behind the plug-in.
+    pub fn entry(&self, plugin: &Option<Rc<Plugin>>) -> Rc<dyn Fn() -> Entry> {
+        let (core, plugin) = (self.core.clone(), plugin.clone());
+        Rc::new(move || match &plugin {
+            Some(plugin) => Entry::new(plugin.layer(core.clone())),
+            None => Entry::new(core.clone()),
+        })
+    }
+}
+
+pub fn run(front: Option<PathBuf>, plugin: Option<PathBuf>) -> Result<(), String> {
+    let platform = config::platform(|name| std::env::var(name).ok()).map_err(|e| e.to_string())?;
+    let second = front.as_deref().map(config::front).transpose().map_err(|e| e.to_string())?;
+    if platform.is_none() && second.is_none() {
+        return Err("configuration: EDGE_CONFIG: missing, and no --front is given".into());
+    }
+    let plugin = plugin.map(|p| Plugin::load(&p).map(Rc::new)).transpose()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
+    LocalSet::new().block_on(&runtime, serve(platform, second.zip(front), plugin))
+}
+
+async fn listen(address: &str, key: &str) -> Result<TcpListener, String> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|e| format!("configuration: {key}: cannot listen on {address}: {e}"))
+}
+
+async fn serve(
+    platform: Option<config::Platform>, second: Option<(config::Front, PathBuf)>, plugin: Option<Rc<Plugin>>,
+) -> Result<(), String> {
+    let bounds = platform.as_ref().map_or_else(Bounds::default, |p| p.bounds);
+    let slots = Arc::new(Semaphore::new(bounds.server_connections));
+    let budget = Budget::new(bounds.bodies);
+    let shutdown = Shutdown::default();
+    let mut pools = Vec::new();
+    let mut chat = None;
+    let mut signals = Signals::new()?;
+    // The second front's connections come out of the same descriptors.
+    let seconds = second.as_ref().map_or(0, |(f, _)| f.max_connections.min(bounds.client_connections / 2));
+
+    if let Some(p) = platform {
+        let listener = listen(&p.listen.to_string(), "listen").await?;
+        let limits = Limits {
+            connect_timeout: duration(p.settings.limits.connect_timeout),
+            idle: p.conn_idle.mul_f64(IDLE_SHARE),
+            public_api: false,
+        };
+        let classes = p.classes.iter().cloned().zip(p.settings.classes.iter().map(|c| c.deadline));
+        let names = platform::Names { classes: classes.collect(), tenants: p.tenants };
+        let classes = p.settings.classes.clone();
+        let pool = Pool::new(p.seed, p.settings, limits, slots.clone());
+        pools.push(pool.clone());
+        let words = Names { zones: p.zones, kinds: p.kinds };
+        let known = List::deserialize(&p.known).ok();
+        if let Some(known) = &known {
+            discovery::apply(known, Scope::Cached, &words, &pool.clock, &pool.engine, &pool.core);
+        }
+        spawn_local({
+            let pool = pool.clone();
+            discovery::watch(p.discovery, known.map(|k| k.seq), move |list, scope| {
+                discovery::apply(list, scope, &words, &pool.clock, &pool.engine, &pool.core)
+            })
+        });
+        let ready: Rc<dyn Fn() -> bool> = Rc::new({
+            let (core, shutdown) = (pool.core.clone(), shutdown.clone());
+            move || shutdown.phase() == Phase::Serving && core.can_serve()
+        });
+        chat = Some(inference::PlatformChat { names: names.classes.clone(), classes, pool: pool.clone() });
+        let front = platform::Platform::new(names, budget.clone(), pool.entry(&plugin), ready);
+        let cap = bounds.client_connections - seconds;
+        spawn_local(server::serve(listener, front, cap, shutdown.clone()));
+    }
+
+    if let Some((file, path)) = second {
+        let listener = listen(&file.listen, "listen").await?;
+        let front = inference::Inference::new(&file, chat, &plugin, slots, budget)?;
+        pools.extend(front.pools());
+        log!("second front on {}", file.listen);
+        spawn_local(server::serve(listener, front.clone(), seconds, shutdown.clone()));
+        spawn_local(async move {
+            while signals.reload.recv().await.is_some() {
+                match config::front(&path) {
+                    Ok(file) => front.reload(&file),
+                    Err(e) => log!("{e}; the servers stay as they were"),
+                }
+            }
+        });
+    }
+
+    signals.end.recv().await;
+    leave(&shutdown, &pools).await;
+    Ok(())
+}
+
+struct Signals {
+    end: tokio::signal::unix::Signal,
+    reload: tokio::signal::unix::Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, String> {
+        let on = |kind| signal(kind).map_err(|e| format!("cannot take signals: {e}"));
+        Ok(Signals { end: on(SignalKind::terminate())?, reload: on(SignalKind::hangup())? })
+    }
+}
+
+/// The planned end: still accepts for a while, finishes what was taken, lets go of what is held.
+pub async fn leave(shutdown: &Shutdown, pools: &[Pool]) {
+    log!("told to end");
+    shutdown.enter(Phase::Leaving);
+    sleep(LEAVING).await;
+    shutdown.enter(Phase::Closing);
+    // Accepting ends with what the machine had taken; those connections are counted by then.
+    sleep(SETTLE).await;
+    shutdown.emptied().await;
+    while pools.iter().any(|p| !p.core.idle()) {
+        sleep(SETTLE).await;
+    }
+    pools.iter().for_each(|p| p.engine.close_idle());
+    log!("ended");
+}
--- /dev/null
+++ b/gateway/src/engine/mod.rs
@@ -0,0 +1,367 @@
+//! The outbound side: attempts, probes and leases as one tower service over hyper connections of its own pool.
+//!
+//! Every call is written once. A connection that proves dead before a byte was written is replaced; nothing else
+//! is ever sent again here, because whether to repeat is the module's decision.
+
+mod connection;
+mod reply;
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use deckhub::ServerId;
+use futures_util::future::LocalBoxFuture;
+use futures_util::stream::{self, StreamExt};
+use http::header::{self, HeaderName, HeaderValue};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout, Instant};
+use tower::Service;
+
+use self::connection::Connection;
+use self::reply::Tail;
+use crate::exchange::{Head, Payload};
+use crate::upstream::{Call, Failed, Frame, Reply};
+
+/// Most bytes of an answer that is kept whole before any of it is passed on.
+const WHOLE: usize = 16 << 20;
+/// Most bytes read of an answer that only tells an outcome.
+const BRIEF: usize = 64 << 10;
+/// A release or probe must be answered within this time; a release then goes to another server.
+const RELEASE_WAIT: Duration = Duration::from_millis(100);
+const RELEASE_TRIES: usize = 5;
+const PROBE_WAIT: Duration = Duration::from_millis(750);
+/// The server says after this time itself that it does not know whether a place is held.
+const HOLD_WAIT: Duration = Duration::from_millis(600);
+
+const REQ_ID: HeaderName = HeaderName::from_static("req-id");
+const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
+
+/// What servers of a pool are like, beyond what the list says.
+#[derive(Clone, Debug)]
+pub struct Limits {
+    pub connect_timeout: Duration,
+    /// Connections idle for so long are closed; well under the server's own time.
+    pub idle: Duration,
+    /// A 429, or a 503 that says when to come back, means turned away, and other 4xx are the client's own
+    /// mistake. So it is with public APIs; on the platform only a marked answer means so.
+    pub public_api: bool,
+}
+
+/// A server as discovery lists it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Address {
+    pub server: ServerId,
+    pub dial: String,
+    pub serving: bool,
+}
+
+#[derive(Default)]
+struct Place {
+    dial: String,
+    serving: bool,
+    idle: Vec<(u64, Connection)>,
+    heard: Option<Instant>,
+}
+
+struct Shared {
+    limits: Limits,
+    places: RefCell<BTreeMap<ServerId, Place>>,
+    slots: Arc<Semaphore>,
+    next: Cell<u64>,
+}
+
+#[derive(Clone)]
+pub struct Engine(Rc<Shared>);
+
+impl Engine {
+    /// `slots` bounds the connections of all pools together.
+    pub fn new(limits: Limits, slots: Arc<Semaphore>) -> Self {
+        let places = RefCell::default();
+        Engine(Rc::new(Shared { limits, places, slots, next: Cell::new(0) }))
+    }
+
+    /// Takes in a list, or changes to it.
+    pub fn learn(&self, whole: bool, changed: &[Address], gone: &[ServerId]) {
+        let mut places = self.0.places.borrow_mut();
+        if whole {
+            places.retain(|id, _| changed.iter().any(|a| a.server == *id));
+        }
+        for id in gone {
+            places.remove(id);
+        }
+        for a in changed {
+            let place = places.entry(a.server).or_default();
+            if place.dial != a.dial || !a.serving {
+                place.idle.clear();
+            }
+            (place.dial, place.serving) = (a.dial.clone(), a.serving);
+        }
+    }
+
+    /// Closes what stands idle; a process that ends does so.
+    pub fn close_idle(&self) {
+        self.0.places.borrow_mut().values_mut().for_each(|p| p.idle.clear());
+    }
+
+    fn serving(&self, server: ServerId) -> bool {
+        self.0.places.borrow().get(&server).is_some_and(|p| p.serving)
+    }
+
+    fn idle(&self, server: ServerId) -> Option<Connection> {
+        let mut places = self.0.places.borrow_mut();
+        let place = places.get_mut(&server)?;
+        while let Some((_, connection)) = place.idle.pop() {
+            if connection.lives() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    async fn open(&self, server: ServerId) -> Result<Connection, Failed> {
+        let dial = self.0.places.borrow().get(&server).map(|p| p.dial.clone()).ok_or(Failed::NotSent)?;
+        let slot = self.0.slots.clone().try_acquire_owned();
+        let slot = slot.or_else(|_| {
+            // Idle connections elsewhere give way.
+            self.close_idle();
+            self.0.slots.clone().try_acquire_owned()
+        });
+        let slot = slot.map_err(|_| Failed::Connect)?;
+        match timeout(self.0.limits.connect_timeout, Connection::open(&dial, slot)).await {
+            Ok(Ok(connection)) => Ok(connection),
+            _ => Err(Failed::Connect),
+        }
+    }
+
+    /// Keeps a connection for the next request once its last answer has been taken in.
+    fn keep(&self, server: ServerId, mut connection: Connection) {
+        let engine = self.clone();
+        spawn_local(async move {
+            if timeout(RELEASE_WAIT, connection.sender.ready()).await.is_ok_and(|r| r.is_ok()) {
+                let id = engine.0.next.replace(engine.0.next.get() + 1);
+                {
+                    let mut places = engine.0.places.borrow_mut();
+                    let Some(place) = places.get_mut(&server).filter(|p| p.serving) else { return };
+                    place.idle.push((id, connection));
+                }
+                sleep(engine.0.limits.idle).await;
+                if let Some(place) = engine.0.places.borrow_mut().get_mut(&server) {
+                    place.idle.retain(|(other, _)| *other != id);
+                }
+            }
+        });
+    }
+
+    /// Writes a request to a server once and returns the head of what comes back.
+    async fn ask(
+        &self, server: ServerId, request: &Request<Bytes>, work: bool,
+    ) -> Result<(Response<Incoming>, Connection), Failed> {
+        loop {
+            let (mut connection, reused) = match self.idle(server) {
+                Some(connection) => (connection, true),
+                None => (self.open(server).await?, false),
+            };
+            // Connecting takes time: what was told meanwhile counts at the first byte.
+            if work && !self.serving(server) {
+                return Err(Failed::NotSent);
+            }
+            let copy = request.clone().map(Full::new);
+            let before = connection.written();
+            match connection.sender.send_request(copy).await {
+                Ok(response) => {
+                    if let Some(place) = self.0.places.borrow_mut().get_mut(&server) {
+                        place.heard = Some(Instant::now());
+                    }
+                    return Ok((response, connection));
+                }
+                // The server closed the idle connection just now, and not a byte went out.
+                Err(_) if reused && connection.written() == before => {}
+                Err(_) if connection.written() - before < connection::length(request) => {
+                    return Err(Failed::Connect)
+                }
+                Err(_) => return Err(Failed::Reset),
+            }
+        }
+    }
+
+    /// A request and its whole answer.
+    async fn brief(
+        &self, server: ServerId, request: &Request<Bytes>, work: bool,
+    ) -> Result<(Head, Bytes), Failed> {
+        let (response, connection) = self.ask(server, request, work).await?;
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, BRIEF).collect().await.map_err(|_| Failed::Reset)?.to_bytes();
+        self.keep(server, connection);
+        Ok((Head { status: parts.status, headers: parts.headers }, body))
+    }
+
+    async fn attempt(&self, server: ServerId, payload: Rc<Payload>, wait: Duration) -> Result<Reply, Failed> {
+        let (response, connection) = self.ask(server, &attempt_request(&payload, wait), true).await?;
+        let (parts, mut body) = response.into_parts();
+        let head = Head { status: parts.status, headers: parts.headers };
+        let report = reply::report_of(&head.headers);
+        if head.status == StatusCode::OK && !payload.whole {
+            let mut tail = Tail::default();
+            let first = next_data(&mut body, &mut tail).await?.ok_or(Failed::Reset)?;
+            let rest = stream::try_unfold(
+                (self.clone(), Some((body, connection)), tail),
+                move |(engine, open, mut tail)| async move {
+                    let Some((mut body, connection)) = open else { return Ok(None) };
+                    Ok(match next_data(&mut body, &mut tail).await? {
+                        Some(data) => Some((Frame::Data(data), (engine, Some((body, connection)), tail))),
+                        None => {
+                            engine.keep(server, connection);
+                            let end = Frame::End { kept: tail.kept(), report: tail.report().or(report) };
+                            Some((end, (engine, None, tail)))
+                        }
+                    })
+                },
+            );
+            let frames = stream::once(async { Ok(Frame::Data(first)) }).chain(rest).boxed_local();
+            return Ok(Reply::Answer { head, frames });
+        }
+        let most = if payload.whole { WHOLE } else { BRIEF };
+        let body = Limited::new(body, most).collect().await.map_err(|_| Failed::Reset)?.to_bytes();
+        self.keep(server, connection);
+        let turned_away = reply::turned_away(&head, self.0.limits.public_api);
+        Ok(match head.status.as_u16() {
+            202 => Reply::Read { kept: reply::kept(&body), report },
+            410 if turned_away => Reply::Declined { no_state: true, report },
+            429 | 503 | 504 if turned_away => Reply::Declined { no_state: false, report },
+            status if status == 200 || (self.0.limits.public_api && (400..500).contains(&status)) => {
+                let end = Frame::End { kept: 0.0, report };
+                let frames = stream::iter([Ok(Frame::Data(body)), Ok(end)]).boxed_local();
+                Reply::Answer { head, frames }
+            }
+            _ => Reply::Error { report },
+        })
+    }
+
+    /// Asks one running server after another, the one heard from last first.
+    async fn release(&self, payload: &Payload) -> Result<Reply, Failed> {
+        let request = lease_request(Method::DELETE, payload)?;
+        let mut servers: Vec<(Option<Instant>, ServerId)> = {
+            let places = self.0.places.borrow();
+            places.iter().filter(|(_, p)| p.serving).map(|(id, p)| (p.heard, *id)).collect()
+        };
+        servers.sort_by(|a, b| b.cmp(a));
+        for (_, server) in servers.into_iter().take(RELEASE_TRIES) {
+            let answer = timeout(RELEASE_WAIT, self.brief(server, &request, false)).await;
+            if matches!(&answer, Ok(Ok((head, _))) if head.status.is_success()) {
+                return Ok(Reply::Done);
+            }
+        }
+        Err(Failed::Connect)
+    }
+
+    async fn hold(&self, server: ServerId, payload: &Payload) -> Result<Reply, Failed> {
+        let request = lease_request(Method::POST, payload)?;
+        let answer = timeout(HOLD_WAIT, self.brief(server, &request, true)).await;
+        Ok(Reply::Held(match answer.map_err(|_| Failed::Reset)??.0.status.as_u16() {
+            200 => Some(true),
+            409 => Some(false),
+            _ => None,
+        }))
+    }
+
+    async fn probe(&self, server: ServerId) -> Result<Reply, Failed> {
+        let request = plain_request(Method::GET, "/status/load")?;
+        let answer = timeout(PROBE_WAIT, self.brief(server, &request, false)).await;
+        let (head, body) = answer.map_err(|_| Failed::Reset)??;
+        let report = reply::report_of(&head.headers);
+        let report = report.or_else(|| std::str::from_utf8(&body).ok().and_then(reply::report));
+        Ok(Reply::Probed { well: head.status == StatusCode::OK, report })
+    }
+
+    async fn answer(self, call: Call) -> Result<Reply, Failed> {
+        match call {
+            Call::Attempt { server, payload, wait } => self.attempt(server, payload, wait).await,
+            Call::Release { payload } => self.release(&payload).await,
+            Call::Hold { server, payload } => self.hold(server, &payload).await,
+            Call::Probe { server } => self.probe(server).await,
+            Call::CloseIdle { server } => {
+                if let Some(place) = self.0.places.borrow_mut().get_mut(&server) {
+                    place.idle.clear();
+                }
+                Ok(Reply::Done)
+            }
+        }
+    }
+}
+
+impl Service<Call> for Engine {
+    type Response = Reply;
+    type Error = Failed;
+    type Future = LocalBoxFuture<'static, Result<Reply, Failed>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Failed>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, call: Call) -> Self::Future {
+        Box::pin(self.clone().answer(call))
+    }
+}
+
+/// The next bytes of a body; `None` after its last chunk.
+async fn next_data(body: &mut Incoming, tail: &mut Tail) -> Result<Option<Bytes>, Failed> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.map_err(|_| Failed::Reset)?.into_data() {
+            tail.add(&data);
+            if !data.is_empty() {
+                return Ok(Some(data));
+            }
+        }
+    }
+    Ok(None)
+}
+
+/// Method, path, query, body and headers as they came; only what belongs to one connection is left out.
+fn attempt_request(payload: &Payload, wait: Duration) -> Request<Bytes> {
+    let mut headers = HeaderMap::new();
+    for (name, value) in &payload.headers {
+        let own = [
+            header::CONNECTION,
+            header::TRANSFER_ENCODING,
+            header::CONTENT_LENGTH,
+            header::EXPECT,
+            header::UPGRADE,
+            header::TE,
+            REQ_DEADLINE,
+            REQ_ID,
+        ];
+        if !own.contains(name) && name.as_str() != "keep-alive" {
+            headers.append(name.clone(), value.clone());
+        }
+    }
+    let number = |n: String| HeaderValue::from_str(&n).unwrap_or(HeaderValue::from_static("0"));
+    headers.insert(header::CONTENT_LENGTH, number(payload.body.len().to_string()));
+    headers.insert(REQ_DEADLINE, number(format!("{:.3}", wait.as_secs_f64())));
+    if let Ok(name) = HeaderValue::from_str(&payload.name) {
+        headers.insert(REQ_ID, name);
+    }
+    headers.entry(header::HOST).or_insert(HeaderValue::from_static("api.internal"));
+    let mut request = Request::new(payload.body.clone());
+    *request.method_mut() = payload.method.clone();
+    *request.uri_mut() = payload.uri.clone();
+    *request.headers_mut() = headers;
+    request
+}
+
+fn plain_request(method: Method, path: &str) -> Result<Request<Bytes>, Failed> {
+    let request = Request::builder().method(method).uri(path).header(header::HOST, "api.internal");
+    request.header(header::CONTENT_LENGTH, "0").body(Bytes::new()).map_err(|_| Failed::NotSent)
+}
+
+fn lease_request(method: Method, payload: &Payload) -> Result<Request<Bytes>, Failed> {
+    plain_request(method, &format!("/kv/leases/{}", payload.name))
+}
--- /dev/null
+++ b/gateway/src/exchange.rs
@@ -0,0 +1,139 @@
+//! Where client side and server side meet: one request in, one answer out in pieces.
+//!
+//! The front holds the [`ClientSide`], the core the [`ServerSide`]; neither knows more of the other. Dropping
+//! the client side says that the client has gone; dropping the server side without [`Piece::End`] says that the
+//! answer broke off.
+
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode, Uri};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+/// Pieces that may wait for a slow client before its stream is no longer read.
+const PIECES: usize = 32;
+
+/// What is passed on unchanged to whichever server is tried.
+#[derive(Debug, Default)]
+pub struct Payload {
+    /// The request's name outside this process.
+    pub name: String,
+    pub method: Method,
+    pub uri: Uri,
+    pub headers: HeaderMap,
+    pub body: Bytes,
+    /// The answer is one document: it begins only once all of it is there, so a break can still be repeated.
+    pub whole: bool,
+}
+
+/// A request as the core takes it: the fields that decisions need, and the bytes.
+#[derive(Debug)]
+pub struct Request {
+    /// Its `id` is given by the core.
+    pub ask: deckhub::Request,
+    pub arrived: Instant,
+    pub payload: Rc<Payload>,
+}
+
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Head {
+    pub status: StatusCode,
+    pub headers: HeaderMap,
+}
+
+/// Why a request failed for good.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// Its time ran out.
+    Deadline,
+    /// The servers tried did not answer it.
+    Upstream,
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Piece {
+    Begin(Head, Bytes),
+    Chunk(Bytes),
+    End,
+    /// Final: trying again is harmless, after this time.
+    Refused(Duration),
+    /// Final, promising nothing.
+    Failed(Failure),
+}
+
+/// How an answer ended, for whoever watches it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    Served,
+    Refused,
+    Failed,
+    /// The stream broke, or the client went away.
+    Cut,
+}
+
+type Observer = Box<dyn FnOnce(Ended)>;
+
+pub struct ClientSide {
+    pieces: mpsc::Receiver<Piece>,
+    observer: Option<Observer>,
+}
+
+impl ClientSide {
+    /// An answer that is a refusal from the start.
+    pub fn refused(after: Duration) -> Self {
+        let (tx, pieces) = mpsc::channel(1);
+        let _ = tx.try_send(Piece::Refused(after));
+        ClientSide { pieces, observer: None }
+    }
+
+    /// Has this called once, when the answer ends.
+    pub fn observe(&mut self, observer: impl FnOnce(Ended) + 'static) {
+        self.observer = Some(Box::new(observer));
+    }
+
+    /// The next piece; `None` where the answer broke off.
+    pub fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<Piece>> {
+        let piece = ready!(self.pieces.poll_recv(cx));
+        let ended = match &piece {
+            Some(Piece::End) => Some(Ended::Served),
+            Some(Piece::Refused(_)) => Some(Ended::Refused),
+            Some(Piece::Failed(_)) => Some(Ended::Failed),
+            None => Some(Ended::Cut),
+            _ => None,
+        };
+        if let Some(ended) = ended {
+            self.tell(ended);
+        }
+        Poll::Ready(piece)
+    }
+
+    pub async fn piece(&mut self) -> Option<Piece> {
+        poll_fn(|cx| self.poll_piece(cx)).await
+    }
+
+    fn tell(&mut self, ended: Ended) {
+        if let Some(observer) = self.observer.take() {
+            observer(ended);
+        }
+    }
+}
+
+impl Drop for ClientSide {
+    fn drop(&mut self) {
+        self.tell(Ended::Cut);
+    }
+}
+
+pub struct ServerSide {
+    pub request: Request,
+    pub pieces: mpsc::Sender<Piece>,
+}
+
+pub fn pair(request: Request) -> (ClientSide, ServerSide) {
+    let (tx, rx) = mpsc::channel(PIECES);
+    (ClientSide { pieces: rx, observer: None }, ServerSide { request, pieces: tx })
+}
--- /dev/null
+++ b/gateway/src/front/mod.rs
@@ -0,0 +1,140 @@
+//! The client side: what both fronts share. A front turns its wire into an exchange request and the pieces of
+//! the answer back into its wire; it takes no decision.
+
+pub mod inference;
+pub mod platform;
+pub mod server;
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use http::{HeaderMap, Response, StatusCode};
+use http_body::Frame;
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use tokio::time::timeout;
+use tower::util::UnsyncBoxService;
+
+use crate::exchange::{ClientSide, Piece, Request};
+
+/// A body must have come by then.
+const BODY_WAIT: Duration = Duration::from_secs(10);
+
+/// The core behind whatever layers wrap it, as a front calls it.
+pub type Entry = UnsyncBoxService<Request, ClientSide, Infallible>;
+
+/// What a front answers with.
+pub enum Body {
+    Whole(Full<Bytes>),
+    Stream { first: Option<Bytes>, rest: ClientSide, _claim: Claim },
+}
+
+impl Body {
+    pub fn text(text: impl Into<Bytes>) -> Self {
+        Body::Whole(Full::new(text.into()))
+    }
+}
+
+impl http_body::Body for Body {
+    type Data = Bytes;
+    type Error = io::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>, cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match self.get_mut() {
+            Body::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Body::Stream { first, rest, .. } => {
+                if let Some(first) = first.take() {
+                    return Poll::Ready(Some(Ok(Frame::data(first))));
+                }
+                Poll::Ready(match ready!(rest.poll_piece(cx)) {
+                    Some(Piece::Chunk(bytes)) => Some(Ok(Frame::data(bytes))),
+                    Some(Piece::End) => None,
+                    // Broken off: an error ends the connection without the last chunk.
+                    _ => Some(Err(io::Error::other("the answer broke off"))),
+                })
+            }
+        }
+    }
+}
+
+/// Bytes of request bodies that may be held at once, by all connections together.
+#[derive(Clone)]
+pub struct Budget(Rc<Cell<usize>>);
+
+/// A part of the budget, given back when it is dropped.
+pub struct Claim {
+    budget: Budget,
+    bytes: usize,
+}
+
+impl Budget {
+    pub fn new(bytes: usize) -> Self {
+        Budget(Rc::new(Cell::new(bytes)))
+    }
+    pub fn claim(&self, bytes: usize) -> Option<Claim> {
+        let left = self.0.get().checked_sub(bytes)?;
+        self.0.set(left);
+        Some(Claim { budget: self.clone(), bytes })
+    }
+}
+
+impl Drop for Claim {
+    fn drop(&mut self) {
+        self.budget.0.set(self.budget.0.get() + self.bytes);
+    }
+}
+
+/// Why a body was not taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyError {
+    TooLarge,
+    TooSlow,
+    Broken,
+    /// No memory for it at present: trying again is harmless.
+    NoRoom,
+}
+
+/// Collects a body of at most `most` bytes, counted against the budget before it is read.
+pub async fn collect(
+    headers: &HeaderMap, body: Incoming, most: usize, budget: &Budget,
+) -> Result<(Bytes, Claim), BodyError> {
+    let told = headers.get(http::header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+    let size: usize = told.unwrap_or(most);
+    if size > most {
+        return Err(BodyError::TooLarge);
+    }
+    let claim = budget.claim(size).ok_or(BodyError::NoRoom)?;
+    match timeout(BODY_WAIT, Limited::new(body, most).collect()).await {
+        Err(_) => Err(BodyError::TooSlow),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
+        Ok(Err(_)) => Err(BodyError::Broken),
+        Ok(Ok(all)) => Ok((all.to_bytes(), claim)),
+    }
+}
+
+/// `Retry-After` in seconds with decimals, as the platform takes it.
+pub fn decimals(after: Duration) -> String {
+    format!("{:.3}", after.as_secs_f64())
+}
+
+/// `Retry-After` in whole seconds, as public clients read it.
+pub fn whole_seconds(after: Duration) -> String {
+    after.as_secs_f64().ceil().max(1.0).to_string()
+}
+
+pub fn response(status: StatusCode, body: impl Into<Bytes>) -> Response<Body> {
+    let mut response = Response::new(Body::text(body));
+    *response.status_mut() = status;
+    response
+}
+
+pub type Answering = LocalBoxFuture<'static, Result<Response<Body>, Infallible>>;
--- /dev/null
+++ b/gateway/src/front/platform.rs
@@ -0,0 +1,246 @@
+//! The platform's protocol: the request's fields come in headers, the body passes on as it came.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use deckhub::Ms;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tower::{Service, ServiceExt};
+
+use super::{collect, decimals, response, Answering, Body, BodyError, Budget, Claim, Entry};
+use crate::exchange::{self, ClientSide, Failure, Payload, Piece};
+
+/// Most bytes of a body in this protocol.
+const BODY: usize = 256 << 10;
+/// When nothing better is known, a refused client is told to come back after this time.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// What the front needs to know of the deployment to read a request.
+pub struct Names {
+    /// Each class and its deadline.
+    pub classes: Vec<(String, Ms)>,
+    pub tenants: Vec<String>,
+}
+
+#[derive(Clone)]
+pub struct Platform {
+    names: Rc<Names>,
+    budget: Budget,
+    entry: Rc<dyn Fn() -> Entry>,
+    ready: Rc<dyn Fn() -> bool>,
+}
+
+impl Platform {
+    pub fn new(
+        names: Names, budget: Budget, entry: Rc<dyn Fn() -> Entry>, ready: Rc<dyn Fn() -> bool>,
+    ) -> Self {
+        Platform { names: Rc::new(names), budget, entry, ready }
+    }
+
+    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/ready") if (self.ready)() => response(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/ready") => response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (&Method::POST, "/v1/chat/completions") => self.chat(request).await,
+            (_, "/ready" | "/v1/chat/completions") => {
+                response(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
+            }
+            _ => response(StatusCode::NOT_FOUND, "no such path\n"),
+        }
+    }
+
+    async fn chat(self, request: Request<Incoming>) -> Response<Body> {
+        let arrived = Instant::now();
+        let (parts, body) = request.into_parts();
+        let (name, ask) = match fields(&parts.headers, &self.names) {
+            Ok(read) => read,
+            Err(what) => return response(StatusCode::BAD_REQUEST, format!("{what}\n")),
+        };
+        let (body, claim) = match collect(&parts.headers, body, BODY, &self.budget).await {
+            Ok(taken) => taken,
+            Err(BodyError::NoRoom) => return refusal(COME_BACK),
+            Err(BodyError::TooLarge) => return response(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n"),
+            Err(BodyError::TooSlow) => return response(StatusCode::REQUEST_TIMEOUT, "body too slow\n"),
+            Err(BodyError::Broken) => return response(StatusCode::BAD_REQUEST, "body broken off\n"),
+        };
+        let payload = Payload {
+            name,
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+            whole: false,
+        };
+        let request = exchange::Request { ask, arrived, payload: Rc::new(payload) };
+        let Ok(answer) = (self.entry)().oneshot(request).await;
+        pass_back(answer, claim).await
+    }
+}
+
+fn refusal(after: Duration) -> Response<Body> {
+    let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n");
+    if !after.is_zero() {
+        let after = HeaderValue::from_str(&decimals(after));
+        refusal.headers_mut().extend(after.ok().map(|v| (RETRY_AFTER, v)));
+    }
+    refusal
+}
+
+/// The answer's first piece decides the status: 200 only once an engine's first event is there.
+async fn pass_back(mut answer: ClientSide, claim: Claim) -> Response<Body> {
+    match answer.piece().await {
+        Some(Piece::Begin(head, first)) => {
+            let stream = Body::Stream { first: Some(first), rest: answer, _claim: claim };
+            let mut response = Response::new(stream);
+            let kind = head.headers.get(CONTENT_TYPE).cloned();
+            let kind = kind.unwrap_or(HeaderValue::from_static("text/event-stream"));
+            response.headers_mut().insert(CONTENT_TYPE, kind);
+            response
+        }
+        Some(Piece::Refused(after)) => refusal(after),
+        Some(Piece::Failed(Failure::Deadline)) => response(StatusCode::GATEWAY_TIMEOUT, "out of time\n"),
+        _ => response(StatusCode::BAD_GATEWAY, "failed\n"),
+    }
+}
+
+/// Reads what decisions need from the headers, or says which one is at fault.
+fn fields(headers: &HeaderMap, names: &Names) -> Result<(String, deckhub::Request), String> {
+    let get = |name: &str| match headers.get(name).map(HeaderValue::to_str) {
+        None => Ok(None),
+        Some(Ok(text)) => Ok(Some(text.trim())),
+        Some(Err(_)) => Err(format!("{name}: not text")),
+    };
+    let id = get("Req-Id")?.ok_or("Req-Id: missing")?;
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    if id.is_empty() || id.len() > 64 || !id.chars().all(plain) {
+        return Err("Req-Id: 1 to 64 letters, digits, '-' or '_' wanted".into());
+    }
+    let kind = get("Req-Kind")?.ok_or("Req-Kind: missing")?;
+    let class = names.classes.iter().position(|c| c.0 == kind).ok_or("Req-Kind: no such class")?;
+    let tenant = match get("Req-Owner")? {
+        Some(owner) => names.tenants.iter().position(|t| t == owner).ok_or("Req-Owner: no such tenant")?,
+        None => 0,
+    };
+    let patience = match get("Req-Deadline")? {
+        Some(text) => seconds(text).ok_or("Req-Deadline: seconds above 0 wanted")?,
+        None => names.classes[class].1,
+    };
+    let hint = match get("Req-Cost")? {
+        Some(text) => Some(seconds(text).ok_or("Req-Cost: seconds above 0 wanted")?),
+        None => None,
+    };
+    let mut ask = deckhub::Request {
+        class: class as u32,
+        tenant: tenant as u32,
+        session: get("Req-Key")?.map_or(0, key),
+        hint,
+        patience,
+        repeat: get("Req-Retry")?.is_some(),
+        resumed: get("Req-Retry")? == Some("again"),
+        ..deckhub::Request::default()
+    };
+    for pair in get("Req-Extra")?.unwrap_or("").split(',').filter(|p| !p.trim().is_empty()) {
+        let (name, value) = pair.split_once('=').ok_or("Req-Extra: name=value wanted")?;
+        let field = match name.trim() {
+            "prefix" => {
+                ask.prefix = Some(key(value.trim())).filter(|p| *p != 0);
+                continue;
+            }
+            "prompt_len" => &mut ask.prompt_tokens,
+            "prefix_len" => &mut ask.prefix_tokens,
+            "max_out" => &mut ask.max_tokens,
+            _ => continue,
+        };
+        let number: f64 = value.trim().parse().unwrap_or(-1.0);
+        if !number.is_finite() || number < 0.0 {
+            return Err(format!("Req-Extra: {} is no count of tokens", name.trim()));
+        }
+        *field = number;
+    }
+    Ok((id.to_string(), ask))
+}
+
+fn seconds(text: &str) -> Option<Ms> {
+    text.parse().ok().filter(|s: &f64| s.is_finite() && *s > 0.0).map(|s| s * 1000.0)
+}
+
+/// A name of a session or a beginning: 16 hex digits are its number, any other text is hashed.
+pub fn key(text: &str) -> u64 {
+    u64::from_str_radix(text, 16).unwrap_or_else(|_| glenrail_settings::server_id(text).0)
+}
+
+impl Service<Request<Incoming>> for Platform {
+    type Response = Response<Body>;
+    type Error = Infallible;
+    type Future = Answering;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
+        let front = self.clone();
+        Box::pin(async move { Ok(front.answer(request).await) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn names() -> Names {
+        Names {
+            classes: vec![("item-query".into(), 10_000.0), ("order-chat".into(), 12_000.0)],
+            tenants: vec![],
+        }
+    }
+
+    fn read(pairs: &[(&'static str, &'static str)]) -> Result<(String, deckhub::Request), String> {
+        let pairs = pairs.iter().map(|(n, v)| {
+            (http::HeaderName::from_bytes(n.as_bytes()).expect("a name"), HeaderValue::from_static(v))
+        });
+        fields(&pairs.collect(), &names())
+    }
+
+    #[test]
+    fn the_fields_of_a_request_are_read() {
+        let (name, ask) = read(&[
+            ("Req-Id", "9b1f03aa5c7e2d41"),
+            ("Req-Kind", "order-chat"),
+            ("Req-Key", "7f3a9c21e0b4d655"),
+            ("Req-Deadline", "4.800"),
+            ("Req-Extra", "prefix=5c0f6e1a2b3d4c59,prompt_len=5120,prefix_len=2048,max_out=800,new=x"),
+        ])
+        .expect("a request");
+        assert_eq!((name.as_str(), ask.class, ask.patience), ("9b1f03aa5c7e2d41", 1, 4800.0));
+        assert_eq!((ask.session, ask.prefix), (0x7f3a_9c21_e0b4_d655, Some(0x5c0f_6e1a_2b3d_4c59)));
+        assert_eq!((ask.prompt_tokens, ask.prefix_tokens, ask.max_tokens), (5120.0, 2048.0, 800.0));
+    }
+
+    /// Guards against a guess where a header is wrong: each fault is named.
+    #[test]
+    fn a_faulty_header_is_named() {
+        let id = ("Req-Id", "a1");
+        let kind = ("Req-Kind", "item-query");
+        for (pairs, fault) in [
+            (vec![kind], "Req-Id"),
+            (vec![("Req-Id", "a/../b"), kind], "Req-Id"),
+            (vec![id], "Req-Kind"),
+            (vec![id, ("Req-Kind", "other")], "Req-Kind"),
+            (vec![id, kind, ("Req-Deadline", "-1")], "Req-Deadline"),
+            (vec![id, kind, ("Req-Deadline", "soon")], "Req-Deadline"),
+            (vec![id, kind, ("Req-Owner", "nobody")], "Req-Owner"),
+            (vec![id, kind, ("Req-Extra", "prompt_len")], "Req-Extra"),
+            (vec![id, kind, ("Req-Extra", "prompt_len=NaN")], "Req-Extra"),
+        ] {
+            let told = read(&pairs).expect_err(fault);
+            assert!(told.starts_with(fault), "{told}");
+        }
+        assert_eq!(read(&[id, kind]).expect("a request").1.patience, 10_000.0);
+    }
+}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,19 @@
+//! glenrail: a gateway for LLM serving split into prompt readers and answer writers.
+//!
+//! ```text
+//! front (platform, inference) -> plugin -> core (deckhub::Router) -> engine
+//!        client side      exchange object      server side
+//! ```
+
+pub mod config;
+pub mod core;
+pub mod daemon;
+pub mod discovery;
+pub mod engine;
+pub mod exchange;
+pub mod front;
+pub mod haproxy;
+pub mod log;
+pub mod plugin;
+pub mod shutdown;
+pub mod upstream;
--- /dev/null
+++ b/gateway/src/upstream.rs
@@ -0,0 +1,80 @@
+//! What the core asks of the servers, in terms of no wire. The engine client answers these calls as a tower
+//! service; tests put stand-ins in its place.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use deckhub::{Report, ServerId};
+use futures_util::stream::LocalBoxStream;
+
+use crate::exchange::{Head, Payload};
+
+#[derive(Clone, Debug)]
+pub enum Call {
+    /// Sends the request once; `wait` is how long the core will wait for its answer to begin.
+    Attempt {
+        server: ServerId,
+        payload: Rc<Payload>,
+        wait: Duration,
+    },
+    /// Lets go of every lease held for the request, at any server that runs.
+    Release {
+        payload: Rc<Payload>,
+    },
+    Hold {
+        server: ServerId,
+        payload: Rc<Payload>,
+    },
+    Probe {
+        server: ServerId,
+    },
+    CloseIdle {
+        server: ServerId,
+    },
+}
+
+pub enum Reply {
+    /// The prompt was read, with so many of its tokens found kept.
+    Read {
+        kept: f64,
+        report: Option<Report>,
+    },
+    /// The answer begins; the first frame is there already.
+    Answer {
+        head: Head,
+        frames: LocalBoxStream<'static, Result<Frame, Failed>>,
+    },
+    /// Turned away, so it never ran.
+    Declined {
+        no_state: bool,
+        report: Option<Report>,
+    },
+    Error {
+        report: Option<Report>,
+    },
+    /// Held, not held, or not known.
+    Held(Option<bool>),
+    Probed {
+        well: bool,
+        report: Option<Report>,
+    },
+    Done,
+}
+
+#[derive(Clone, Debug)]
+pub enum Frame {
+    Data(Bytes),
+    End { kept: f64, report: Option<Report> },
+}
+
+/// How a call ended that got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failed {
+    /// Nothing of it can have run: its last byte was never written.
+    Connect,
+    /// It may have run.
+    Reset,
+    /// Kept back: the server had to get nothing new.
+    NotSent,
+}
--- /dev/null
+++ b/settings/src/lib.rs
@@ -0,0 +1,156 @@
+//! The settings object of a deployment, as JSON, in the decision module's own terms. The simulator's adapter and
+//! the gateway read the same object, so they share this one reader. Unknown keys are skipped.
+
+use deckhub::*;
+use serde_json::Value;
+
+pub fn number(v: &Value, key: &str) -> f64 {
+    v.get(key).and_then(Value::as_f64).unwrap_or(0.0)
+}
+
+pub fn integer(v: &Value, key: &str) -> u64 {
+    match v.get(key) {
+        Some(n) => n.as_u64().unwrap_or_else(|| n.as_f64().unwrap_or(0.0) as u64),
+        None => 0,
+    }
+}
+
+pub fn flag(v: &Value, key: &str) -> bool {
+    v.get(key).and_then(Value::as_bool).unwrap_or(false)
+}
+
+pub fn text<'a>(v: &'a Value, key: &str) -> &'a str {
+    v.get(key).and_then(Value::as_str).unwrap_or("")
+}
+
+pub fn list<'a>(v: &'a Value, key: &str) -> &'a [Value] {
+    v.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
+}
+
+/// FNV-1a of the address: the same number at every router, whatever order the lists came in.
+pub fn server_id(address: &str) -> ServerId {
+    ServerId(
+        address.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)),
+    )
+}
+
+/// A load report from its named values, whichever of a field's names the carrier uses.
+pub fn report(get: impl Fn(&str) -> Option<f64>) -> Report {
+    Report {
+        in_flight: get("outstanding").or_else(|| get("inflight")),
+        queue: get("backlog").or_else(|| get("queue")),
+        utilization: get("utilization").or_else(|| get("util")),
+        memory: get("x0"),
+        backlog_k: get("x1"),
+    }
+}
+
+fn class(settings: &Value, index: usize, v: &Value) -> Class {
+    let domain = &settings["domain"];
+    let nth = |key: &str| list(domain, key).get(index).and_then(Value::as_f64).unwrap_or(0.0);
+    Class {
+        aim: number(v, "aim"),
+        aim_per_1000_tokens: nth("aim-us-per-1000-prompt-tokens") / 1000.0,
+        deadline: number(v, "deadline"),
+        token_aim: nth("token-aim"),
+        worth: number(v, "worth"),
+        late_worth: number(v, "late-worth"),
+        effect: match text(v, "semantics") {
+            "free" => Effect::Safe,
+            "guarded" => Effect::Keyed,
+            _ => Effect::Unsafe,
+        },
+        group: match text(v, "group") {
+            "cell" => Group::Cell,
+            "zone" => Group::Zone,
+            _ => Group::All,
+        },
+        window: number(v, "window"),
+    }
+}
+
+fn kinds(settings: &Value) -> Vec<Kind> {
+    let domain = &settings["domain"];
+    let memory = list(domain, "tokens-by-kind");
+    let role = |v: &Value| match v.as_str() {
+        Some("read") => Role::Reader,
+        Some("write") => Role::Writer,
+        _ => Role::Mixed,
+    };
+    list(domain, "stage-of-kind")
+        .iter()
+        .enumerate()
+        .map(|(i, v)| Kind {
+            role: role(v),
+            memory_tokens: memory.get(i).and_then(Value::as_f64).unwrap_or(0.0),
+        })
+        .collect()
+}
+
+pub fn settings(v: &Value) -> Settings {
+    let (domain, limits, rules) = (&v["domain"], &v["policy-limits"], &v["rules"]);
+    Settings {
+        me: integer(v, "me") as u32,
+        routers: integer(v, "balancers") as u32,
+        zone: integer(v, "zone") as u32,
+        tick: number(v, "quantum"),
+        kinds: kinds(v),
+        classes: list(v, "services").iter().enumerate().map(|(i, c)| class(v, i, c)).collect(),
+        tenants: list(v, "tenants")
+            .iter()
+            .map(|t| Tenant { allowance_per_s: number(t, "allowance-per-s") })
+            .collect(),
+        limits: Limits {
+            max_attempts: integer(limits, "max-attempts") as u32,
+            max_retry_after: number(limits, "max-retry-after"),
+            connect_timeout: number(limits, "dial-timeout"),
+            probes: flag(limits, "probes"),
+            cancel: flag(limits, "cancel"),
+            second_copies: flag(limits, "second-copies"),
+            retry_after: flag(limits, "retry-after"),
+            peers: flag(limits, "may-tell"),
+            places_ahead: flag(domain, "may-reserve"),
+        },
+        rules: Rules {
+            answer_grace: number(rules, "grace-to-answer"),
+            drain_grace: number(rules, "drain-grace"),
+            pin_limit: number(domain, "pin-limit"),
+            cold: number(rules, "cold"),
+            cold_from: number(rules, "cold-from"),
+            fall: number(rules, "fall"),
+            fall_multiple: number(rules, "fall-multiple"),
+            ask_within: number(rules, "ask-within"),
+        },
+        discovery: match text(v, "discovery") {
+            "subscribe" => Discovery::Subscribe,
+            _ => Discovery::Push,
+        },
+        over_share_worth: number(v, "over-share-worth"),
+        resume: flag(domain, "resume"),
+        writers_read: flag(domain, "local-read"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn classes_and_roles_come_from_their_lists() {
+        let read = settings(&serde_json::json!({
+            "kinds": ["p", "a"],
+            "services": [{"aim": 2000.0, "semantics": "free"}, {"aim": 2500.0, "semantics": "single_shot"}],
+            "domain": {"stage-of-kind": ["read", "write"], "aim-us-per-1000-prompt-tokens": [40000.0, 1000.0]},
+            "policy-limits": {"max-attempts": 5},
+        }));
+        assert_eq!((read.kinds[0].role, read.kinds[1].role), (Role::Reader, Role::Writer));
+        assert_eq!((read.classes[0].effect, read.classes[1].effect), (Effect::Safe, Effect::Unsafe));
+        assert_eq!((read.classes[0].aim_per_1000_tokens, read.limits.max_attempts), (40.0, 5));
+    }
+
+    #[test]
+    fn the_id_of_a_server_depends_on_its_name_alone() {
+        assert_eq!(server_id("s-1"), server_id("s-1"));
+        assert_ne!(server_id("s-1"), server_id("s-2"));
+    }
+}
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -4,6 +4,7 @@
 
 use base64::{engine::general_purpose::STANDARD, Engine};
 use deckhub::*;
+use glenrail_settings::{flag, integer, list, number, report, server_id, settings, text};
 use serde_json::{json, Map, Value};
 
 /// One router and the addresses of the servers that its lists have named.
@@ -18,36 +19,6 @@
     instances: BTreeMap<u64, Instance>,
 }
 
-fn number(v: &Value, key: &str) -> f64 {
-    v.get(key).and_then(Value::as_f64).unwrap_or(0.0)
-}
-
-fn integer(v: &Value, key: &str) -> u64 {
-    match v.get(key) {
-        Some(n) => n.as_u64().unwrap_or_else(|| n.as_f64().unwrap_or(0.0) as u64),
-        None => 0,
-    }
-}
-
-fn flag(v: &Value, key: &str) -> bool {
-    v.get(key).and_then(Value::as_bool).unwrap_or(false)
-}
-
-fn text<'a>(v: &'a Value, key: &str) -> &'a str {
-    v.get(key).and_then(Value::as_str).unwrap_or("")
-}
-
-fn list<'a>(v: &'a Value, key: &str) -> &'a [Value] {
-    v.get(key).and_then(Value::as_array).map_or(&[], Vec::as_slice)
-}
-
-/// FNV-1a of the address: the same number at every router, whatever order the lists came in.
-fn server_id(address: &str) -> ServerId {
-    ServerId(
-        address.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3)),
-    )
-}
-
 fn request_id(v: &Value) -> RequestId {
     RequestId(integer(v, "ticket"))
 }
@@ -66,102 +37,9 @@
     }
 }
 
-fn report(v: &Value) -> Option<Report> {
+fn pressure(v: &Value) -> Option<Report> {
     let pairs = v.get("pressure")?.as_object()?;
-    let get = |name: &str| pairs.get(name).and_then(Value::as_f64);
-    Some(Report {
-        in_flight: get("outstanding"),
-        queue: get("backlog"),
-        utilization: get("utilization"),
-        memory: get("x0"),
-        backlog_k: get("x1"),
-    })
-}
-
-fn class(settings: &Value, index: usize, v: &Value) -> Class {
-    let domain = &settings["domain"];
-    let nth = |key: &str| list(domain, key).get(index).and_then(Value::as_f64).unwrap_or(0.0);
-    Class {
-        aim: number(v, "aim"),
-        aim_per_1000_tokens: nth("aim-us-per-1000-prompt-tokens") / 1000.0,
-        deadline: number(v, "deadline"),
-        token_aim: nth("token-aim"),
-        worth: number(v, "worth"),
-        late_worth: number(v, "late-worth"),
-        effect: match text(v, "semantics") {
-            "free" => Effect::Safe,
-            "guarded" => Effect::Keyed,
-            _ => Effect::Unsafe,
-        },
-        group: match text(v, "group") {
-            "cell" => Group::Cell,
-            "zone" => Group::Zone,
-            _ => Group::All,
-        },
-        window: number(v, "window"),
-    }
-}
-
-fn kinds(settings: &Value) -> Vec<Kind> {
-    let domain = &settings["domain"];
-    let memory = list(domain, "tokens-by-kind");
-    let role = |v: &Value| match v.as_str() {
-        Some("read") => Role::Reader,
-        Some("write") => Role::Writer,
-        _ => Role::Mixed,
-    };
-    list(domain, "stage-of-kind")
-        .iter()
-        .enumerate()
-        .map(|(i, v)| Kind {
-            role: role(v),
-            memory_tokens: memory.get(i).and_then(Value::as_f64).unwrap_or(0.0),
-        })
-        .collect()
-}
-
-fn settings(v: &Value) -> Settings {
-    let (domain, limits, rules) = (&v["domain"], &v["policy-limits"], &v["rules"]);
-    Settings {
-        me: integer(v, "me") as u32,
-        routers: integer(v, "balancers") as u32,
-        zone: integer(v, "zone") as u32,
-        tick: number(v, "quantum"),
-        kinds: kinds(v),
-        classes: list(v, "services").iter().enumerate().map(|(i, c)| class(v, i, c)).collect(),
-        tenants: list(v, "tenants")
-            .iter()
-            .map(|t| Tenant { allowance_per_s: number(t, "allowance-per-s") })
-            .collect(),
-        limits: Limits {
-            max_attempts: integer(limits, "max-attempts") as u32,
-            max_retry_after: number(limits, "max-retry-after"),
-            connect_timeout: number(limits, "dial-timeout"),
-            probes: flag(limits, "probes"),
-            cancel: flag(limits, "cancel"),
-            second_copies: flag(limits, "second-copies"),
-            retry_after: flag(limits, "retry-after"),
-            peers: flag(limits, "may-tell"),
-            places_ahead: flag(domain, "may-reserve"),
-        },
-        rules: Rules {
-            answer_grace: number(rules, "grace-to-answer"),
-            drain_grace: number(rules, "drain-grace"),
-            pin_limit: number(domain, "pin-limit"),
-            cold: number(rules, "cold"),
-            cold_from: number(rules, "cold-from"),
-            fall: number(rules, "fall"),
-            fall_multiple: number(rules, "fall-multiple"),
-            ask_within: number(rules, "ask-within"),
-        },
-        discovery: match text(v, "discovery") {
-            "subscribe" => Discovery::Subscribe,
-            _ => Discovery::Push,
-        },
-        over_share_worth: number(v, "over-share-worth"),
-        resume: flag(domain, "resume"),
-        writers_read: flag(domain, "local-read"),
-    }
+    Some(report(|name| pairs.get(name).and_then(Value::as_f64)))
 }
 
 fn member(v: &Value) -> Member {
@@ -222,11 +100,11 @@
             elapsed,
             note: number(v, "info"),
             closed: flag(v, "finished"),
-            report: report(v),
+            report: pressure(v),
         }),
         "HELD_NOTE" => Event::Place { id, attempt, server, held: integer(v, "sort") == 1 },
         "HEALTH_RESULT" => {
-            Event::Probed { server, status: status(integer(v, "rc")), elapsed, report: report(v) }
+            Event::Probed { server, status: status(integer(v, "rc")), elapsed, report: pressure(v) }
         }
         "PEER" => Event::Peer {
             from: integer(v, "src") as u32,
