--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -537,3 +537,6 @@
         std::future::ready(Ok(self.submit(request)))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/gateway/src/front/inference.rs
+++ b/gateway/src/front/inference.rs
@@ -37,6 +37,8 @@
 /// One token is about so many characters.
 const CHARS: f64 = 4.0;
 const COME_BACK: Duration = Duration::from_secs(1);
+/// An answer of the module so shortly before the deadline is due to the deadline.
+const AT_END: Duration = Duration::from_millis(20);
 
 /// The platform's own servers, for chat that comes over this front.
 pub struct PlatformChat {
@@ -214,7 +216,7 @@
             Payload { name, method: parts.method, uri: parts.uri, headers, body, whole: !asked.stream };
         let request = exchange::Request { ask, arrived, payload: Rc::new(payload) };
         let Ok(answer) = (target.entry)().oneshot(request).await;
-        pass_back(answer, claim).await
+        pass_back(answer, claim, arrived + patience).await
     }
 
     fn ready(&self) -> Response<Body> {
@@ -263,7 +265,7 @@
 }
 
 /// The answer's first piece decides the status.
-async fn pass_back(mut answer: ClientSide, claim: Claim) -> Result<Response<Body>, Fault> {
+async fn pass_back(mut answer: ClientSide, claim: Claim, deadline: Instant) -> Result<Response<Body>, Fault> {
     match answer.piece().await {
         Some(Piece::Begin(head, first)) => {
             let mut response =
@@ -274,6 +276,10 @@
             response.headers_mut().insert(CONTENT_TYPE, kind);
             Ok(response)
         }
+        // A refusal at the very end of the client's time is no word on load.
+        Some(Piece::Refused(_)) if Instant::now() + AT_END >= deadline => {
+            Err(Fault::new(StatusCode::GATEWAY_TIMEOUT, "timeout_error", "no answer in time"))
+        }
         Some(Piece::Refused(after)) => Err(Fault::refused(after.max(COME_BACK))),
         Some(Piece::Failed(Failure::Deadline)) => {
             Err(Fault::new(StatusCode::GATEWAY_TIMEOUT, "timeout_error", "no answer in time"))
--- /dev/null
+++ b/gateway/tests/common/mod.rs
@@ -0,0 +1,222 @@
+//! Stand-in peers on loopback: servers whose answers a test scripts, and a plain client.
+#![allow(dead_code)]
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{spawn_local, AbortHandle, LocalSet};
+
+/// Far above what any step takes; only a hang reaches it.
+pub const AGES: Duration = Duration::from_secs(30);
+
+/// What a stand-in does with one request.
+pub enum Act {
+    Answer(Response<Full<Bytes>>),
+    /// Closes the connection with nothing said.
+    Break,
+    /// Sends the head and this part of a chunked body, then closes.
+    Part(&'static str),
+    /// Never answers.
+    Silence,
+    /// Says this after so long.
+    Later(Duration, Response<Full<Bytes>>),
+}
+
+/// What a stand-in was sent.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub method: String,
+    pub path: String,
+    pub id: String,
+    pub body: Bytes,
+    pub headers: http::HeaderMap,
+}
+
+type Script = Rc<dyn Fn(usize, &Seen) -> Act>;
+
+#[derive(Clone)]
+pub struct StandIn {
+    pub address: SocketAddr,
+    pub seen: Rc<RefCell<Vec<Seen>>>,
+    pub connections: Rc<Cell<usize>>,
+    tasks: Rc<RefCell<Vec<AbortHandle>>>,
+}
+
+pub fn answer(status: u16, headers: &[(&str, &str)], body: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::builder().status(status);
+    for (name, value) in headers {
+        response = response.header(*name, *value);
+    }
+    response.body(Full::new(body.into())).expect("a response")
+}
+
+pub const STREAM: &str = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"}}]}\n\n\
+    data: {\"choices\":[],\"usage\":{\"prompt_tokens_details\":{\"cached_tokens\":12}}}\n\n\
+    data: [DONE]\n\n: Srv-Load: TEXT inflight=2, x0=0.25\n\n";
+
+pub fn stream() -> Act {
+    Act::Answer(answer(200, &[("content-type", "text/event-stream")], STREAM))
+}
+
+pub fn read() -> Act {
+    Act::Answer(answer(202, &[("srv-load", "TEXT inflight=1, x0=0.1")], r#"{"cached_tokens":4}"#))
+}
+
+impl StandIn {
+    /// Listens on a free port; the script is given the count of requests before and the request.
+    pub async fn start(script: impl Fn(usize, &Seen) -> Act + 'static) -> StandIn {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        StandIn::on(listener, script)
+    }
+
+    pub fn on(listener: TcpListener, script: impl Fn(usize, &Seen) -> Act + 'static) -> StandIn {
+        let script: Script = Rc::new(script);
+        let it = StandIn {
+            address: listener.local_addr().expect("an address"),
+            seen: Rc::default(),
+            connections: Rc::default(),
+            tasks: Rc::default(),
+        };
+        let accepting = spawn_local({
+            let it = it.clone();
+            async move {
+                while let Ok((socket, _)) = listener.accept().await {
+                    it.connections.set(it.connections.get() + 1);
+                    let task = spawn_local(serve(socket, it.clone(), script.clone()));
+                    it.tasks.borrow_mut().push(task.abort_handle());
+                }
+            }
+        });
+        it.tasks.borrow_mut().push(accepting.abort_handle());
+        it
+    }
+
+    /// Dies: its connections close, and new ones are refused.
+    pub fn stop(&self) {
+        self.tasks.borrow_mut().drain(..).for_each(|t| t.abort());
+    }
+
+    pub fn count(&self, method: &str) -> usize {
+        self.seen.borrow().iter().filter(|s| s.method == method).count()
+    }
+}
+
+async fn serve(socket: TcpStream, it: StandIn, script: Script) {
+    let cut = Rc::new(tokio::sync::Notify::new());
+    let service = service_fn({
+        let cut = cut.clone();
+        move |request: Request<Incoming>| {
+            let (it, script, cut) = (it.clone(), script.clone(), cut.clone());
+            async move {
+                let (parts, body) = request.into_parts();
+                let Ok(body) = body.collect().await else { return std::future::pending().await };
+                let id = parts.headers.get("req-id").map_or("", |v| v.to_str().unwrap_or(""));
+                let seen = Seen {
+                    method: parts.method.to_string(),
+                    path: parts.uri.to_string(),
+                    id: id.to_string(),
+                    body: body.to_bytes(),
+                    headers: parts.headers.clone(),
+                };
+                let before = it.seen.borrow().len();
+                let act = script(before, &seen);
+                it.seen.borrow_mut().push(seen);
+                match act {
+                    Act::Answer(response) => Ok::<_, Infallible>(response.map(Piecemeal::Whole)),
+                    Act::Later(time, response) => {
+                        tokio::time::sleep(time).await;
+                        Ok(response.map(Piecemeal::Whole))
+                    }
+                    Act::Part(part) => Ok(Response::new(Piecemeal::Part(Some(part), false))),
+                    Act::Break => {
+                        cut.notify_one();
+                        std::future::pending().await
+                    }
+                    Act::Silence => std::future::pending().await,
+                }
+            }
+        }
+    });
+    let connection = http1::Builder::new().serve_connection(TokioIo::new(socket), service);
+    tokio::select! {
+        _ = connection => {}
+        () = cut.notified() => {}
+    }
+}
+
+/// A body that is whole, or breaks off after a part.
+pub enum Piecemeal {
+    Whole(Full<Bytes>),
+    /// The part, and whether a pause for its write has been made.
+    Part(Option<&'static str>, bool),
+}
+
+impl http_body::Body for Piecemeal {
+    type Data = Bytes;
+    type Error = std::io::Error;
+    fn poll_frame(
+        self: std::pin::Pin<&mut Self>, cx: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<http_body::Frame<Bytes>, std::io::Error>>> {
+        match self.get_mut() {
+            Piecemeal::Whole(full) => std::pin::Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Piecemeal::Part(part, paused) => std::task::Poll::Ready(Some(match part.take() {
+                Some(part) => Ok(http_body::Frame::data(Bytes::from(part))),
+                None if !std::mem::replace(paused, true) => {
+                    // hyper writes what it has while a body is not ready.
+                    cx.waker().wake_by_ref();
+                    return std::task::Poll::Pending;
+                }
+                None => Err(std::io::Error::other("breaks off")),
+            })),
+        }
+    }
+}
+
+/// Runs a test as the daemon runs: on one thread, with local tasks.
+pub fn run<F: Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    LocalSet::new().block_on(&runtime, async { tokio::time::timeout(AGES, test).await.expect("no hang") })
+}
+
+/// Sends one request on a connection of its own; the body is `None` where it broke off.
+pub async fn ask(address: SocketAddr, request: Request<Full<Bytes>>) -> Response<Option<Bytes>> {
+    let socket = TcpStream::connect(address).await.expect("a connection");
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(socket)).await.expect("a handshake");
+    spawn_local(connection);
+    let response = sender.send_request(request).await.expect("an answer");
+    let (parts, body) = response.into_parts();
+    let body = body.collect().await.ok().map(|b| b.to_bytes());
+    Response::from_parts(parts, body)
+}
+
+pub fn post(path: &str, headers: &[(&str, &str)], body: impl Into<Bytes>) -> Request<Full<Bytes>> {
+    let mut request = Request::post(path).header("host", "api.internal");
+    for (name, value) in headers {
+        request = request.header(*name, *value);
+    }
+    request.body(Full::new(body.into())).expect("a request")
+}
+
+/// Waits for something that comes by itself.
+pub async fn until(mut done: impl FnMut() -> bool) {
+    while !done() {
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+}
+
+pub fn poll_once<F: Future>(future: std::pin::Pin<&mut F>) -> std::task::Poll<F::Output> {
+    future.poll(&mut std::task::Context::from_waker(std::task::Waker::noop()))
+}
--- /dev/null
+++ b/gateway/tests/engine.rs
@@ -0,0 +1,255 @@
+//! The engine client on loopback sockets.
+
+mod common;
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::*;
+use deckhub::ServerId;
+use futures_util::StreamExt;
+use glenrail::engine::{Address, Engine, Limits};
+use glenrail::exchange::Payload;
+use glenrail::upstream::{Call, Failed, Frame, Reply};
+use http::{HeaderMap, HeaderValue, Method};
+use proptest::prelude::*;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tower::ServiceExt;
+
+const SERVER: ServerId = ServerId(1);
+
+fn engine(idle: Duration, slots: usize) -> Engine {
+    let limits = Limits { connect_timeout: Duration::from_secs(5), idle, public_api: false };
+    Engine::new(limits, Arc::new(Semaphore::new(slots)))
+}
+
+fn address(server: ServerId, at: &StandIn, serving: bool) -> Address {
+    Address { server, dial: at.address.to_string(), serving }
+}
+
+fn payload(body: &str) -> Rc<Payload> {
+    let mut headers = HeaderMap::new();
+    headers.insert("req-kind", HeaderValue::from_static("item-query"));
+    headers.insert("req-id", HeaderValue::from_static("spoofed"));
+    headers.insert("connection", HeaderValue::from_static("close"));
+    let uri = "/v1/chat/completions?a=b".parse().expect("a target");
+    let body = body.to_string().into();
+    Rc::new(Payload { name: "9b1f".into(), method: Method::POST, uri, headers, body, whole: false })
+}
+
+async fn attempt(engine: &Engine, body: &str) -> Result<Reply, Failed> {
+    let call = Call::Attempt { server: SERVER, payload: payload(body), wait: Duration::from_millis(1_500) };
+    engine.clone().oneshot(call).await
+}
+
+#[test]
+fn a_request_passes_on_unchanged_and_its_stream_comes_back_unchanged() {
+    run(async {
+        let server = StandIn::start(|_, _| stream()).await;
+        let engine = engine(AGES, 8);
+        engine.learn(true, &[address(SERVER, &server, true)], &[]);
+        let Ok(Reply::Answer { mut frames, .. }) = attempt(&engine, "{\"a\": 1}").await else {
+            panic!("no stream")
+        };
+        let (mut bytes, mut last) = (Vec::new(), None);
+        while let Some(frame) = frames.next().await {
+            match frame.expect("a frame") {
+                Frame::Data(data) => bytes.extend_from_slice(&data),
+                end => last = Some(end),
+            }
+        }
+        assert_eq!(bytes, STREAM.as_bytes());
+        let Some(Frame::End { kept, report: Some(report) }) = last else { panic!("no report") };
+        assert_eq!((kept, report.in_flight, report.memory), (12.0, Some(2.0), Some(0.25)));
+        let seen = server.seen.borrow()[0].clone();
+        assert_eq!((seen.path.as_str(), seen.id.as_str()), ("/v1/chat/completions?a=b", "9b1f"));
+        assert_eq!(&seen.body[..], b"{\"a\": 1}");
+        assert_eq!(seen.headers["req-deadline"], "1.500");
+        assert_eq!(seen.headers["req-kind"], "item-query");
+        assert!(!seen.headers.contains_key("connection"));
+    });
+}
+
+#[test]
+fn each_answer_is_the_outcome_that_the_protocol_says() {
+    let declined = [("srv-declined", "1")];
+    type Fits = fn(&Result<Reply, Failed>) -> bool;
+    type Case<'a> = (u16, &'a [(&'a str, &'a str)], Fits);
+    let cases: [Case; 6] = [
+        (202, &[], |r| matches!(r, Ok(Reply::Read { kept, .. }) if *kept == 7.0)),
+        (410, &declined, |r| matches!(r, Ok(Reply::Declined { no_state: true, .. }))),
+        (503, &declined, |r| matches!(r, Ok(Reply::Declined { no_state: false, .. }))),
+        (504, &declined, |r| matches!(r, Ok(Reply::Declined { no_state: false, .. }))),
+        // Unmarked, it may have run.
+        (503, &[("retry-after", "1")], |r| matches!(r, Ok(Reply::Error { .. }))),
+        (500, &[], |r| matches!(r, Ok(Reply::Error { .. }))),
+    ];
+    for (status, headers, fits) in cases {
+        run(async move {
+            let headers: Vec<(String, String)> =
+                headers.iter().map(|(n, v)| (n.to_string(), v.to_string())).collect();
+            let server = StandIn::start(move |_, _| {
+                let headers: Vec<_> = headers.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
+                Act::Answer(answer(status, &headers, r#"{"cached_tokens":7}"#))
+            })
+            .await;
+            let engine = engine(AGES, 8);
+            engine.learn(true, &[address(SERVER, &server, true)], &[]);
+            assert!(fits(&attempt(&engine, "x").await), "{status}");
+        });
+    }
+}
+
+/// Guards rule 2: a request that was written whole is never written again by the client library, and its break
+/// is told apart from a connection that never took it.
+#[test]
+fn a_break_after_the_last_byte_is_a_reset_and_is_not_sent_again() {
+    run(async {
+        for body in ["", "{}", &"x".repeat(200 << 10)] {
+            let server = StandIn::start(|n, _| if n == 0 { read() } else { Act::Break }).await;
+            let engine = engine(AGES, 8);
+            engine.learn(true, &[address(SERVER, &server, true)], &[]);
+            assert!(matches!(attempt(&engine, body).await, Ok(Reply::Read { .. })));
+            // On the kept connection and on a new one alike.
+            for _ in 0..2 {
+                assert!(matches!(attempt(&engine, body).await, Err(Failed::Reset)), "{} bytes", body.len());
+            }
+            assert_eq!(server.count("POST"), 3);
+        }
+    });
+}
+
+/// Guards the rule on drains: a server that is told to drain while a connection is opened gets no first byte.
+#[test]
+fn a_drain_told_during_the_connect_stops_the_send() {
+    run(async {
+        let server = StandIn::start(|_, _| read()).await;
+        let engine = engine(AGES, 8);
+        engine.learn(true, &[address(SERVER, &server, true)], &[]);
+        let sending = attempt(&engine, "x");
+        tokio::pin!(sending);
+        // The first poll begins to connect; the list changes before it can end.
+        assert!(poll_once(sending.as_mut()).is_pending());
+        engine.learn(false, &[address(SERVER, &server, false)], &[]);
+        assert!(matches!(sending.await, Err(Failed::NotSent)));
+        engine.learn(false, &[], &[SERVER]);
+        assert!(matches!(attempt(&engine, "x").await, Err(Failed::NotSent)));
+        assert_eq!(server.seen.borrow().len(), 0);
+    });
+}
+
+/// Guards rule 5: a lease is let go by a server that runs, whichever was asked first.
+#[test]
+fn a_release_goes_on_to_a_server_that_answers() {
+    run(async {
+        let dead = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let dead_at = dead.local_addr().expect("an address").to_string();
+        let silent = StandIn::start(|_, _| Act::Silence).await;
+        let well = StandIn::start(|_, _| Act::Answer(answer(204, &[], ""))).await;
+        drop(dead);
+        let engine = engine(AGES, 8);
+        let list = [
+            Address { server: ServerId(9), dial: dead_at, serving: true },
+            address(ServerId(8), &silent, true),
+            address(SERVER, &well, true),
+        ];
+        engine.learn(true, &list, &[]);
+        let done = engine.oneshot(Call::Release { payload: payload("") }).await;
+        assert!(matches!(done, Ok(Reply::Done)));
+        assert_eq!(well.seen.borrow()[0].path, "/kv/leases/9b1f");
+        assert_eq!(silent.count("DELETE"), 1);
+    });
+}
+
+/// Guards the limit on descriptors: without a slot nothing is opened, and idle connections give way.
+#[test]
+fn connections_stay_within_their_slots() {
+    run(async {
+        let (one, two) = (StandIn::start(|_, _| read()).await, StandIn::start(|_, _| read()).await);
+        let engine = engine(AGES, 1);
+        engine.learn(true, &[address(SERVER, &one, true), address(ServerId(2), &two, true)], &[]);
+        assert!(attempt(&engine, "x").await.is_ok());
+        back_to_the_pool().await;
+        let other = || Call::Attempt { server: ServerId(2), payload: payload("x"), wait: AGES };
+        let both = async { tokio::join!(engine.clone().oneshot(other()), engine.clone().oneshot(other())) };
+        let (a, b) = both.await;
+        assert!(a.is_ok() != b.is_ok(), "one slot, one connection");
+    });
+}
+
+/// Lets a connection come back to the pool, or its end be seen.
+async fn back_to_the_pool() {
+    for _ in 0..20 {
+        tokio::task::yield_now().await;
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Ask,
+    /// An answer after which the server closes.
+    AskAndClose,
+    /// The server closes without an answer.
+    AskAndBreak,
+    CloseIdle,
+    Drain,
+    Serve,
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(40))]
+
+    /// A connection is either kept or not, and the server either serving or not. Against that model: each
+    /// request is written at most once, on the kept connection where there is one, else on a new one.
+    #[test]
+    fn a_connection_follows_its_model(steps in prop::collection::vec(prop::sample::select(vec![
+        Step::Ask, Step::Ask, Step::AskAndClose, Step::AskAndBreak, Step::CloseIdle, Step::Drain, Step::Serve,
+    ]), 1..25)) {
+        run(async {
+            let next = Rc::new(std::cell::Cell::new(Step::Ask));
+            let does = next.clone();
+            let server = StandIn::start(move |_, _| match does.get() {
+                Step::AskAndClose => Act::Answer(answer(202, &[("connection", "close")], "{}")),
+                Step::AskAndBreak => Act::Break,
+                _ => read(),
+            }).await;
+            let engine = engine(AGES, 4);
+            engine.learn(true, &[address(SERVER, &server, true)], &[]);
+            let (mut kept, mut serving, mut opened, mut written) = (false, true, 0, 0);
+            for step in steps {
+                next.set(step);
+                match step {
+                    Step::Ask | Step::AskAndClose | Step::AskAndBreak => {
+                        let told = attempt(&engine, "x").await;
+                        if !serving {
+                            assert!(matches!(told, Err(Failed::NotSent)));
+                            kept = false;
+                            // It is refused before or after the connect; only the write counts.
+                            opened = server.connections.get();
+                            continue;
+                        }
+                        opened += usize::from(!kept);
+                        written += 1;
+                        kept = matches!(step, Step::Ask);
+                        assert_eq!(told.is_ok(), !matches!(step, Step::AskAndBreak));
+                    }
+                    Step::CloseIdle => {
+                        engine.close_idle();
+                        kept = false;
+                    }
+                    Step::Drain | Step::Serve => {
+                        serving = matches!(step, Step::Serve);
+                        engine.learn(false, &[address(SERVER, &server, serving)], &[]);
+                        kept &= serving;
+                    }
+                }
+                back_to_the_pool().await;
+                assert_eq!(server.seen.borrow().len(), written, "{step:?}");
+                assert!(server.connections.get() >= opened, "{step:?}");
+            }
+            assert!(server.connections.get() <= opened + 1);
+        });
+    }
+}
--- /dev/null
+++ b/gateway/tests/inference.rs
@@ -0,0 +1,361 @@
+//! The second front over the whole gateway: embeddings and rerank beside chat, with stand-in servers.
+
+mod common;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::*;
+use glenrail::config::{front_from, Front};
+use glenrail::front::inference::Inference;
+use glenrail::front::{server, Budget};
+use glenrail::shutdown::Shutdown;
+use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, Instant};
+
+const EMBED: &str = r#"{"model":"e","input":["sword","shield"]}"#;
+const VECTORS: &str = r#"{"object":"list","data":[{"index":0,"embedding":[0.1]}]}"#;
+
+struct Gateway {
+    address: SocketAddr,
+    front: Inference,
+    file: Front,
+}
+
+fn pool(servers: &[(&str, &StandIn, bool)]) -> String {
+    let server = |(name, at, drain): &(&str, &StandIn, bool)| {
+        format!("{{ name = '{name}', dial = '{}', drain = {drain} }}", at.address)
+    };
+    format!("connect_ms = 5000\nservers = [{}]", servers.iter().map(server).collect::<Vec<_>>().join(", "))
+}
+
+fn file(embeddings: &[(&str, &StandIn, bool)], chat: &[(&str, &StandIn, bool)]) -> Front {
+    let mut text = "listen = '127.0.0.1:0'\ndeadline_ms = 20000\nmax_deadline_ms = 25000\n".to_string();
+    for (name, servers) in [("embeddings", embeddings), ("chat", chat)] {
+        if !servers.is_empty() {
+            text += &format!("[{name}]\n{}\n", pool(servers));
+        }
+    }
+    front_from(&text).expect("a file")
+}
+
+async fn gateway(file: Front) -> Gateway {
+    let budget = Budget::new(64 << 20);
+    let slots = Arc::new(Semaphore::new(300));
+    let front = Inference::new(&file, None, &None, slots, budget).expect("a front");
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(server::serve(listener, front.clone(), 200, Shutdown::default()));
+    Gateway { address, front, file }
+}
+
+fn vectors() -> Act {
+    Act::Answer(answer(200, &[("content-type", "application/json")], VECTORS))
+}
+
+fn error_of(answer: &http::Response<Option<bytes::Bytes>>) -> serde_json::Value {
+    let v: serde_json::Value = serde_json::from_slice(answer.body().as_ref().expect("a body")).expect("JSON");
+    assert!(v["error"]["message"].is_string() && v["error"]["type"].is_string(), "{v}");
+    v["error"].clone()
+}
+
+#[test]
+fn each_path_reaches_its_own_pool_and_bytes_pass_unchanged() {
+    run(async {
+        let embedder = StandIn::start(|_, _| vectors()).await;
+        let talker = StandIn::start(|_, _| stream()).await;
+        let g = gateway(file(&[("e", &embedder, false)], &[("c", &talker, false)])).await;
+        let rerank = r#"{"model":"r", "query":"gift","documents":["a","b"]}"#;
+        for (path, body) in [("/v1/embeddings", EMBED), ("/v1/rerank", rerank)] {
+            let answer = ask(g.address, post(path, &[("authorization", "Bearer k")], body)).await;
+            assert_eq!((answer.status().as_u16(), answer.body().as_deref()), (200, Some(VECTORS.as_bytes())));
+            let seen = embedder.seen.borrow().last().cloned().expect("a request");
+            assert_eq!((seen.path.as_str(), &seen.body[..]), (path, body.as_bytes()));
+            assert_eq!(seen.headers["authorization"], "Bearer k");
+        }
+        let chat = r#"{"model":"c","messages":[{"role":"user","content":"hi"}],"stream":true}"#;
+        let answer = ask(g.address, post("/v1/chat/completions", &[], chat)).await;
+        assert_eq!((answer.status().as_u16(), answer.body().as_deref()), (200, Some(STREAM.as_bytes())));
+        assert_eq!((embedder.seen.borrow().len(), talker.seen.borrow().len()), (2, 1));
+        let ready = http::Request::get("/ready").body(Default::default()).expect("a request");
+        assert_eq!(ask(g.address, ready).await.status(), 200);
+    });
+}
+
+#[test]
+fn errors_have_the_public_shape() {
+    run(async {
+        let embedder = StandIn::start(|_, _| vectors()).await;
+        let mut f = file(&[("e", &embedder, false)], &[]);
+        f.max_body = 1_000;
+        let g = gateway(f).await;
+        let big = format!(r#"{{"model":"e","input":"{}"}}"#, "x".repeat(2_000));
+        for (path, headers, body, status) in [
+            ("/v1/embeddings", &[][..], "{", 400),
+            ("/v1/embeddings", &[], r#"{"model":"e"}"#, 400),
+            ("/v1/embeddings", &[("x-request-timeout", "soon")], EMBED, 400),
+            ("/v1/embeddings", &[], &big, 413),
+            ("/v1/chat/completions", &[], "{}", 404),
+            ("/v1/images", &[], "{}", 404),
+        ] {
+            let answer = ask(g.address, post(path, headers, body.to_string())).await;
+            assert_eq!(answer.status(), status, "{path}");
+            assert_eq!(error_of(&answer)["type"], "invalid_request_error");
+        }
+        let get = http::Request::get("/v1/embeddings").body(Default::default()).expect("a request");
+        assert_eq!(ask(g.address, get).await.status(), 405);
+        assert_eq!(embedder.seen.borrow().len(), 0);
+    });
+}
+
+#[test]
+fn upstream_trouble_is_mapped() {
+    run(async {
+        type Case = (u16, &'static [(&'static str, &'static str)], u16);
+        let cases: [Case; 4] = [
+            // The client's own mistake passes on; a server's fault does not, and an embedding may be asked again.
+            (422, &[], 422),
+            (500, &[], 503),
+            (503, &[("srv-declined", "1")], 503),
+            (429, &[], 503),
+        ];
+        for (told, headers, wanted) in cases {
+            let server = StandIn::start(move |_, _| Act::Answer(answer(told, headers, "{}"))).await;
+            let g = gateway(file(&[("e", &server, false)], &[])).await;
+            let answer = ask(g.address, post("/v1/embeddings", &[("x-request-timeout", "1")], EMBED)).await;
+            assert_eq!(answer.status(), wanted, "{told}");
+            if wanted == 503 {
+                assert!(
+                    answer.headers()["retry-after"].to_str().expect("text").parse::<u64>().expect("s") > 0
+                );
+                error_of(&answer);
+            }
+        }
+    });
+}
+
+#[test]
+fn the_deadline_comes_from_the_header_and_ends_in_504() {
+    run(async {
+        let server = StandIn::start(|_, _| Act::Silence).await;
+        let g = gateway(file(&[("e", &server, false)], &[])).await;
+        let start = Instant::now();
+        let answer = ask(g.address, post("/v1/embeddings", &[("x-request-timeout", "0.4")], EMBED)).await;
+        assert_eq!(answer.status(), 504);
+        error_of(&answer);
+        // Far from the default of 20 s, and the server was told how long it has.
+        assert!(start.elapsed() < Duration::from_secs(10));
+        let told = server.seen.borrow()[0].headers["req-deadline"].to_str().expect("text").to_string();
+        assert!(told.parse::<f64>().expect("seconds") <= 0.4);
+    });
+}
+
+#[test]
+fn the_deadline_is_capped() {
+    run(async {
+        let server = StandIn::start(|_, _| vectors()).await;
+        let g = gateway(file(&[("e", &server, false)], &[])).await;
+        for (asked, most) in [("9999", 25.0), ("3", 3.0)] {
+            ask(g.address, post("/v1/embeddings", &[("x-request-timeout", asked)], EMBED)).await;
+            let told = server.seen.borrow().last().expect("one").headers["req-deadline"].clone();
+            let told: f64 = told.to_str().expect("text").parse().expect("seconds");
+            assert!(told <= most && told > most - 3.0, "{told}");
+        }
+    });
+}
+
+/// Guards the hard case of the brief: the server that has the batch is told to drain and then breaks it off.
+#[test]
+fn a_batch_survives_a_server_that_drains_halfway() {
+    run(async {
+        let first = StandIn::start(|n, _| if n == 0 { Act::Silence } else { vectors() }).await;
+        let second = StandIn::start(|_, _| vectors()).await;
+        let mut f = file(&[("a", &first, false), ("b", &second, true)], &[]);
+        let g = gateway(f.clone()).await;
+        let asking = ask(g.address, post("/v1/embeddings", &[], EMBED));
+        tokio::pin!(asking);
+        tokio::select! {
+            _ = &mut asking => panic!("the first server is silent"),
+            () = until(|| first.seen.borrow().len() == 1) => {}
+        }
+        // Told by a new list: the first drains, the second serves.
+        let pool = f.embeddings.as_mut().expect("a pool");
+        (pool.servers[0].drain, pool.servers[1].drain) = (true, false);
+        g.front.reload(&f);
+        let more = ask(g.address, post("/v1/embeddings", &[], EMBED)).await;
+        assert_eq!(more.status(), 200);
+        first.stop();
+        let answer = asking.await;
+        assert_eq!((answer.status().as_u16(), answer.body().as_deref()), (200, Some(VECTORS.as_bytes())));
+        assert_eq!((first.seen.borrow().len(), second.seen.borrow().len()), (1, 2));
+    });
+}
+
+/// Guards against an answer that is passed on in part: a whole document that breaks is asked for again.
+#[test]
+fn a_batch_that_breaks_in_its_answer_is_repeated_whole() {
+    run(async {
+        let broke = Rc::new(Cell::new(false));
+        let script = |broke: Rc<Cell<bool>>| {
+            move |_: usize, _: &Seen| if broke.replace(true) { vectors() } else { Act::Part("{\"obj") }
+        };
+        let a = StandIn::start(script(broke.clone())).await;
+        let b = StandIn::start(script(broke)).await;
+        let g = gateway(file(&[("a", &a, false), ("b", &b, false)], &[])).await;
+        let answer = ask(g.address, post("/v1/embeddings", &[], EMBED)).await;
+        assert_eq!((answer.status().as_u16(), answer.body().as_deref()), (200, Some(VECTORS.as_bytes())));
+        assert_eq!(a.seen.borrow().len() + b.seen.borrow().len(), 2);
+    });
+}
+
+/// Guards chat's class: what may have run is not sent again unless the pool says so.
+#[test]
+fn a_chat_that_may_have_run_is_not_repeated() {
+    run(async {
+        let a = StandIn::start(|_, _| Act::Break).await;
+        let b = StandIn::start(|_, _| Act::Break).await;
+        let g = gateway(file(&[], &[("a", &a, false), ("b", &b, false)])).await;
+        let chat = r#"{"model":"c","messages":[{"role":"user","content":"hi"}]}"#;
+        assert_eq!(ask(g.address, post("/v1/chat/completions", &[], chat)).await.status(), 502);
+        assert_eq!(a.seen.borrow().len() + b.seen.borrow().len(), 1);
+    });
+}
+
+/// Guards the rule on cold servers: one that could not be reached and is back gets its work step by step.
+#[test]
+fn a_server_that_comes_back_is_spared_at_first() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let at = listener.local_addr().expect("an address");
+        drop(listener);
+        let steady = StandIn::start(|_, _| vectors()).await;
+        let text = format!(
+            "listen = '127.0.0.1:0'\n[embeddings]\nservers = [{{ name = 'cold', dial = '{at}' }}, \
+             {{ name = 'steady', dial = '{}' }}]",
+            steady.address
+        );
+        let g = gateway(front_from(&text).expect("a file")).await;
+        let send = |n: usize| async move {
+            for _ in 0..n {
+                assert_eq!(ask(g.address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
+            }
+            g
+        };
+        // Some of these find the dead server; it is ejected, and all are answered by the other.
+        let g = send(20).await;
+        assert_eq!(steady.seen.borrow().len(), 20);
+        let cold = StandIn::on(TcpListener::bind(at).await.expect("the same port"), |_, _| vectors());
+        while cold.seen.borrow().is_empty() {
+            assert_eq!(ask(g.address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
+            sleep(Duration::from_millis(5)).await;
+        }
+        let before = steady.seen.borrow().len();
+        for _ in 0..60 {
+            assert_eq!(ask(g.address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
+        }
+        // Even shares would be 30 and 30.
+        let (cold, steady) = (cold.seen.borrow().len(), steady.seen.borrow().len() - before);
+        assert!(cold < steady / 2, "{cold} to the cold server, {steady} to the other");
+    });
+}
+
+fn documents() -> String {
+    let documents: Vec<String> =
+        (0..500).map(|i| format!("item {i}: {}", "a shield of oak ".repeat(120))).collect();
+    json!({"model": "r", "query": "a gift", "documents": documents}).to_string()
+}
+
+/// The share of chats answered whole within their aim, while so many batches are under way at once.
+async fn chat_worth(batches: usize) -> (f64, usize) {
+    // A stand-in serves eight at a time, each in 25 ms.
+    let limited = |slots: usize, ms: u64| {
+        let free = Rc::new(Cell::new(slots));
+        move |_: usize, _: &Seen| {
+            let left = free.get();
+            if left == 0 {
+                return Act::Answer(answer(503, &[("srv-declined", "1")], ""));
+            }
+            free.set(left - 1);
+            spawn_local({
+                let free = free.clone();
+                async move {
+                    sleep(Duration::from_millis(ms)).await;
+                    free.set(free.get() + 1);
+                }
+            });
+            let body = answer(200, &[("content-type", "text/event-stream")], STREAM);
+            Act::Later(Duration::from_millis(ms), body)
+        }
+    };
+    let talkers = [StandIn::start(limited(40, 25)).await, StandIn::start(limited(40, 25)).await];
+    let embedders = [StandIn::start(limited(2, 60)).await, StandIn::start(limited(2, 60)).await];
+    let g = gateway(file(
+        &[("e1", &embedders[0], false), ("e2", &embedders[1], false)],
+        &[("c1", &talkers[0], false), ("c2", &talkers[1], false)],
+    ))
+    .await;
+    assert_eq!(g.file.max_body, 4 << 20);
+    let answered = Rc::new(Cell::new(0));
+    let body = documents();
+    assert!(body.len() > 900_000, "500 documents of some length");
+    let rush = (0..batches).map(|_| {
+        let (address, body, answered) = (g.address, body.clone(), answered.clone());
+        spawn_local(async move {
+            let status = ask(address, post("/v1/rerank", &[], body)).await.status().as_u16();
+            // One final answer each: served, or refused with leave to come again.
+            assert!(status == 200 || status == 503, "{status}");
+            answered.set(answered.get() + 1);
+        })
+    });
+    let rush: Vec<_> = rush.collect();
+    let aim = Duration::from_secs(5);
+    let chats = (0..200u64).map(|i| {
+        let address = g.address;
+        spawn_local(async move {
+            sleep(Duration::from_millis(10 * i)).await;
+            let (start, words) = (Instant::now(), format!("hello {i}"));
+            let chat =
+                json!({"model": "c", "stream": true, "messages": [{"role": "user", "content": words}]});
+            let answer = ask(address, post("/v1/chat/completions", &[], chat.to_string())).await;
+            let whole = answer.body().as_deref() == Some(STREAM.as_bytes());
+            (whole && start.elapsed() <= aim, start.elapsed())
+        })
+    });
+    let chats: Vec<_> = chats.collect();
+    let (mut good, mut times) = (0, Vec::new());
+    for chat in chats {
+        let (in_time, took) = chat.await.expect("a chat");
+        good += usize::from(in_time);
+        times.push(took);
+    }
+    for batch in rush {
+        batch.await.expect("a batch");
+    }
+    let strays =
+        talkers.iter().flat_map(|t| t.seen.borrow().clone()).filter(|s| s.path != "/v1/chat/completions");
+    assert_eq!(strays.count(), 0, "a batch landed at a chat server");
+    times.sort();
+    println!(
+        "{batches} batches: {good} of 200 chats in time, median {:?}, slowest {:?}",
+        times[100], times[199]
+    );
+    (good as f64 / 200.0, answered.get())
+}
+
+/// The brief's claim: batches of 500 documents in a rush cost chat no more than 2% of its worth.
+#[test]
+fn a_rush_of_batches_leaves_chat_its_worth() {
+    run(async {
+        let (alone, _) = chat_worth(0).await;
+        let (beside, answered) = chat_worth(24).await;
+        assert_eq!(answered, 24);
+        assert!(alone > 0.9, "{alone}");
+        assert!(beside >= 0.98 * alone, "{beside} beside batches, {alone} alone");
+    });
+}
--- /dev/null
+++ b/gateway/tests/platform.rs
@@ -0,0 +1,334 @@
+//! The platform's front over the whole gateway, with stand-in servers and clients.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::*;
+use glenrail::core::duration;
+use glenrail::daemon::{leave, Pool};
+use glenrail::discovery::{self, List, Names};
+use glenrail::engine::Limits;
+use glenrail::front::{platform, server, Budget};
+use glenrail::plugin::Plugin;
+use glenrail::shutdown::{Phase, Shutdown};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
+
+struct Gateway {
+    address: SocketAddr,
+    pool: Pool,
+    shutdown: Shutdown,
+}
+
+fn host(name: &str, kind: &str, at: &StandIn, health: &str) -> serde_json::Value {
+    json!({"host": name, "dial": at.address.to_string(), "site": "dc", "class": kind, "block": 3,
+        "health": health, "share": 1.0, "born_ms": 0})
+}
+
+fn names() -> Names {
+    Names { zones: vec!["dc".into()], kinds: vec!["prompt-side".into(), "answer-side".into()] }
+}
+
+fn apply(pool: &Pool, scope: deckhub::Scope, hosts: Vec<serde_json::Value>) {
+    let list: List =
+        serde_json::from_value(json!({"seq": 1, "whole": true, "hosts": hosts})).expect("a list");
+    discovery::apply(&list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
+}
+
+/// A gateway before a reader and a writer.
+async fn gateway(readers: &[&StandIn], writers: &[&StandIn], plugin: Option<&str>, cap: usize) -> Gateway {
+    let settings = glenrail_settings::settings(&json!({"balancers": 1, "quantum": 4.0,
+        "services": [{"aim": 2000.0, "deadline": 10000.0, "semantics": "free"},
+            {"aim": 2500.0, "deadline": 12000.0, "semantics": "single_shot"}],
+        "domain": {"stage-of-kind": ["read", "write"], "tokens-by-kind": [200000, 200000], "pin-limit": 500.0},
+        "policy-limits": {"max-attempts": 5, "cancel": true, "retry-after": true, "max-retry-after": 500.0},
+        "rules": {"cold": 13000.0, "cold-from": 0.31, "fall": 3000.0, "fall-multiple": 4.0}}));
+    let limits = Limits { connect_timeout: Duration::from_secs(5), idle: AGES, public_api: false };
+    let pool = Pool::new(3, settings, limits, Arc::new(Semaphore::new(100)));
+    let mut hosts = Vec::new();
+    for (i, r) in readers.iter().enumerate() {
+        hosts.push(host(&format!("r{i}"), "prompt-side", r, "SERVING"));
+    }
+    for (i, w) in writers.iter().enumerate() {
+        hosts.push(host(&format!("w{i}"), "answer-side", w, "SERVING"));
+    }
+    apply(&pool, deckhub::Scope::Full, hosts);
+    let plugin = plugin.map(|text| Rc::new(Plugin::compile(text).expect("a script")));
+    let shutdown = Shutdown::default();
+    let ready: Rc<dyn Fn() -> bool> = Rc::new({
+        let (core, shutdown) = (pool.core.clone(), shutdown.clone());
+        move || shutdown.phase() == Phase::Serving && core.can_serve()
+    });
+    let names = platform::Names {
+        classes: vec![("item-query".into(), 10_000.0), ("order-chat".into(), 12_000.0)],
+        tenants: vec![],
+    };
+    let front = platform::Platform::new(names, Budget::new(64 << 20), pool.entry(&plugin), ready);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address");
+    spawn_local(server::serve(listener, front, cap, shutdown.clone()));
+    Gateway { address, pool, shutdown }
+}
+
+const CHAT: &str = "/v1/chat/completions";
+
+fn headers(class: &'static str, deadline: &'static str) -> [(&'static str, &'static str); 5] {
+    [
+        ("req-id", "9b1f03aa5c7e2d41"),
+        ("req-kind", class),
+        ("req-key", "7f3a9c21e0b4d655"),
+        ("req-deadline", deadline),
+        ("req-extra", "prefix=5c0f6e1a2b3d4c59,prompt_len=1200,prefix_len=800,max_out=100"),
+    ]
+}
+
+async fn chat(
+    g: &Gateway, class: &'static str, deadline: &'static str,
+) -> http::Response<Option<bytes::Bytes>> {
+    ask(g.address, post(CHAT, &headers(class, deadline), "{\"model\": \"chat\"}")).await
+}
+
+#[test]
+fn a_request_goes_through_both_stages_and_its_answer_is_unchanged() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let writer = StandIn::start(|_, _| stream()).await;
+        let g = gateway(&[&reader], &[&writer], None, 50).await;
+        let answer = chat(&g, "order-chat", "10").await;
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.headers()["content-type"], "text/event-stream");
+        assert_eq!(answer.body().as_deref(), Some(STREAM.as_bytes()));
+        for server in [&reader, &writer] {
+            let seen = server.seen.borrow()[0].clone();
+            assert_eq!(
+                (seen.id.as_str(), &seen.body[..]),
+                ("9b1f03aa5c7e2d41", &b"{\"model\": \"chat\"}"[..])
+            );
+        }
+    });
+}
+
+/// Guards against a stream that breaks and still looks whole.
+#[test]
+fn a_broken_stream_ends_without_its_last_chunk() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let writer = StandIn::start(|_, _| Act::Part("data: half\n\n")).await;
+        let g = gateway(&[&reader], &[&writer], None, 50).await;
+        let answer = chat(&g, "item-query", "10").await;
+        assert_eq!((answer.status().as_u16(), answer.body()), (200, &None));
+        assert_eq!(writer.count("POST"), 1);
+    });
+}
+
+#[test]
+fn an_order_that_may_have_run_fails_once_and_is_not_repeated() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let writers = [StandIn::start(|_, _| Act::Break).await, StandIn::start(|_, _| Act::Break).await];
+        let g = gateway(&[&reader], &[&writers[0], &writers[1]], None, 50).await;
+        assert_eq!(chat(&g, "order-chat", "10").await.status(), 502);
+        assert_eq!(writers[0].count("POST") + writers[1].count("POST"), 1);
+        // What the read left is let go.
+        until(|| reader.count("DELETE") + writers[0].count("DELETE") + writers[1].count("DELETE") > 0).await;
+    });
+}
+
+#[test]
+fn a_deadline_ends_a_request_and_lets_go_of_its_lease() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let writer = StandIn::start(|_, s| match s.method.as_str() {
+            "DELETE" => Act::Answer(answer(204, &[], "")),
+            _ => Act::Silence,
+        })
+        .await;
+        let g = gateway(&[&reader], &[&writer], None, 50).await;
+        assert_eq!(chat(&g, "order-chat", "0.3").await.status(), 504);
+        until(|| g.pool.core.idle()).await;
+        assert!(reader.count("DELETE") + writer.count("DELETE") > 0);
+    });
+}
+
+#[test]
+fn a_refusal_says_when_to_come_back() {
+    run(async {
+        let full = || Act::Answer(answer(503, &[("srv-declined", "1")], ""));
+        let reader = StandIn::start(move |_, _| full()).await;
+        let writer = StandIn::start(|_, _| stream()).await;
+        let g = gateway(&[&reader], &[&writer], None, 50).await;
+        let answer = chat(&g, "item-query", "0.4").await;
+        assert_eq!(answer.status(), 503);
+        assert!(answer.headers().contains_key("retry-after"));
+    });
+}
+
+#[test]
+fn a_client_that_goes_away_ends_its_attempt() {
+    run(async {
+        let reader = StandIn::start(|_, s| match s.method.as_str() {
+            "DELETE" => Act::Answer(answer(204, &[], "")),
+            _ => Act::Silence,
+        })
+        .await;
+        let writer = StandIn::start(|_, _| Act::Answer(answer(204, &[], ""))).await;
+        let g = gateway(&[&reader], &[&writer], None, 50).await;
+        let mut client = TcpStream::connect(g.address).await.expect("a connection");
+        let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nreq-id: a1\r\nreq-kind: item-query\r\n";
+        client.write_all(format!("{head}content-length: 2\r\n\r\n{{}}").as_bytes()).await.expect("sent");
+        until(|| reader.count("POST") == 1).await;
+        drop(client);
+        until(|| reader.count("DELETE") + writer.count("DELETE") > 0 && g.pool.core.idle()).await;
+    });
+}
+
+#[test]
+fn bad_input_gets_a_precise_answer() {
+    run(async {
+        let server = StandIn::start(|_, _| read()).await;
+        let g = gateway(&[&server], &[&server], None, 50).await;
+        let big = post(CHAT, &headers("item-query", "9"), vec![b'x'; (256 << 10) + 1]);
+        assert_eq!(ask(g.address, big).await.status(), 413);
+        for (wrong, names) in [("req-kind", "Req-Kind"), ("req-deadline", "Req-Deadline")] {
+            let mut request = post(CHAT, &headers("item-query", "9"), "{}");
+            request.headers_mut().insert(wrong, http::HeaderValue::from_static("?"));
+            let answer = ask(g.address, request).await;
+            assert_eq!(answer.status(), 400);
+            assert!(answer.body().as_ref().expect("a body").starts_with(names.as_bytes()));
+        }
+        assert_eq!(ask(g.address, post("/v1/other", &[], "")).await.status(), 404);
+        assert_eq!(ask(g.address, post("/ready", &[], "")).await.status(), 405);
+        let mut raw = TcpStream::connect(g.address).await.expect("a connection");
+        raw.write_all(b"\x00\x01nonsense\r\n\r\n").await.expect("sent");
+        let mut said = Vec::new();
+        raw.read_to_end(&mut said).await.expect("an answer");
+        assert!(said.starts_with(b"HTTP/1.1 400"));
+        assert_eq!(server.seen.borrow().len(), 0);
+    });
+}
+
+/// Guards the limit on descriptors: above the cap a client is refused, not lost.
+#[test]
+fn a_connection_above_the_cap_is_refused() {
+    run(async {
+        let server = StandIn::start(|_, _| read()).await;
+        let g = gateway(&[&server], &[&server], None, 1).await;
+        let mut first = TcpStream::connect(g.address).await.expect("a connection");
+        first.write_all(b"GET /ready HTTP/1.1\r\nhost: a\r\n\r\n").await.expect("sent");
+        let mut start = [0; 12];
+        first.read_exact(&mut start).await.expect("an answer");
+        assert_eq!(&start, b"HTTP/1.1 200");
+        let second = chat(&g, "item-query", "5").await;
+        assert_eq!(second.status(), 503);
+        assert_eq!(second.headers()["retry-after"], "1");
+    });
+}
+
+/// Guards the planned end: what was taken is answered, connections still come for a while, and then it ends.
+#[test]
+fn a_planned_end_finishes_what_was_taken() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let slow = answer(200, &[("content-type", "text/event-stream")], STREAM);
+        let slow = Rc::new(std::cell::RefCell::new(Some(slow)));
+        let writer = StandIn::start(move |_, _| match slow.borrow_mut().take() {
+            Some(answer) => Act::Later(Duration::from_millis(1_500), answer),
+            None => stream(),
+        })
+        .await;
+        let g = gateway(&[&reader], &[&writer], None, 50).await;
+        let ready = || http::Request::get("/ready").body(http_body_util::Full::default()).expect("a request");
+        assert_eq!(ask(g.address, ready()).await.status(), 200);
+        let idle = TcpStream::connect(g.address).await.expect("a connection");
+        let first = chat(&g, "order-chat", "10");
+        tokio::pin!(first);
+        tokio::select! {
+            _ = &mut first => panic!("the answer takes longer"),
+            () = until(|| writer.count("POST") == 1) => {}
+        }
+        let pools = [g.pool.clone()];
+        let ended = leave(&g.shutdown, &pools);
+        tokio::pin!(ended);
+        assert!(poll_once(ended.as_mut()).is_pending());
+        let late = async {
+            assert_eq!(ask(g.address, ready()).await.status(), 503);
+            chat(&g, "item-query", "10").await
+        };
+        let ((), first, late) = tokio::join!(ended, first, late);
+        assert_eq!((first.status().as_u16(), first.body().as_deref()), (200, Some(STREAM.as_bytes())));
+        assert_eq!(late.status(), 200);
+        assert_eq!(late.headers()["connection"], "close");
+        assert!(TcpStream::connect(g.address).await.is_err());
+        drop(idle);
+    });
+}
+
+#[test]
+fn a_plug_in_refuses_and_annotates() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let writer = StandIn::start(|_, _| stream()).await;
+        let script = "fn on_request(r) { if r.class == 1 { \"no orders\" } else { #{ tier: \"gold\" } } }
+            fn on_answer(a) { print(a.ended) }";
+        let g = gateway(&[&reader], &[&writer], Some(script), 50).await;
+        assert_eq!(chat(&g, "order-chat", "10").await.status(), 503);
+        assert_eq!(reader.seen.borrow().len(), 0);
+        assert_eq!(chat(&g, "item-query", "10").await.status(), 200);
+        assert_eq!(writer.seen.borrow()[0].headers["x-note-tier"], "gold");
+    });
+}
+
+/// Guards the watch: it begins at the version known, the next call follows at once, a whole list removes, and a
+/// call that ends in silence is made anew.
+#[test]
+fn discovery_is_watched_from_the_known_version_on() {
+    run(async {
+        let server = StandIn::start(|_, _| read()).await;
+        let told = [
+            json!({"seq": 5, "whole": false, "hosts": [host("w0", "answer-side", &server, "SERVING")]}),
+            json!({"seq": 6, "whole": true, "hosts": [host("r1", "prompt-side", &server, "SERVING")]}),
+        ];
+        let agent = StandIn::start(move |n, _| match told.get(n) {
+            Some(list) => Act::Answer(answer(200, &[], list.to_string())),
+            None if n == 2 => Act::Break,
+            None => Act::Silence,
+        })
+        .await;
+        let g = gateway(&[&server], &[], None, 50).await;
+        assert!(!g.pool.core.can_serve());
+        let (pool, scopes) = (g.pool.clone(), Rc::new(std::cell::RefCell::new(Vec::new())));
+        let seen = scopes.clone();
+        let mut served = Vec::new();
+        let watching = discovery::watch(agent.address.to_string(), Some(4), move |list, scope| {
+            discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
+            seen.borrow_mut().push((scope, pool.core.can_serve()));
+        });
+        tokio::select! {
+            () = watching => {}
+            () = until(|| agent.seen.borrow().len() == 4) => {}
+        }
+        served.extend(scopes.borrow().iter().copied());
+        assert_eq!(served, [(deckhub::Scope::Delta, true), (deckhub::Scope::Full, false)]);
+        let paths: Vec<String> = agent.seen.borrow().iter().map(|s| s.path.clone()).collect();
+        let from = |seq: u32| format!("/v1/endpoints?from={seq}&hold_ms=2000");
+        assert_eq!(paths, [from(4), from(5), from(6), from(6)]);
+    });
+}
+
+/// Guards slow start: a server's start on the machine's clock becomes one on the module's.
+#[test]
+fn a_start_is_told_on_the_modules_clock() {
+    run(async {
+        let clock = glenrail::core::Clock::new(Duration::from_secs(1_000));
+        assert!((clock.of_unix(1_002_500.0) - 2_500.0).abs() < 1e-6);
+        assert!(clock.of_unix(999_000.0) < 0.0);
+        assert_eq!(duration(f64::NAN), Duration::ZERO);
+    });
+}
