Close the socket of an attempt given up in the same step

Seen: Drop of a connection only aborted its task (engine/connection.rs), which LocalSet drops at its next turn; until then the socket stayed open. A new test that gives an attempt up and reads at the peer with no task run in between failed with "would block" before the change and sees the end after it. The next attempt of a request could so have been a second copy.

--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -195,15 +195,15 @@
     pub deadline_ms: u64,
     #[serde(default = "defaults::max_deadline_ms")]
     pub max_deadline_ms: u64,
+    /// The platform's class that chat belongs to, where its servers are the platform's.
+    #[serde(default)]
+    pub chat_class: Option<String>,
     /// For embeddings and rerank.
     #[serde(default)]
     pub embeddings: Option<Pool>,
     /// For chat; the platform's own servers where it is left out.
     #[serde(default)]
     pub chat: Option<Pool>,
-    /// The platform's class that chat belongs to, where its servers are the platform's.
-    #[serde(default)]
-    pub chat_class: Option<String>,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -56,8 +56,11 @@
 }
 
 /// A connection that is dropped is closed at once, whatever was under way on it: so an attempt is given up.
+/// The socket itself is shut here, since its task ends only at its next turn, and the next attempt of the request
+/// must not find this one still open.
 impl Drop for Connection {
     fn drop(&mut self) {
+        let _ = SockRef::from(&*self.socket).shutdown(std::net::Shutdown::Both);
         self.task.abort();
     }
 }
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -14,6 +14,7 @@
 use glenrail::upstream::{Call, Failed, Frame, Reply};
 use http::{HeaderMap, HeaderValue, Method};
 use proptest::prelude::*;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
 use tower::ServiceExt;
@@ -163,6 +164,33 @@
     });
 }
 
+/// Guards rule 2: an attempt that is given up is closed before the next one can start, not a turn later.
+#[test]
+fn an_attempt_given_up_is_closed_at_once() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let dial = listener.local_addr().expect("an address").to_string();
+        let engine = engine(AGES, 8);
+        engine.learn(true, &[Address { server: SERVER, dial, serving: true }], &[]);
+        let mut sending = Box::pin(attempt(&engine, "last byte"));
+        let peer = async {
+            let (mut peer, _) = listener.accept().await.expect("a connection");
+            let mut got = Vec::new();
+            while !got.ends_with(b"last byte") {
+                peer.read_buf(&mut got).await.expect("bytes");
+            }
+            peer.into_std().expect("a socket")
+        };
+        let mut peer = tokio::select! {
+            _ = &mut sending => panic!("nothing answers"),
+            peer = peer => peer,
+        };
+        drop(sending);
+        // No task had a turn since: the end must be there already.
+        assert_eq!(std::io::Read::read(&mut peer, &mut [0; 8]).expect("an end"), 0);
+    });
+}
+
 /// Guards the limit on descriptors: without a slot nothing is opened, and idle connections give way.
 #[test]
 fn connections_stay_within_their_slots() {
