Bound the memory of whole answers; spare servers that a later file adds

Lines at fault: engine/mod.rs (attempt: collect to WHOLE) and front/inference.rs (list: started was never set). Now bodies and whole answers share one budget (budget.rs); the bytes themselves hold their claim until the last copy is gone. A server that is new in a later file, or serves again after a drain, counts as just started. Checked: both tests fail with the change taken out.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -13,11 +13,12 @@
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
+use crate::budget::Budget;
 use crate::config::{self, Bounds};
 use crate::core::{duration, Clock, Core};
 use crate::discovery::{self, List, Names};
 use crate::engine::{Engine, Limits};
-use crate::front::{inference, platform, server, Budget, Entry};
+use crate::front::{inference, platform, server, Entry};
 use crate::log;
 use crate::plugin::Plugin;
 use crate::shutdown::{Phase, Shutdown};
@@ -38,10 +39,10 @@
 }
 
 impl Pool {
-    pub fn new(seed: u64, settings: Settings, limits: Limits, slots: Arc<Semaphore>) -> Self {
+    pub fn new(seed: u64, settings: Settings, limits: Limits, slots: Arc<Semaphore>, budget: Budget) -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = Clock::new(unix);
-        let engine = Engine::new(limits, slots);
+        let engine = Engine::new(limits, slots, budget);
         Pool { core: Core::new(seed, settings, clock, engine.clone()), engine, clock }
     }
 
@@ -96,7 +97,7 @@
         let classes = p.classes.iter().cloned().zip(p.settings.classes.iter().map(|c| c.deadline));
         let names = platform::Names { classes: classes.collect(), tenants: p.tenants };
         let classes = p.settings.classes.clone();
-        let pool = Pool::new(p.seed, p.settings, limits, slots.clone());
+        let pool = Pool::new(p.seed, p.settings, limits, slots.clone(), budget.clone());
         pools.push(pool.clone());
         let words = Names { zones: p.zones, kinds: p.kinds };
         let known = List::deserialize(&p.known).ok();
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -28,7 +28,9 @@
 
 use self::connection::Connection;
 use self::reply::Tail;
+use crate::budget::Budget;
 use crate::exchange::{Head, Payload};
+use crate::log;
 use crate::upstream::{Call, Failed, Frame, Reply};
 
 /// Most bytes of an answer that is kept whole before any of it is passed on.
@@ -76,6 +78,8 @@
     limits: Limits,
     places: RefCell<BTreeMap<ServerId, Place>>,
     slots: Arc<Semaphore>,
+    /// For answers that are kept whole.
+    budget: Budget,
     next: Cell<u64>,
 }
 
@@ -83,10 +87,10 @@
 pub struct Engine(Rc<Shared>);
 
 impl Engine {
-    /// `slots` bounds the connections of all pools together.
-    pub fn new(limits: Limits, slots: Arc<Semaphore>) -> Self {
+    /// `slots` bounds the connections of all pools together, `budget` the bodies held.
+    pub fn new(limits: Limits, slots: Arc<Semaphore>, budget: Budget) -> Self {
         let places = RefCell::default();
-        Engine(Rc::new(Shared { limits, places, slots, next: Cell::new(0) }))
+        Engine(Rc::new(Shared { limits, places, slots, budget, next: Cell::new(0) }))
     }
 
     /// Takes in a list, or changes to it.
@@ -229,8 +233,10 @@
             let frames = stream::once(async { Ok(Frame::Data(first)) }).chain(rest).boxed_local();
             return Ok(Reply::Answer { head, frames });
         }
-        let most = if payload.whole { WHOLE } else { BRIEF };
-        let body = Limited::new(body, most).collect().await.map_err(|_| Failed::Reset)?.to_bytes();
+        let Some(body) = self.whole(body).await? else {
+            log!("an answer of server {:x} is too large to be kept whole", server.0);
+            return Ok(Reply::Error { report });
+        };
         self.keep(server, connection);
         let turned_away = reply::turned_away(&head, self.0.limits.public_api);
         Ok(match head.status.as_u16() {
@@ -246,6 +252,20 @@
         })
     }
 
+    /// All of an answer; `None` where there is no room for it.
+    async fn whole(&self, mut body: Incoming) -> Result<Option<Bytes>, Failed> {
+        let (mut all, mut claim) = (Vec::new(), self.0.budget.claim(0).ok_or(Failed::Reset)?);
+        while let Some(frame) = body.frame().await {
+            if let Ok(data) = frame.map_err(|_| Failed::Reset)?.into_data() {
+                if all.len() + data.len() > WHOLE || !claim.grow(data.len()) {
+                    return Ok(None);
+                }
+                all.extend_from_slice(&data);
+            }
+        }
+        Ok(Some(claim.hold(all.into())))
+    }
+
     /// Asks one running server after another, the one heard from last first.
     async fn release(&self, payload: &Payload) -> Result<Reply, Failed> {
         let request = lease_request(Method::DELETE, payload)?;
--- a/gateway/src/front/inference.rs
+++ b/gateway/src/front/inference.rs
@@ -1,11 +1,9 @@
 //! The second front: embeddings and rerank beside chat, by the shapes of their public APIs. It reads what
 //! decisions need from the JSON body, and the body passes on as it came.
 
-use std::cell::Cell;
-use std::convert::Infallible;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use deckhub::{Class, Effect, Member, Ms, Scope, ServerState};
@@ -18,10 +16,11 @@
 use serde_json::value::RawValue;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
-use tower::{Service, ServiceExt};
+use tower::ServiceExt;
 
-use super::{collect, response, whole_seconds, Answering, Body, BodyError, Budget, Claim, Entry};
-use crate::config::{self, Front};
+use super::{collect, response, whole_seconds, Body, BodyError, Entry, Front};
+use crate::budget::Budget;
+use crate::config;
 use crate::core::duration;
 use crate::daemon::Pool;
 use crate::engine::{Address, Limits};
@@ -55,6 +54,8 @@
     entry: Rc<dyn Fn() -> Entry>,
     /// The platform's class: its place and its name.
     class: Option<(u32, String)>,
+    /// The servers as the file last had them, where they come from a file.
+    file: Option<Rc<RefCell<config::Pool>>>,
 }
 
 #[derive(Clone)]
@@ -105,8 +106,8 @@
 
 impl Inference {
     pub fn new(
-        file: &Front, platform: Option<PlatformChat>, plugin: &Option<Rc<Plugin>>, slots: Arc<Semaphore>,
-        budget: Budget,
+        file: &config::Front, platform: Option<PlatformChat>, plugin: &Option<Rc<Plugin>>,
+        slots: Arc<Semaphore>, budget: Budget,
     ) -> Result<Self, String> {
         let seed = std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), "names of requests");
         let own = |pool: &config::Pool, repeatable: bool| {
@@ -116,9 +117,10 @@
                 idle: Duration::from_millis(pool.idle_ms),
                 public_api: true,
             };
-            let made = Pool::new(seed, settings, limits, slots.clone());
-            list(&made, pool);
-            Target { entry: made.entry(plugin), pool: made, class: None }
+            let made = Pool::new(seed, settings, limits, slots.clone(), budget.clone());
+            list(&made, pool, None);
+            let file = Some(Rc::new(RefCell::new(pool.clone())));
+            Target { entry: made.entry(plugin), pool: made, class: None, file }
         };
         let chat = match (&file.chat, platform) {
             (Some(pool), _) => Some(own(pool, false)),
@@ -139,25 +141,22 @@
 
     /// The pools that are this front's own.
     pub fn pools(&self) -> Vec<Pool> {
-        let own = |t: &&Target| t.class.is_none();
+        let own = |t: &&Target| t.file.is_some();
         [&self.0.embeddings, &self.0.chat].into_iter().flatten().filter(own).map(|t| t.pool.clone()).collect()
     }
 
     /// Takes the servers of a file that has changed; what else it says holds from the next start on.
-    pub fn reload(&self, file: &Front) {
+    pub fn reload(&self, file: &config::Front) {
         for (target, pool) in [(&self.0.embeddings, &file.embeddings), (&self.0.chat, &file.chat)] {
             if let (Some(target), Some(pool)) = (target, pool) {
-                if target.class.is_none() {
-                    list(&target.pool, pool);
+                if let Some(before) = &target.file {
+                    let before = before.replace(pool.clone());
+                    list(&target.pool, pool, Some(&before));
                 }
             }
         }
     }
 
-    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
-        self.exchange(request).await.unwrap_or_else(Fault::response)
-    }
-
     async fn exchange(&self, request: Request<Incoming>) -> Result<Response<Body>, Fault> {
         let arrived = Instant::now();
         let (parts, body) = request.into_parts();
@@ -175,18 +174,17 @@
             return Err(Fault::new(StatusCode::METHOD_NOT_ALLOWED, "invalid_request_error", "POST wanted"));
         }
         let patience = self.patience(&parts.headers)?;
-        let (body, claim) =
-            collect(&parts.headers, body, me.max_body, &me.budget).await.map_err(|e| match e {
-                BodyError::NoRoom => Fault::refused(COME_BACK),
-                BodyError::TooLarge => {
-                    let message = format!("the body is larger than {} bytes", me.max_body);
-                    Fault::new(StatusCode::PAYLOAD_TOO_LARGE, "invalid_request_error", message)
-                }
-                BodyError::TooSlow => {
-                    Fault::new(StatusCode::REQUEST_TIMEOUT, "invalid_request_error", "body too slow")
-                }
-                BodyError::Broken => Fault::invalid("the body broke off"),
-            })?;
+        let body = collect(&parts.headers, body, me.max_body, &me.budget).await.map_err(|e| match e {
+            BodyError::NoRoom => Fault::refused(COME_BACK),
+            BodyError::TooLarge => {
+                let message = format!("the body is larger than {} bytes", me.max_body);
+                Fault::new(StatusCode::PAYLOAD_TOO_LARGE, "invalid_request_error", message)
+            }
+            BodyError::TooSlow => {
+                Fault::new(StatusCode::REQUEST_TIMEOUT, "invalid_request_error", "body too slow")
+            }
+            BodyError::Broken => Fault::invalid("the body broke off"),
+        })?;
         let asked = read(&body)?;
         me.count.set(me.count.get() + 1);
         let name = format!("{:016x}", me.seed.wrapping_add(me.count.get()));
@@ -216,7 +214,7 @@
             Payload { name, method: parts.method, uri: parts.uri, headers, body, whole: !asked.stream };
         let request = exchange::Request { ask, arrived, payload: Rc::new(payload) };
         let Ok(answer) = (target.entry)().oneshot(request).await;
-        pass_back(answer, claim, arrived + patience).await
+        pass_back(answer, arrived + patience).await
     }
 
     fn ready(&self) -> Response<Body> {
@@ -236,11 +234,21 @@
     }
 }
 
-/// Makes the servers of a file known to its pool.
-fn list(pool: &Pool, file: &config::Pool) {
+impl Front for Inference {
+    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
+        self.exchange(request).await.unwrap_or_else(Fault::response)
+    }
+}
+
+/// Makes the servers of a file known to its pool. Those in the first file are taken for warm; one that is new in
+/// a later file, or serves again after a drain, has just started for all that is known, and is spared.
+fn list(pool: &Pool, file: &config::Pool, before: Option<&config::Pool>) {
+    let served = |name: &str, f: &config::Pool| f.servers.iter().any(|s| s.name == name && !s.drain);
+    let fresh = |name: &str| before.is_some_and(|b| !served(name, b));
     let member = |s: &config::Server| Member {
         server: server_id(&s.name),
         weight: s.weight,
+        started: fresh(&s.name).then(|| pool.clock.now()),
         state: if s.drain { ServerState::Draining } else { ServerState::Ready },
         ..Member::default()
     };
@@ -261,15 +269,14 @@
     };
     let place = place.ok_or("configuration: chat_class: the platform has no such class")?;
     let class = Some((place as u32, names[place].0.clone()));
-    Ok(Target { entry: pool.entry(plugin), pool, class })
+    Ok(Target { entry: pool.entry(plugin), pool, class, file: None })
 }
 
 /// The answer's first piece decides the status.
-async fn pass_back(mut answer: ClientSide, claim: Claim, deadline: Instant) -> Result<Response<Body>, Fault> {
+async fn pass_back(mut answer: ClientSide, deadline: Instant) -> Result<Response<Body>, Fault> {
     match answer.piece().await {
         Some(Piece::Begin(head, first)) => {
-            let mut response =
-                Response::new(Body::Stream { first: Some(first), rest: answer, _claim: claim });
+            let mut response = Response::new(Body::Stream { first: Some(first), rest: answer });
             *response.status_mut() = head.status;
             let kind = head.headers.get(CONTENT_TYPE).cloned();
             let kind = kind.unwrap_or(HeaderValue::from_static("application/json"));
@@ -410,21 +417,6 @@
     })
 }
 
-impl Service<Request<Incoming>> for Inference {
-    type Response = Response<Body>;
-    type Error = Infallible;
-    type Future = Answering;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let front = self.clone();
-        Box::pin(async move { Ok(front.answer(request).await) })
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -5,35 +5,35 @@
 pub mod platform;
 pub mod server;
 
-use std::cell::Cell;
 use std::convert::Infallible;
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::future::LocalBoxFuture;
-use http::{HeaderMap, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode};
 use http_body::Frame;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
 use tower::util::UnsyncBoxService;
+use tower::{service_fn, Service};
 
-use crate::exchange::{ClientSide, Piece, Request};
+use crate::budget::Budget;
+use crate::exchange::{self, ClientSide, Piece};
 
 /// A body must have come by then.
 const BODY_WAIT: Duration = Duration::from_secs(10);
 
 /// The core behind whatever layers wrap it, as a front calls it.
-pub type Entry = UnsyncBoxService<Request, ClientSide, Infallible>;
+pub type Entry = UnsyncBoxService<exchange::Request, ClientSide, Infallible>;
 
 /// What a front answers with.
 pub enum Body {
     Whole(Full<Bytes>),
-    Stream { first: Option<Bytes>, rest: ClientSide, _claim: Claim },
+    Stream { first: Option<Bytes>, rest: ClientSide },
 }
 
 impl Body {
@@ -51,7 +51,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match self.get_mut() {
             Body::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
-            Body::Stream { first, rest, .. } => {
+            Body::Stream { first, rest } => {
                 if let Some(first) = first.take() {
                     return Poll::Ready(Some(Ok(Frame::data(first))));
                 }
@@ -66,33 +66,6 @@
     }
 }
 
-/// Bytes of request bodies that may be held at once, by all connections together.
-#[derive(Clone)]
-pub struct Budget(Rc<Cell<usize>>);
-
-/// A part of the budget, given back when it is dropped.
-pub struct Claim {
-    budget: Budget,
-    bytes: usize,
-}
-
-impl Budget {
-    pub fn new(bytes: usize) -> Self {
-        Budget(Rc::new(Cell::new(bytes)))
-    }
-    pub fn claim(&self, bytes: usize) -> Option<Claim> {
-        let left = self.0.get().checked_sub(bytes)?;
-        self.0.set(left);
-        Some(Claim { budget: self.clone(), bytes })
-    }
-}
-
-impl Drop for Claim {
-    fn drop(&mut self) {
-        self.budget.0.set(self.budget.0.get() + self.bytes);
-    }
-}
-
 /// Why a body was not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyError {
@@ -106,7 +79,7 @@
 /// Collects a body of at most `most` bytes, counted against the budget before it is read.
 pub async fn collect(
     headers: &HeaderMap, body: Incoming, most: usize, budget: &Budget,
-) -> Result<(Bytes, Claim), BodyError> {
+) -> Result<Bytes, BodyError> {
     let told = headers.get(http::header::CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
     let size: usize = told.unwrap_or(most);
     if size > most {
@@ -117,7 +90,7 @@
         Err(_) => Err(BodyError::TooSlow),
         Ok(Err(e)) if e.is::<LengthLimitError>() => Err(BodyError::TooLarge),
         Ok(Err(_)) => Err(BodyError::Broken),
-        Ok(Ok(all)) => Ok((all.to_bytes(), claim)),
+        Ok(Ok(all)) => Ok(claim.hold(all.to_bytes())),
     }
 }
 
@@ -137,4 +110,19 @@
     response
 }
 
-pub type Answering = LocalBoxFuture<'static, Result<Response<Body>, Infallible>>;
+/// One wire before the core. It always has an answer.
+pub trait Front: Clone + 'static {
+    fn answer(self, request: Request<Incoming>) -> impl Future<Output = Response<Body>>;
+
+    /// The front as a tower service.
+    fn service(
+        self,
+    ) -> impl Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: 'static>
+           + Clone
+           + 'static {
+        service_fn(move |request| {
+            let front = self.clone();
+            async move { Ok(front.answer(request).await) }
+        })
+    }
+}
--- a/gateway/src/front/platform.rs
+++ b/gateway/src/front/platform.rs
@@ -1,8 +1,6 @@
 //! The platform's protocol: the request's fields come in headers, the body passes on as it came.
 
-use std::convert::Infallible;
 use std::rc::Rc;
-use std::task::{Context, Poll};
 use std::time::Duration;
 
 use deckhub::Ms;
@@ -10,9 +8,10 @@
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use tokio::time::Instant;
-use tower::{Service, ServiceExt};
+use tower::ServiceExt;
 
-use super::{collect, decimals, response, Answering, Body, BodyError, Budget, Claim, Entry};
+use super::{collect, decimals, response, Body, BodyError, Entry, Front};
+use crate::budget::Budget;
 use crate::exchange::{self, ClientSide, Failure, Payload, Piece};
 
 /// Most bytes of a body in this protocol.
@@ -42,18 +41,6 @@
         Platform { names: Rc::new(names), budget, entry, ready }
     }
 
-    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
-        match (request.method(), request.uri().path()) {
-            (&Method::GET, "/ready") if (self.ready)() => response(StatusCode::OK, "ready\n"),
-            (&Method::GET, "/ready") => response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
-            (&Method::POST, "/v1/chat/completions") => self.chat(request).await,
-            (_, "/ready" | "/v1/chat/completions") => {
-                response(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
-            }
-            _ => response(StatusCode::NOT_FOUND, "no such path\n"),
-        }
-    }
-
     async fn chat(self, request: Request<Incoming>) -> Response<Body> {
         let arrived = Instant::now();
         let (parts, body) = request.into_parts();
@@ -61,7 +48,7 @@
             Ok(read) => read,
             Err(what) => return response(StatusCode::BAD_REQUEST, format!("{what}\n")),
         };
-        let (body, claim) = match collect(&parts.headers, body, BODY, &self.budget).await {
+        let body = match collect(&parts.headers, body, BODY, &self.budget).await {
             Ok(taken) => taken,
             Err(BodyError::NoRoom) => return refusal(COME_BACK),
             Err(BodyError::TooLarge) => return response(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n"),
@@ -78,7 +65,21 @@
         };
         let request = exchange::Request { ask, arrived, payload: Rc::new(payload) };
         let Ok(answer) = (self.entry)().oneshot(request).await;
-        pass_back(answer, claim).await
+        pass_back(answer).await
+    }
+}
+
+impl Front for Platform {
+    async fn answer(self, request: Request<Incoming>) -> Response<Body> {
+        match (request.method(), request.uri().path()) {
+            (&Method::GET, "/ready") if (self.ready)() => response(StatusCode::OK, "ready\n"),
+            (&Method::GET, "/ready") => response(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            (&Method::POST, "/v1/chat/completions") => self.chat(request).await,
+            (_, "/ready" | "/v1/chat/completions") => {
+                response(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n")
+            }
+            _ => response(StatusCode::NOT_FOUND, "no such path\n"),
+        }
     }
 }
 
@@ -92,10 +93,10 @@
 }
 
 /// The answer's first piece decides the status: 200 only once an engine's first event is there.
-async fn pass_back(mut answer: ClientSide, claim: Claim) -> Response<Body> {
+async fn pass_back(mut answer: ClientSide) -> Response<Body> {
     match answer.piece().await {
         Some(Piece::Begin(head, first)) => {
-            let stream = Body::Stream { first: Some(first), rest: answer, _claim: claim };
+            let stream = Body::Stream { first: Some(first), rest: answer };
             let mut response = Response::new(stream);
             let kind = head.headers.get(CONTENT_TYPE).cloned();
             let kind = kind.unwrap_or(HeaderValue::from_static("text/event-stream"));
@@ -174,21 +175,6 @@
     u64::from_str_radix(text, 16).unwrap_or_else(|_| glenrail_settings::server_id(text).0)
 }
 
-impl Service<Request<Incoming>> for Platform {
-    type Response = Response<Body>;
-    type Error = Infallible;
-    type Future = Answering;
-
-    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
-        Poll::Ready(Ok(()))
-    }
-
-    fn call(&mut self, request: Request<Incoming>) -> Self::Future {
-        let front = self.clone();
-        Box::pin(async move { Ok(front.answer(request).await) })
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 use tower::{service_fn, Service, ServiceExt};
 
-use super::{response, Body};
+use super::{response, Body, Front};
 use crate::log;
 use crate::shutdown::{Phase, Shutdown};
 
@@ -33,12 +33,8 @@
 type Answer = Result<Response<Body>, Infallible>;
 
 /// Serves until shutdown has passed its accepting phase, then lets connections end by themselves.
-pub async fn serve<S>(listener: TcpListener, service: S, cap: usize, shutdown: Shutdown)
-where
-    S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: 'static>
-        + Clone
-        + 'static,
-{
+pub async fn serve(listener: TcpListener, front: impl Front, cap: usize, shutdown: Shutdown) {
+    let service = front.service();
     let (room, refusals) = (Rc::new(Semaphore::new(cap)), Rc::new(Semaphore::new(REFUSING)));
     let take = |socket: TcpStream| {
         let (service, shutdown) = (service.clone(), shutdown.clone());
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //!        client side      exchange object      server side
 //! ```
 
+pub mod budget;
 pub mod config;
 pub mod core;
 pub mod daemon;
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -9,6 +9,7 @@
 use common::*;
 use deckhub::ServerId;
 use futures_util::StreamExt;
+use glenrail::budget::Budget;
 use glenrail::engine::{Address, Engine, Limits};
 use glenrail::exchange::Payload;
 use glenrail::upstream::{Call, Failed, Frame, Reply};
@@ -23,7 +24,7 @@
 
 fn engine(idle: Duration, slots: usize) -> Engine {
     let limits = Limits { connect_timeout: Duration::from_secs(5), idle, public_api: false };
-    Engine::new(limits, Arc::new(Semaphore::new(slots)))
+    Engine::new(limits, Arc::new(Semaphore::new(slots)), Budget::new(1 << 20))
 }
 
 fn address(server: ServerId, at: &StandIn, serving: bool) -> Address {
@@ -40,6 +41,28 @@
     Rc::new(Payload { name: "9b1f".into(), method: Method::POST, uri, headers, body, whole: false })
 }
 
+/// Guards the limit on memory: an answer that is to be kept whole and does not fit is no answer.
+#[test]
+fn an_answer_too_large_to_be_kept_is_an_error() {
+    run(async {
+        let big = |n: usize| vec![b'x'; if n == 0 { (1 << 20) + 1 } else { 1 << 20 }];
+        let server = StandIn::start(move |n, _| Act::Answer(answer(200, &[], big(n)))).await;
+        let engine = engine(AGES, 8);
+        engine.learn(true, &[address(SERVER, &server, true)], &[]);
+        let whole = || {
+            let payload = Payload { name: "a".into(), whole: true, ..Payload::default() };
+            engine.clone().oneshot(Call::Attempt { server: SERVER, payload: Rc::new(payload), wait: AGES })
+        };
+        assert!(matches!(whole().await, Ok(Reply::Error { .. })));
+        let Ok(kept) = whole().await else { panic!("no answer") };
+        assert!(matches!(kept, Reply::Answer { .. }));
+        // The room is taken until the answer is gone.
+        assert!(matches!(whole().await, Ok(Reply::Error { .. })));
+        drop(kept);
+        assert!(matches!(whole().await, Ok(Reply::Answer { .. })));
+    });
+}
+
 async fn attempt(engine: &Engine, body: &str) -> Result<Reply, Failed> {
     let call = Call::Attempt { server: SERVER, payload: payload(body), wait: Duration::from_millis(1_500) };
     engine.clone().oneshot(call).await
--- a/gateway/tests/inference.rs
+++ b/gateway/tests/inference.rs
@@ -9,9 +9,10 @@
 use std::time::Duration;
 
 use common::*;
+use glenrail::budget::Budget;
 use glenrail::config::{front_from, Front};
 use glenrail::front::inference::Inference;
-use glenrail::front::{server, Budget};
+use glenrail::front::server;
 use glenrail::shutdown::Shutdown;
 use serde_json::json;
 use tokio::net::TcpListener;
@@ -265,6 +266,25 @@
     });
 }
 
+/// Guards the rule on cold servers for one that a later file brings in.
+#[test]
+fn a_server_that_a_later_file_adds_is_spared_at_first() {
+    run(async {
+        let (steady, fresh) =
+            (StandIn::start(|_, _| vectors()).await, StandIn::start(|_, _| vectors()).await);
+        let g = gateway(file(&[("steady", &steady, false)], &[])).await;
+        for _ in 0..20 {
+            assert_eq!(ask(g.address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
+        }
+        g.front.reload(&file(&[("steady", &steady, false), ("fresh", &fresh, false)], &[]));
+        for _ in 0..60 {
+            assert_eq!(ask(g.address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
+        }
+        let (fresh, steady) = (fresh.seen.borrow().len(), steady.seen.borrow().len() - 20);
+        assert!(fresh < steady / 2, "{fresh} to the new server, {steady} to the other");
+    });
+}
+
 fn documents() -> String {
     let documents: Vec<String> =
         (0..500).map(|i| format!("item {i}: {}", "a shield of oak ".repeat(120))).collect();
--- a/gateway/tests/platform.rs
+++ b/gateway/tests/platform.rs
@@ -8,11 +8,12 @@
 use std::time::Duration;
 
 use common::*;
+use glenrail::budget::Budget;
 use glenrail::core::duration;
 use glenrail::daemon::{leave, Pool};
 use glenrail::discovery::{self, List, Names};
 use glenrail::engine::Limits;
-use glenrail::front::{platform, server, Budget};
+use glenrail::front::{platform, server};
 use glenrail::plugin::Plugin;
 use glenrail::shutdown::{Phase, Shutdown};
 use serde_json::json;
@@ -51,7 +52,8 @@
         "policy-limits": {"max-attempts": 5, "cancel": true, "retry-after": true, "max-retry-after": 500.0},
         "rules": {"cold": 13000.0, "cold-from": 0.31, "fall": 3000.0, "fall-multiple": 4.0}}));
     let limits = Limits { connect_timeout: Duration::from_secs(5), idle: AGES, public_api: false };
-    let pool = Pool::new(3, settings, limits, Arc::new(Semaphore::new(100)));
+    let budget = Budget::new(64 << 20);
+    let pool = Pool::new(3, settings, limits, Arc::new(Semaphore::new(100)), budget.clone());
     let mut hosts = Vec::new();
     for (i, r) in readers.iter().enumerate() {
         hosts.push(host(&format!("r{i}"), "prompt-side", r, "SERVING"));
@@ -70,7 +72,7 @@
         classes: vec![("item-query".into(), 10_000.0), ("order-chat".into(), 12_000.0)],
         tenants: vec![],
     };
-    let front = platform::Platform::new(names, Budget::new(64 << 20), pool.entry(&plugin), ready);
+    let front = platform::Platform::new(names, budget, pool.entry(&plugin), ready);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     spawn_local(server::serve(listener, front, cap, shutdown.clone()));
