Test the platform's gateway as a program, with a planned end in the middle of a stream

Seen: the way from EDGE_CONFIG to a stream, and SIGTERM on it, were covered only in parts. The new test starts the program, checks that the known list serves at once and that the watch begins at its version, and ends it in the middle of a stream: the stream is whole, exit 0. Ports that tests had bound, let go and bound again could have been taken by another test in between; the program now logs where it listens (daemon.rs, listen), and a server that refuses holds its port without listening. Ruled out: a fault in the planned end itself.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -68,10 +68,11 @@
     LocalSet::new().block_on(&runtime, serve(platform, second.zip(front), plugin))
 }
 
-async fn listen(address: &str, key: &str) -> Result<TcpListener, String> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|e| format!("configuration: {key}: cannot listen on {address}: {e}"))
+async fn listen(address: &str, key: &str, front: &str) -> Result<TcpListener, String> {
+    let failed = |e| format!("configuration: {key}: cannot listen on {address}: {e}");
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    log!("{front} front on {}", listener.local_addr().map_err(failed)?);
+    Ok(listener)
 }
 
 async fn serve(
@@ -88,7 +89,7 @@
     let seconds = second.as_ref().map_or(0, |(f, _)| f.max_connections.min(bounds.client_connections / 2));
 
     if let Some(p) = platform {
-        let listener = listen(&p.listen.to_string(), "listen").await?;
+        let listener = listen(&p.listen.to_string(), "listen", "platform").await?;
         let limits = Limits {
             connect_timeout: duration(p.settings.limits.connect_timeout),
             idle: p.conn_idle.mul_f64(IDLE_SHARE),
@@ -121,10 +122,9 @@
     }
 
     if let Some((file, path)) = second {
-        let listener = listen(&file.listen, "listen").await?;
+        let listener = listen(&file.listen, "listen", "second").await?;
         let front = inference::Inference::new(&file, chat, &plugin, slots, budget)?;
         pools.extend(front.pools());
-        log!("second front on {}", file.listen);
         spawn_local(server::serve(listener, front.clone(), seconds, shutdown.clone()));
         spawn_local(async move {
             while signals.reload.recv().await.is_some() {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -15,7 +15,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{spawn_local, AbortHandle, LocalSet};
 
 /// Far above what any step takes; only a hang reaches it.
@@ -113,6 +113,14 @@
     }
 }
 
+/// A port that refuses connections until its socket listens; no one else can get it meanwhile.
+pub fn reserved() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+    let address = socket.local_addr().expect("an address");
+    (socket, address)
+}
+
 async fn serve(socket: TcpStream, it: StandIn, script: Script) {
     let cut = Rc::new(tokio::sync::Notify::new());
     let service = service_fn({
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -168,14 +168,12 @@
 #[test]
 fn a_release_goes_on_to_a_server_that_answers() {
     run(async {
-        let dead = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let dead_at = dead.local_addr().expect("an address").to_string();
+        let (_dead, dead_at) = reserved();
         let silent = StandIn::start(|_, _| Act::Silence).await;
         let well = StandIn::start(|_, _| Act::Answer(answer(204, &[], ""))).await;
-        drop(dead);
         let engine = engine(AGES, 8);
         let list = [
-            Address { server: ServerId(9), dial: dead_at, serving: true },
+            Address { server: ServerId(9), dial: dead_at.to_string(), serving: true },
             address(ServerId(8), &silent, true),
             address(SERVER, &well, true),
         ];
--- a/gateway/tests/inference.rs
+++ b/gateway/tests/inference.rs
@@ -232,9 +232,7 @@
 #[test]
 fn a_server_that_comes_back_is_spared_at_first() {
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let at = listener.local_addr().expect("an address");
-        drop(listener);
+        let (dead, at) = reserved();
         let steady = StandIn::start(|_, _| vectors()).await;
         let text = format!(
             "listen = '127.0.0.1:0'\n[embeddings]\nservers = [{{ name = 'cold', dial = '{at}' }}, \
@@ -251,7 +249,7 @@
         // Some of these find the dead server; it is ejected, and all are answered by the other.
         let g = send(20).await;
         assert_eq!(steady.seen.borrow().len(), 20);
-        let cold = StandIn::on(TcpListener::bind(at).await.expect("the same port"), |_, _| vectors());
+        let cold = StandIn::on(dead.listen(64).expect("it listens"), |_, _| vectors());
         while cold.seen.borrow().is_empty() {
             assert_eq!(ask(g.address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
             sleep(Duration::from_millis(5)).await;
--- a/gateway/tests/platform.rs
+++ b/gateway/tests/platform.rs
@@ -20,12 +20,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 
 struct Gateway {
     address: SocketAddr,
     pool: Pool,
     shutdown: Shutdown,
+    accepting: JoinHandle<()>,
 }
 
 fn host(name: &str, kind: &str, at: &StandIn, health: &str) -> serde_json::Value {
@@ -75,8 +76,8 @@
     let front = platform::Platform::new(names, budget, pool.entry(&plugin), ready);
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    spawn_local(server::serve(listener, front, cap, shutdown.clone()));
-    Gateway { address, pool, shutdown }
+    let accepting = spawn_local(server::serve(listener, front, cap, shutdown.clone()));
+    Gateway { address, pool, shutdown, accepting }
 }
 
 const CHAT: &str = "/v1/chat/completions";
@@ -267,7 +268,7 @@
         assert_eq!((first.status().as_u16(), first.body().as_deref()), (200, Some(STREAM.as_bytes())));
         assert_eq!(late.status(), 200);
         assert_eq!(late.headers()["connection"], "close");
-        assert!(TcpStream::connect(g.address).await.is_err());
+        assert!(g.accepting.is_finished());
         drop(idle);
     });
 }
--- a/gateway/tests/program.rs
+++ b/gateway/tests/program.rs
@@ -1,7 +1,9 @@
 //! The program itself: its errors, the importer, and the planned end by signal.
 
+mod common;
+
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 
@@ -65,6 +67,27 @@
 
 struct Running(Child);
 
+impl Running {
+    /// Starts the program and reads from its first line where it listens.
+    fn start(command: &mut Command, front: &str) -> (Running, SocketAddr) {
+        let child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
+        let mut running = Running(child);
+        let mut log = BufReader::new(running.0.stderr.take().expect("stderr"));
+        let mut line = String::new();
+        log.read_line(&mut line).expect("a line");
+        let address = line.trim().rsplit_once(&format!("{front} front on ")).expect("where it listens").1;
+        let address = address.parse().expect("an address");
+        // The rest of its log is of no interest, but must go somewhere.
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        (running, address)
+    }
+
+    fn terminate(&self) {
+        let id = self.0.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    }
+}
+
 impl Drop for Running {
     fn drop(&mut self) {
         let _ = self.0.kill();
@@ -72,28 +95,79 @@
     }
 }
 
+/// Guards the way from the platform's configuration to a stream: the known list is used at once, discovery's list
+/// after it, and SIGTERM in the middle of a stream neither cuts it nor makes an error of the end.
+#[test]
+fn the_platforms_gateway_serves_and_ends_in_good_order() {
+    use common::{answer, ask, post, read, run, stream, until, Act, StandIn, STREAM};
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let writer = StandIn::start(|n, _| match n {
+            0 => stream(),
+            _ => {
+                let slow = answer(200, &[("content-type", "text/event-stream")], STREAM);
+                Act::Later(std::time::Duration::from_millis(1_200), slow)
+            }
+        })
+        .await;
+        let host = |name: &str, kind: &str, at: &StandIn| {
+            serde_json::json!({"host": name, "dial": at.address.to_string(), "site": "dc", "class": kind,
+                "block": 0, "health": "SERVING", "share": 1.0, "born_ms": 0})
+        };
+        let first = host("w", "answer-side", &writer);
+        let agent = StandIn::start(move |n, _| match n {
+            0 => Act::Answer(answer(200, &[], r#"{"seq":8,"whole":false,"hosts":[]}"#)),
+            _ => Act::Silence,
+        })
+        .await;
+        let config = serde_json::json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
+            "discovery": agent.address.to_string(), "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": {"seq": 7, "whole": true, "hosts": [host("r", "prompt-side", &reader), first]},
+            "settings": {"quantum": 4.0, "zones": ["dc"], "kinds": ["prompt-side", "answer-side"],
+                "services": [{"name": "order-chat", "aim": 2500.0, "deadline": 12000.0, "semantics": "single_shot"}],
+                "domain": {"stage-of-kind": ["read", "write"], "pin-limit": 500.0},
+                "policy-limits": {"max-attempts": 5, "cancel": true, "dial-timeout": 5000.0}}});
+        let config = file("platform.json", &config.to_string());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_glenrail"));
+        let (mut running, address) = Running::start(command.env("EDGE_CONFIG", &config), "platform");
+        let chat = || {
+            ask(address, post("/v1/chat/completions", &[("req-id", "a1"), ("req-kind", "order-chat")], "{}"))
+        };
+        let served = chat().await;
+        assert_eq!((served.status().as_u16(), served.body().as_deref()), (200, Some(STREAM.as_bytes())));
+        until(|| !agent.seen.borrow().is_empty()).await;
+        assert_eq!(agent.seen.borrow()[0].path, "/v1/endpoints?from=7&hold_ms=2000");
+        let slow = chat();
+        tokio::pin!(slow);
+        tokio::select! {
+            _ = &mut slow => panic!("the answer takes longer"),
+            () = until(|| writer.count("POST") == 2) => {}
+        }
+        running.terminate();
+        let slow = slow.await;
+        assert_eq!((slow.status().as_u16(), slow.body().as_deref()), (200, Some(STREAM.as_bytes())));
+        let mut ended = None;
+        until(|| {
+            ended = running.0.try_wait().expect("a state");
+            ended.is_some()
+        })
+        .await;
+        assert!(ended.expect("an end").success());
+    });
+}
+
 /// Guards the planned end: SIGTERM lets the program finish and end by itself, without an error.
 #[test]
 fn sigterm_ends_the_program_in_good_order() {
-    let free = std::net::TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("an address");
-    let text = format!("listen = '{free}'\n[chat]\nservers = [{{ name = 'c', dial = '127.0.0.1:1' }}]\n");
-    let front = file("sigterm.toml", &text);
-    let child = Command::new(env!("CARGO_BIN_EXE_glenrail"))
-        .args(["--front", front.to_str().expect("text")])
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    let mut running = Running(child);
-    let mut log = BufReader::new(running.0.stderr.take().expect("stderr"));
-    let mut line = String::new();
-    log.read_line(&mut line).expect("a line");
-    assert!(line.contains("second front"), "{line}");
-    let mut client = TcpStream::connect(free).expect("a connection");
+    let text = "listen = '127.0.0.1:0'\n[chat]\nservers = [{ name = 'c', dial = '127.0.0.1:1' }]\n";
+    let front = file("sigterm.toml", text);
+    let mut command = Command::new(env!("CARGO_BIN_EXE_glenrail"));
+    let (mut running, address) = Running::start(command.arg("--front").arg(&front), "second");
+    let mut client = TcpStream::connect(address).expect("a connection");
     client.write_all(b"GET /ready HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n").expect("sent");
     let mut said = String::new();
     client.read_to_string(&mut said).expect("an answer");
     assert!(said.starts_with("HTTP/1.1 200"), "{said}");
-    let id = running.0.id().to_string();
-    assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    running.terminate();
     assert!(running.0.wait().expect("an end").success());
 }
