Send whole bodies with their length

Seen while trying the README's commands by hand: error bodies went out in chunks, since the front's body told no size (front/mod.rs, Body). A test of the 400s now holds that a length is sent.

--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -14,7 +14,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body::Frame;
+use http_body::{Frame, SizeHint};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
 use tokio::time::timeout;
@@ -64,6 +64,14 @@
             }
         }
     }
+
+    /// Tells a whole body's length, so that it goes out with one.
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Body::Whole(full) => full.size_hint(),
+            Body::Stream { .. } => SizeHint::default(),
+        }
+    }
 }
 
 /// Why a body was not taken.
--- a/gateway/tests/platform.rs
+++ b/gateway/tests/platform.rs
@@ -236,6 +236,7 @@
             request.headers_mut().insert(wrong, http::HeaderValue::from_static("?"));
             let answer = ask(g.address, request).await;
             assert_eq!(answer.status(), 400);
+            assert!(answer.headers().contains_key("content-length"));
             assert!(answer.body().as_ref().expect("a body").starts_with(names.as_bytes()));
         }
         assert_eq!(ask(g.address, post("/v1/other", &[], "")).await.status(), 404);
