Let no client of the second front set the platform's class of its chat

Seen: a new test of chat that goes from the second front to the platform's servers sent its own Req-Kind, and that reached the engines beside the gateway's ("item-query", which may be repeated, where the request is decided as "order-chat"). Line at fault: front/inference.rs, exchange: HeaderMap::extend appends; it inserts now. Checked: the test failed before and passes after; Req-Id was the gateway's own already.

--- a/gateway/src/front/inference.rs
+++ b/gateway/src/front/inference.rs
@@ -196,8 +196,10 @@
             let extra = format!("{prefix}prompt_len={prompt_tokens:.0},max_out={:.0}", asked.max_tokens);
             let key = format!("{session:016x}");
             for (name, value) in [("req-kind", class), ("req-key", &key), ("req-extra", &extra)] {
-                let value = HeaderValue::from_str(value).ok();
-                headers.extend(value.map(|v| (HeaderName::from_static(name), v)));
+                // In the place of what the client may have sent under these names.
+                if let Ok(value) = HeaderValue::from_str(value) {
+                    headers.insert(HeaderName::from_static(name), value);
+                }
             }
         }
         let ask = deckhub::Request {
--- a/gateway/tests/inference.rs
+++ b/gateway/tests/inference.rs
@@ -9,11 +9,15 @@
 use std::time::Duration;
 
 use common::*;
+use deckhub::{Member, Scope, ServerId};
 use glenrail::budget::Budget;
 use glenrail::config::{front_from, Front};
-use glenrail::front::inference::Inference;
+use glenrail::daemon::Pool;
+use glenrail::engine::{Address, Limits};
+use glenrail::front::inference::{Inference, PlatformChat};
 use glenrail::front::server;
 use glenrail::shutdown::Shutdown;
+use http::HeaderValue;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
@@ -283,6 +287,56 @@
     });
 }
 
+/// Guards the shared core: without a pool of its own, chat of this front goes to the platform's servers, through
+/// both stages and under a class that is never repeated, and embeddings still have their own.
+#[test]
+fn chat_may_go_to_the_platforms_servers() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let writer = StandIn::start(|_, _| stream()).await;
+        let embedder = StandIn::start(|_, _| vectors()).await;
+        let settings = glenrail_settings::settings(&json!({"quantum": 4.0,
+            "services": [{"aim": 2000.0, "deadline": 10000.0, "semantics": "free"},
+                {"aim": 2500.0, "deadline": 12000.0, "semantics": "single_shot"}],
+            "domain": {"stage-of-kind": ["read", "write"], "pin-limit": 500.0},
+            "policy-limits": {"max-attempts": 5, "cancel": true}}));
+        let (slots, budget) = (Arc::new(Semaphore::new(100)), Budget::new(64 << 20));
+        let limits = Limits { connect_timeout: Duration::from_secs(5), idle: AGES, public_api: false };
+        let classes = settings.classes.clone();
+        let pool = Pool::new(1, settings, limits, slots.clone(), budget.clone());
+        let (ids, kinds) = ([ServerId(1), ServerId(2)], [0, 1]);
+        let member = |i: usize| Member { server: ids[i], kind: kinds[i], weight: 1.0, ..Member::default() };
+        let dial =
+            |i: usize, at: &StandIn| Address { server: ids[i], dial: at.address.to_string(), serving: true };
+        pool.engine.learn(true, &[dial(0, &reader), dial(1, &writer)], &[]);
+        pool.core.members(Scope::Full, vec![member(0), member(1)]);
+        let names = vec![("item-query".to_string(), 10_000.0), ("order-chat".to_string(), 12_000.0)];
+        let platform = PlatformChat { names, classes, pool };
+        let file = file(&[("e", &embedder, false)], &[]);
+        let front = Inference::new(&file, Some(platform), &None, slots, budget).expect("a front");
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        spawn_local(server::serve(listener, front, 200, Shutdown::default()));
+        let chat = r#"{"model":"c","messages":[{"role":"user","content":"hi"}],"stream":true}"#;
+        let answer = ask(
+            address,
+            post("/v1/chat/completions", &[("req-id", "own"), ("req-kind", "item-query")], chat),
+        )
+        .await;
+        assert_eq!((answer.status().as_u16(), answer.body().as_deref()), (200, Some(STREAM.as_bytes())));
+        assert_eq!(ask(address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
+        let (read, written) = (reader.seen.borrow()[0].clone(), writer.seen.borrow()[0].clone());
+        assert_eq!(
+            (&read.id, &read.headers["req-kind"]),
+            (&written.id, &HeaderValue::from_static("order-chat"))
+        );
+        assert_eq!(read.headers.get_all("req-kind").iter().count(), 1);
+        // The gateway names the request itself, so no client can take another's lease.
+        assert_ne!(read.id, "own");
+        assert_eq!((read.body, embedder.seen.borrow().len()), (chat.into(), 1));
+    });
+}
+
 fn documents() -> String {
     let documents: Vec<String> =
         (0..500).map(|i| format!("item {i}: {}", "a shield of oak ".repeat(120))).collect();
