Keep pools out of the second front, so that it meets the core in the exchange alone

Seen in review: front/inference.rs built routers and engine clients and kept lists of servers, which is the server side's work. That moved to pools.rs (Pool, Second, PlatformChat) with no change in what is done; the front now knows a target by its entry and its readiness. One difference: the routers of the second front's pools are seeded at random, as before, but no longer by the number that names requests.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -3,9 +3,9 @@
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
-use deckhub::{Scope, Settings};
+use deckhub::Scope;
 use serde::Deserialize;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -15,12 +15,13 @@
 
 use crate::budget::Budget;
 use crate::config::{self, Bounds};
-use crate::core::{duration, Clock, Core};
+use crate::core::duration;
 use crate::discovery::{self, List, Names};
-use crate::engine::{Engine, Limits};
-use crate::front::{inference, platform, server, Entry};
+use crate::engine::Limits;
+use crate::front::{platform, server};
 use crate::log;
 use crate::plugin::Plugin;
+use crate::pools::{PlatformChat, Pool, Second};
 use crate::shutdown::{Phase, Shutdown};
 
 /// Connections still come for a while after the process was told to end (0.4 s on the platform).
@@ -30,32 +31,6 @@
 /// Releases under way are waited for in steps of this length.
 const SETTLE: Duration = Duration::from_millis(20);
 
-/// One pool of servers: a router of its own, and the connections to them.
-#[derive(Clone)]
-pub struct Pool {
-    pub core: Core<Engine>,
-    pub engine: Engine,
-    pub clock: Clock,
-}
-
-impl Pool {
-    pub fn new(seed: u64, settings: Settings, limits: Limits, slots: Arc<Semaphore>, budget: Budget) -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        let clock = Clock::new(unix);
-        let engine = Engine::new(limits, slots, budget);
-        Pool { core: Core::new(seed, settings, clock, engine.clone()), engine, clock }
-    }
-
-    /// The pool as a front calls it, behind the plug-in.
-    pub fn entry(&self, plugin: &Option<Rc<Plugin>>) -> Rc<dyn Fn() -> Entry> {
-        let (core, plugin) = (self.core.clone(), plugin.clone());
-        Rc::new(move || match &plugin {
-            Some(plugin) => Entry::new(plugin.layer(core.clone())),
-            None => Entry::new(core.clone()),
-        })
-    }
-}
-
 pub fn run(front: Option<PathBuf>, plugin: Option<PathBuf>) -> Result<(), String> {
     let platform = config::platform(|name| std::env::var(name).ok()).map_err(|e| e.to_string())?;
     let second = front.as_deref().map(config::front).transpose().map_err(|e| e.to_string())?;
@@ -116,7 +91,7 @@
             let (core, shutdown) = (pool.core.clone(), shutdown.clone());
             move || shutdown.phase() == Phase::Serving && core.can_serve()
         });
-        chat = Some(inference::PlatformChat { names: names.classes.clone(), classes, pool: pool.clone() });
+        chat = Some(PlatformChat { names: names.classes.clone(), classes, pool: pool.clone() });
         let front = platform::Platform::new(names, budget.clone(), pool.entry(&plugin), ready);
         let cap = bounds.client_connections - seconds;
         spawn_local(server::serve(listener, front, cap, shutdown.clone()));
@@ -124,13 +99,13 @@
 
     if let Some((file, path)) = second {
         let listener = listen(&file.listen, "listen", "second").await?;
-        let front = inference::Inference::new(&file, chat, &plugin, slots, budget)?;
-        pools.extend(front.pools());
-        spawn_local(server::serve(listener, front.clone(), seconds, shutdown.clone()));
+        let second = Second::new(&file, chat, &plugin, slots, budget)?;
+        pools.extend(second.pools());
+        spawn_local(server::serve(listener, second.front.clone(), seconds, shutdown.clone()));
         spawn_local(async move {
             while signals.reload.recv().await.is_some() {
                 match config::front(&path) {
-                    Ok(file) => front.reload(&file),
+                    Ok(file) => second.reload(&file),
                     Err(e) => log!("{e}; the servers stay as they were"),
                 }
             }
--- a/gateway/src/front/inference.rs
+++ b/gateway/src/front/inference.rs
@@ -1,12 +1,11 @@
 //! The second front: embeddings and rerank beside chat, by the shapes of their public APIs. It reads what
 //! decisions need from the JSON body, and the body passes on as it came.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
+use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-use deckhub::{Class, Effect, Member, Ms, Scope, ServerState};
 use glenrail_settings::server_id;
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Response, StatusCode};
@@ -14,7 +13,6 @@
 use serde::Deserialize;
 use serde_json::json;
 use serde_json::value::RawValue;
-use tokio::sync::Semaphore;
 use tokio::time::Instant;
 use tower::ServiceExt;
 
@@ -22,10 +20,7 @@
 use crate::budget::Budget;
 use crate::config;
 use crate::core::duration;
-use crate::daemon::Pool;
-use crate::engine::{Address, Limits};
 use crate::exchange::{self, ClientSide, Failure, Payload, Piece};
-use crate::plugin::Plugin;
 
 /// How long the client waits, in seconds.
 const TIMEOUT: &str = "x-request-timeout";
@@ -39,23 +34,12 @@
 /// An answer of the module so shortly before the deadline is due to the deadline.
 const AT_END: Duration = Duration::from_millis(20);
 
-/// The platform's own servers, for chat that comes over this front.
-pub struct PlatformChat {
-    /// Each class and its deadline.
-    pub names: Vec<(String, Ms)>,
-    pub classes: Vec<Class>,
-    pub pool: Pool,
-}
-
 /// Where requests of one kind go.
-#[derive(Clone)]
-struct Target {
-    pool: Pool,
-    entry: Rc<dyn Fn() -> Entry>,
-    /// The platform's class: its place and its name.
-    class: Option<(u32, String)>,
-    /// The servers as the file last had them, where they come from a file.
-    file: Option<Rc<RefCell<config::Pool>>>,
+pub struct Target {
+    pub entry: Rc<dyn Fn() -> Entry>,
+    pub ready: Rc<dyn Fn() -> bool>,
+    /// Its class there: the place in the settings and, on the platform's servers, the name.
+    pub class: (u32, Option<String>),
 }
 
 #[derive(Clone)]
@@ -105,56 +89,20 @@
 }
 
 impl Inference {
+    /// A path whose target is left out does not exist.
     pub fn new(
-        file: &config::Front, platform: Option<PlatformChat>, plugin: &Option<Rc<Plugin>>,
-        slots: Arc<Semaphore>, budget: Budget,
-    ) -> Result<Self, String> {
-        let seed = std::hash::BuildHasher::hash_one(&std::hash::RandomState::new(), "names of requests");
-        let own = |pool: &config::Pool, repeatable: bool| {
-            let settings = config::one_stage(pool, file.max_deadline_ms as Ms, repeatable);
-            let limits = Limits {
-                connect_timeout: Duration::from_millis(pool.connect_ms),
-                idle: Duration::from_millis(pool.idle_ms),
-                public_api: true,
-            };
-            let made = Pool::new(seed, settings, limits, slots.clone(), budget.clone());
-            list(&made, pool, None);
-            let file = Some(Rc::new(RefCell::new(pool.clone())));
-            Target { entry: made.entry(plugin), pool: made, class: None, file }
-        };
-        let chat = match (&file.chat, platform) {
-            (Some(pool), _) => Some(own(pool, false)),
-            (None, Some(platform)) => Some(chat_of(platform, file.chat_class.as_deref(), plugin)?),
-            (None, None) => None,
-        };
-        Ok(Inference(Rc::new(Inner {
+        file: &config::Front, embeddings: Option<Target>, chat: Option<Target>, budget: Budget,
+    ) -> Self {
+        Inference(Rc::new(Inner {
             max_body: file.max_body,
             deadline: Duration::from_millis(file.deadline_ms),
             max_deadline: Duration::from_millis(file.max_deadline_ms),
-            embeddings: file.embeddings.as_ref().map(|pool| own(pool, true)),
+            embeddings,
             chat,
             budget,
-            seed,
+            seed: RandomState::new().hash_one("names of requests"),
             count: Cell::new(0),
-        })))
-    }
-
-    /// The pools that are this front's own.
-    pub fn pools(&self) -> Vec<Pool> {
-        let own = |t: &&Target| t.file.is_some();
-        [&self.0.embeddings, &self.0.chat].into_iter().flatten().filter(own).map(|t| t.pool.clone()).collect()
-    }
-
-    /// Takes the servers of a file that has changed; what else it says holds from the next start on.
-    pub fn reload(&self, file: &config::Front) {
-        for (target, pool) in [(&self.0.embeddings, &file.embeddings), (&self.0.chat, &file.chat)] {
-            if let (Some(target), Some(pool)) = (target, pool) {
-                if let Some(before) = &target.file {
-                    let before = before.replace(pool.clone());
-                    list(&target.pool, pool, Some(&before));
-                }
-            }
-        }
+        }))
     }
 
     async fn exchange(&self, request: Request<Incoming>) -> Result<Response<Body>, Fault> {
@@ -191,7 +139,7 @@
         let prompt_tokens = body.len() as f64 / CHARS;
         let session = asked.session.unwrap_or_else(|| server_id(&name).0);
         let mut headers = parts.headers;
-        if let Some((_, class)) = &target.class {
+        if let (_, Some(class)) = &target.class {
             let prefix = asked.prefix.map_or(String::new(), |p| format!("prefix={p:016x},"));
             let extra = format!("{prefix}prompt_len={prompt_tokens:.0},max_out={:.0}", asked.max_tokens);
             let key = format!("{session:016x}");
@@ -203,7 +151,7 @@
             }
         }
         let ask = deckhub::Request {
-            class: target.class.as_ref().map_or(0, |c| c.0),
+            class: target.class.0,
             session,
             prefix: asked.prefix,
             prompt_tokens,
@@ -221,7 +169,7 @@
 
     fn ready(&self) -> Response<Body> {
         let targets = [&self.0.embeddings, &self.0.chat];
-        let serve = targets.into_iter().flatten().all(|t| t.pool.core.can_serve());
+        let serve = targets.into_iter().flatten().all(|t| (t.ready)());
         let status = if serve { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
         response(status, if serve { "ready\n" } else { "not ready\n" })
     }
@@ -242,38 +190,6 @@
     }
 }
 
-/// Makes the servers of a file known to its pool. Those in the first file are taken for warm; one that is new in
-/// a later file, or serves again after a drain, has just started for all that is known, and is spared.
-fn list(pool: &Pool, file: &config::Pool, before: Option<&config::Pool>) {
-    let served = |name: &str, f: &config::Pool| f.servers.iter().any(|s| s.name == name && !s.drain);
-    let fresh = |name: &str| before.is_some_and(|b| !served(name, b));
-    let member = |s: &config::Server| Member {
-        server: server_id(&s.name),
-        weight: s.weight,
-        started: fresh(&s.name).then(|| pool.clock.now()),
-        state: if s.drain { ServerState::Draining } else { ServerState::Ready },
-        ..Member::default()
-    };
-    let address =
-        |s: &config::Server| Address { server: server_id(&s.name), dial: s.dial.clone(), serving: !s.drain };
-    pool.engine.learn(true, &file.servers.iter().map(address).collect::<Vec<_>>(), &[]);
-    pool.core.members(Scope::Full, file.servers.iter().map(member).collect());
-}
-
-/// Chat over the platform's servers is of the class that the file names; else of one that is never repeated.
-fn chat_of(
-    platform: PlatformChat, class: Option<&str>, plugin: &Option<Rc<Plugin>>,
-) -> Result<Target, String> {
-    let PlatformChat { names, classes, pool } = platform;
-    let place = match class {
-        Some(name) => names.iter().position(|n| n.0 == name),
-        None => classes.iter().position(|c| c.effect == Effect::Unsafe).or(Some(0)),
-    };
-    let place = place.ok_or("configuration: chat_class: the platform has no such class")?;
-    let class = Some((place as u32, names[place].0.clone()));
-    Ok(Target { entry: pool.entry(plugin), pool, class, file: None })
-}
-
 /// The answer's first piece decides the status.
 async fn pass_back(mut answer: ClientSide, deadline: Instant) -> Result<Response<Body>, Fault> {
     match answer.piece().await {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod haproxy;
 pub mod log;
 pub mod plugin;
+pub mod pools;
 pub mod shutdown;
 pub mod upstream;
--- a/gateway/tests/inference.rs
+++ b/gateway/tests/inference.rs
@@ -12,10 +12,9 @@
 use deckhub::{Member, Scope, ServerId};
 use glenrail::budget::Budget;
 use glenrail::config::{front_from, Front};
-use glenrail::daemon::Pool;
 use glenrail::engine::{Address, Limits};
-use glenrail::front::inference::{Inference, PlatformChat};
 use glenrail::front::server;
+use glenrail::pools::{PlatformChat, Pool, Second};
 use glenrail::shutdown::Shutdown;
 use http::HeaderValue;
 use serde_json::json;
@@ -29,7 +28,7 @@
 
 struct Gateway {
     address: SocketAddr,
-    front: Inference,
+    second: Second,
     file: Front,
 }
 
@@ -53,11 +52,11 @@
 async fn gateway(file: Front) -> Gateway {
     let budget = Budget::new(64 << 20);
     let slots = Arc::new(Semaphore::new(300));
-    let front = Inference::new(&file, None, &None, slots, budget).expect("a front");
+    let second = Second::new(&file, None, &None, slots, budget).expect("a front");
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    spawn_local(server::serve(listener, front.clone(), 200, Shutdown::default()));
-    Gateway { address, front, file }
+    spawn_local(server::serve(listener, second.front.clone(), 200, Shutdown::default()));
+    Gateway { address, second, file }
 }
 
 fn vectors() -> Act {
@@ -192,7 +191,7 @@
         // Told by a new list: the first drains, the second serves.
         let pool = f.embeddings.as_mut().expect("a pool");
         (pool.servers[0].drain, pool.servers[1].drain) = (true, false);
-        g.front.reload(&f);
+        g.second.reload(&f);
         let more = ask(g.address, post("/v1/embeddings", &[], EMBED)).await;
         assert_eq!(more.status(), 200);
         first.stop();
@@ -278,7 +277,7 @@
         for _ in 0..20 {
             assert_eq!(ask(g.address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
         }
-        g.front.reload(&file(&[("steady", &steady, false), ("fresh", &fresh, false)], &[]));
+        g.second.reload(&file(&[("steady", &steady, false), ("fresh", &fresh, false)], &[]));
         for _ in 0..60 {
             assert_eq!(ask(g.address, post("/v1/embeddings", &[], EMBED)).await.status(), 200);
         }
@@ -313,10 +312,10 @@
         let names = vec![("item-query".to_string(), 10_000.0), ("order-chat".to_string(), 12_000.0)];
         let platform = PlatformChat { names, classes, pool };
         let file = file(&[("e", &embedder, false)], &[]);
-        let front = Inference::new(&file, Some(platform), &None, slots, budget).expect("a front");
+        let second = Second::new(&file, Some(platform), &None, slots, budget).expect("a front");
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
-        spawn_local(server::serve(listener, front, 200, Shutdown::default()));
+        spawn_local(server::serve(listener, second.front.clone(), 200, Shutdown::default()));
         let chat = r#"{"model":"c","messages":[{"role":"user","content":"hi"}],"stream":true}"#;
         let answer = ask(
             address,
