Tell spoilt answers apart, refuse copies of open ids, end silent streams in 4.6 s

A probe in the log showed: a bad client's copy of an open id ran through 5 readers in 0.3 ms (each a 400, each an 'Error' that ejects a reader), and the release at its end took away the first request's state (the first's writer then said 410 and it was refused); spoilt chunks ('missing size digit', 'Invalid chunk body CR') were resets; a chunk of noise declared at 3 GB went to the client. Ruled out: CPU, descriptors (468 of 768), bounds of memory.

--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::convert::Infallible;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -22,11 +22,13 @@
 use crate::log;
 use crate::upstream::{Call, Failed, Frame, Reply};
 
-/// A stream without an event for so long is taken for dead. Its writer may have put the answer back into its
-/// queue, so this is far above any pause between the events of a stream that lives.
-const SILENT: Duration = Duration::from_secs(10);
+/// A stream without a whole event for so long is taken for dead, so that its client's connection ends within the
+/// 5 s that the platform's rules give. Its writer may have put the answer back into its queue, so no less.
+const SILENT: Duration = Duration::from_millis(4_600);
 /// A client that takes nothing of its stream for so long has lost it.
 const STALLED: Duration = Duration::from_secs(30);
+/// Names of requests that have ended are cleared away once there are more than so many.
+const NAMES: usize = 256;
 /// Pause before letting go of what a cut read may have left, so that the server has seen the cut by then.
 const AFTER_CUT: Duration = Duration::from_millis(25);
 
@@ -104,11 +106,28 @@
     queue: VecDeque<Event>,
     busy: bool,
     jobs: HashMap<u64, Job>,
+    /// The requests that have not wholly ended, by the names that servers know them by: each lives as long as
+    /// something of it is under way, a release too.
+    names: HashMap<String, Weak<Payload>>,
     next: u64,
     /// Releases under way; a process that ends waits for them.
     releasing: usize,
 }
 
+impl Inner {
+    /// Whether no other request of this name is open; if so, the name is this one's from now on.
+    fn take_name(&mut self, payload: &Rc<Payload>) -> bool {
+        if self.names.len() > 2 * self.jobs.len() + NAMES {
+            self.names.retain(|_, open| open.strong_count() > 0);
+        }
+        if self.names.get(&payload.name).is_some_and(|open| open.strong_count() > 0) {
+            return false;
+        }
+        self.names.insert(payload.name.clone(), Rc::downgrade(payload));
+        true
+    }
+}
+
 /// How one attempt ended, before the core adds what it knows of the request.
 struct End {
     status: Status,
@@ -144,6 +163,7 @@
             queue: VecDeque::new(),
             busy: false,
             jobs: HashMap::new(),
+            names: HashMap::new(),
             next: 0,
             releasing: 0,
         };
@@ -183,6 +203,11 @@
 
     /// Takes a request; its answer comes through the exchange.
     pub fn submit(&self, request: exchange::Request) -> ClientSide {
+        // Guards an open request from a copy: servers know both by one name, so whatever is done for the copy,
+        // its releases above all, would hit the first.
+        if !self.inner.borrow_mut().take_name(&request.payload) {
+            return ClientSide::failed(Failure::NameTaken);
+        }
         let (client, server) = exchange::pair(request);
         let exchange::Request { mut ask, arrived, payload } = server.request;
         let id = {
@@ -391,14 +416,17 @@
             };
             let end = match reply {
                 Err(status) => End::plain(status),
-                Ok(Err(Failed::Connect)) => End::plain(Status::ConnectFailed),
-                Ok(Err(Failed::Reset)) => End::plain(Status::Reset),
-                Ok(Err(Failed::NotSent)) => End::plain(Status::NotSent),
+                Ok(Err(how)) => End::plain(status(how)),
                 Ok(Ok(Reply::Read { kept, report })) => End { status: Status::Read, note: kept, report },
                 Ok(Ok(Reply::Declined { no_state, report })) => {
                     End { status: Status::Full, note: f64::from(u8::from(no_state)), report }
                 }
                 Ok(Ok(Reply::Answer { head, frames })) => core.pass_on(id, attempt, sent, head, frames).await,
+                Ok(Ok(Reply::Unfit { report })) => {
+                    // Final. It never ran, so nothing is to be let go: what the server holds by this name is another's.
+                    core.answer(id, Piece::Failed(Failure::Unfit));
+                    End { status: Status::NotSent, note: 0.0, report }
+                }
                 Ok(Ok(Reply::Error { report })) => End { status: Status::Error, note: 0.0, report },
                 Ok(Ok(_)) => End::plain(Status::Error),
             };
@@ -444,7 +472,8 @@
                     pass(&pieces, Piece::End).await;
                     return End { status: Status::Served, note: kept, report };
                 }
-                Ok(Some(Err(_)) | None) => return End::plain(Status::Reset),
+                Ok(Some(Err(how))) => return End::plain(status(how)),
+                Ok(None) => return End::plain(Status::Reset),
                 Err(_) => {
                     log!("a stream of server {:x} fell silent and is cut", server.0);
                     return End::plain(Status::Timeout);
@@ -465,7 +494,10 @@
             job.closed |= a.begun || end.status == Status::Served;
             let read = members.get(&a.server).is_some_and(|m| m.0 == Role::Reader);
             // A read may have ended well just as its connection was cut: what it left is let go.
-            if matches!(end.status, Status::Cancelled | Status::Reset | Status::Timeout) && !a.begun && read {
+            if matches!(end.status, Status::Cancelled | Status::Reset | Status::Spoilt | Status::Timeout)
+                && !a.begun
+                && read
+            {
                 a.cancel = None;
                 job.release_due = true;
             }
@@ -511,13 +543,22 @@
             Ok(Reply::Probed { well: true, report }) => (Status::Served, report),
             Ok(Reply::Probed { report, .. }) => (Status::Error, report),
             Ok(_) | Err(Failed::NotSent | Failed::Connect) => (Status::ConnectFailed, None),
-            Err(Failed::Reset) => (Status::Reset, None),
+            Err(how) => (status(how), None),
         };
         let elapsed = sent.elapsed().as_secs_f64() * 1000.0;
         self.feed(Event::Probed { server, status, elapsed, report });
     }
 }
 
+fn status(how: Failed) -> Status {
+    match how {
+        Failed::Connect => Status::ConnectFailed,
+        Failed::Reset => Status::Reset,
+        Failed::Spoilt => Status::Spoilt,
+        Failed::NotSent => Status::NotSent,
+    }
+}
+
 /// Whether the client took the piece.
 async fn pass(pieces: &mpsc::Sender<Piece>, piece: Piece) -> bool {
     matches!(timeout(STALLED, pieces.send(piece)).await, Ok(Ok(())))
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -25,6 +25,7 @@
     Pause(Vec<u64>),
     Full,
     Error,
+    Unfit,
     Fail(Failed),
     Nothing,
 }
@@ -94,6 +95,7 @@
         Does::Read => return Ok(Reply::Read { kept: 0.0, report: None }),
         Does::Full => return Ok(Reply::Declined { no_state: false, report: None }),
         Does::Error => return Ok(Reply::Error { report: None }),
+        Does::Unfit => return Ok(Reply::Unfit { report: None }),
         Does::Fail(how) => return Err(how),
         Does::Nothing => return std::future::pending().await,
         Does::Stream => vec![data(), data(), end()],
@@ -210,7 +212,7 @@
 /// Guards rule 2: an order that may have run is never sent again, nor called harmless to repeat.
 #[test]
 fn an_order_that_may_have_run_is_not_sent_again() {
-    for how in [Does::Fail(Failed::Reset), Does::Error, Does::Cut] {
+    for how in [Does::Fail(Failed::Reset), Does::Fail(Failed::Spoilt), Does::Error, Does::Cut] {
         paused(async {
             let what = how.clone();
             let servers = Servers::new(move |_, server| {
@@ -262,14 +264,15 @@
 #[test]
 fn a_live_stream_goes_on_and_a_silent_one_is_cut() {
     paused(async {
-        let slow = vec![8; 6];
+        let slow = vec![4; 6];
         let servers = Servers::new(move |_, server| {
             (5, if READERS.contains(&server.0) { Does::Read } else { Does::Pause(slow.clone()) })
         });
         let (core, start) = (core(&servers), Instant::now());
         let pieces = all(core.submit(request(0, 10_000.0))).await;
         assert_eq!((pieces.len(), pieces.last()), (8, Some(&None)));
-        assert_eq!(start.elapsed().as_secs(), 6 * 8 + SILENT.as_secs());
+        let silent = start.elapsed() - Duration::from_secs(6 * 4);
+        assert!(silent >= Duration::from_secs(4) && silent < Duration::from_secs(5), "{silent:?}");
         settled(&core).await;
     });
 }
@@ -291,6 +294,61 @@
     });
 }
 
+/// Guards an open request from a copy, whose attempts and releases servers would take for the first one's; and
+/// the name is free again once the first has wholly ended.
+#[test]
+fn a_name_is_taken_until_its_request_has_wholly_ended() {
+    paused(async {
+        let servers = Servers::new(|_, _| (60_000, Does::Read));
+        let core = core(&servers);
+        let first = core.submit(request(0, 10_000.0));
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(all(core.submit(request(0, 10_000.0))).await, [Some(Piece::Failed(Failure::NameTaken))]);
+        assert_eq!((servers.attempts(&READERS), servers.out.get()), (1, 1), "the first does not notice");
+        drop(first);
+        // Cut, and its release is on the way: still not ended.
+        until_called(&servers, "release").await;
+        assert_eq!(all(core.submit(request(0, 10_000.0))).await, [Some(Piece::Failed(Failure::NameTaken))]);
+        settled(&core).await;
+        let _again = core.submit(request(0, 10_000.0));
+        sleep(Duration::from_millis(20)).await;
+        assert_eq!(servers.attempts(&READERS), 2);
+        let releases = servers.calls.borrow().iter().filter(|c| c.0 == "release").count();
+        assert_eq!(releases, 1, "a copy lets nothing go");
+    });
+}
+
+async fn until_called(servers: &Servers, what: &str) {
+    while !servers.calls.borrow().iter().any(|c| c.0 == what) {
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Guards another gateway's open request, whose copy came here: what a server calls unfit is failed at once, is
+/// not tried elsewhere, and nothing held by that name is let go.
+#[test]
+fn what_a_server_calls_unfit_is_failed_and_lets_nothing_go() {
+    paused(async {
+        let servers = Servers::new(|_, _| (5, Does::Unfit));
+        let core = core(&servers);
+        assert_eq!(all(core.submit(request(0, 10_000.0))).await, [Some(Piece::Failed(Failure::Unfit))]);
+        settled(&core).await;
+        assert_eq!(servers.calls.borrow().len(), 1);
+    });
+}
+
+/// Guards servers from a needless call after each answer: the first event has let go of all that was held.
+#[test]
+fn an_answer_that_has_begun_needs_no_release() {
+    paused(async {
+        let servers = Servers::new(two_stages);
+        let core = core(&servers);
+        assert_eq!(all(core.submit(request(0, 10_000.0))).await.last(), Some(&Some(Piece::End)));
+        settled(&core).await;
+        assert!(!servers.calls.borrow().iter().any(|c| c.0 == "release"));
+    });
+}
+
 fn step() -> impl Strategy<Value = (u64, Does)> {
     let does = prop_oneof![
         4 => Just(Does::Read),
@@ -299,7 +357,9 @@
         1 => Just(Does::Full),
         1 => Just(Does::Error),
         1 => Just(Does::Fail(Failed::Connect)),
+        1 => Just(Does::Unfit),
         1 => Just(Does::Fail(Failed::Reset)),
+        1 => Just(Does::Fail(Failed::Spoilt)),
         1 => Just(Does::Fail(Failed::NotSent)),
         1 => Just(Does::Nothing),
     ];
@@ -345,7 +405,7 @@
             assert!(attempts.len() <= 5);
             let ran = attempts.iter().enumerate().filter(|(n, at)| {
                 let does = &steps[n % steps.len()].1;
-                WRITERS.contains(at) && !matches!(does, Does::Full | Does::Fail(Failed::Connect | Failed::NotSent))
+                WRITERS.contains(at) && !matches!(does, Does::Full | Does::Unfit | Does::Fail(Failed::Connect | Failed::NotSent))
             });
             assert!(class == 0 || ran.count() <= 1, "an order ran twice: {attempts:?} {steps:?}");
         });
--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -1,12 +1,15 @@
 //! One connection to a server, with what hyper does not tell: how much of a request was written, and whether
 //! the other side has closed it while it stood idle.
 
+use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
+use std::rc::Rc;
 
 use bytes::Bytes;
-use http::Request;
+use http::{Request, Response};
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
@@ -14,11 +17,13 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{spawn_local, AbortHandle};
 
+use super::inlet::Inlet;
 use crate::wire::Wire;
 
 pub struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
     wire: Wire,
+    awaited: Rc<Cell<bool>>,
     task: AbortHandle,
     _slot: OwnedSemaphorePermit,
 }
@@ -27,13 +32,20 @@
     pub async fn open(dial: &str, slot: OwnedSemaphorePermit) -> io::Result<Connection> {
         let socket = TcpStream::connect(dial).await?;
         socket.set_nodelay(true)?;
-        let wire = Wire::new(socket);
-        let (sender, connection) = handshake(TokioIo::new(wire.clone())).await.map_err(io::Error::other)?;
+        let (wire, awaited) = (Wire::new(socket), Rc::new(Cell::new(false)));
+        let inlet = Inlet::new(wire.clone(), awaited.clone());
+        let (sender, connection) = handshake(TokioIo::new(inlet)).await.map_err(io::Error::other)?;
         let task = spawn_local(async move {
             // Whoever waits for the answer is told of the error.
             let _ = connection.await;
         });
-        Ok(Connection { sender, wire, task: task.abort_handle(), _slot: slot })
+        Ok(Connection { sender, wire, awaited, task: task.abort_handle(), _slot: slot })
+    }
+
+    /// Sends a request; its answer is the next thing that the server may say.
+    pub async fn send(&mut self, request: Request<Bytes>) -> hyper::Result<Response<Incoming>> {
+        self.awaited.set(true);
+        self.sender.send_request(request.map(Full::new)).await
     }
 
     /// Bytes handed to the machine so far.
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -4,10 +4,14 @@
 //! is ever sent again here, because whether to repeat is the module's decision.
 
 mod connection;
+mod events;
+mod inlet;
 mod reply;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::error::Error;
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -19,7 +23,7 @@
 use futures_util::stream::{self, StreamExt};
 use http::header::{self, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::sync::Semaphore;
 use tokio::task::spawn_local;
@@ -27,6 +31,7 @@
 use tower::Service;
 
 use self::connection::Connection;
+use self::events::{Events, Spoilt};
 use self::reply::Tail;
 use crate::budget::Budget;
 use crate::exchange::{Head, Payload};
@@ -178,9 +183,8 @@
             if work && !self.serving(server) {
                 return Err(Failed::NotSent);
             }
-            let copy = request.clone().map(Full::new);
             let before = connection.written();
-            match connection.sender.send_request(copy).await {
+            match connection.send(request.clone()).await {
                 Ok(response) => {
                     if let Some(place) = self.0.places.borrow_mut().get_mut(&server) {
                         place.heard = Some(Instant::now());
@@ -192,7 +196,7 @@
                 Err(_) if connection.written() - before < connection::length(request) => {
                     return Err(Failed::Connect)
                 }
-                Err(_) => return Err(Failed::Reset),
+                Err(e) => return Err(broken(&e)),
             }
         }
     }
@@ -210,22 +214,28 @@
 
     async fn attempt(&self, server: ServerId, payload: Rc<Payload>, wait: Duration) -> Result<Reply, Failed> {
         let (response, connection) = self.ask(server, &attempt_request(&payload, wait), true).await?;
-        let (parts, mut body) = response.into_parts();
+        let (parts, body) = response.into_parts();
         let head = Head { status: parts.status, headers: parts.headers };
         let report = reply::report_of(&head.headers);
         if head.status == StatusCode::OK && !payload.whole {
-            let mut tail = Tail::default();
-            let first = next_data(&mut body, &mut tail).await?.ok_or(Failed::Reset)?;
+            if !reply::is_events(&head) {
+                log!("an answer of server {:x} is no stream of events", server.0);
+                return Err(Failed::Spoilt);
+            }
+            // From here on the connection is dropped, so closed, unless the stream comes to its end.
+            let mut events = Stream { body, events: Events::default(), tail: Tail::default() };
+            let first = events.next().await?.ok_or(Failed::Reset)?;
             let rest = stream::try_unfold(
-                (self.clone(), Some((body, connection)), tail),
-                move |(engine, open, mut tail)| async move {
-                    let Some((mut body, connection)) = open else { return Ok(None) };
-                    Ok(match next_data(&mut body, &mut tail).await? {
-                        Some(data) => Some((Frame::Data(data), (engine, Some((body, connection)), tail))),
+                (self.clone(), Some((events, connection))),
+                move |(engine, open)| async move {
+                    let Some((mut events, connection)) = open else { return Ok(None) };
+                    Ok(match events.next().await? {
+                        Some(data) => Some((Frame::Data(data), (engine, Some((events, connection))))),
                         None => {
                             engine.keep(server, connection);
+                            let tail = &events.tail;
                             let end = Frame::End { kept: tail.kept(), report: tail.report().or(report) };
-                            Some((end, (engine, None, tail)))
+                            Some((end, (engine, None)))
                         }
                     })
                 },
@@ -248,6 +258,7 @@
                 let frames = stream::iter([Ok(Frame::Data(body)), Ok(end)]).boxed_local();
                 Reply::Answer { head, frames }
             }
+            400..=499 => Reply::Unfit { report },
             _ => Reply::Error { report },
         })
     }
@@ -256,7 +267,7 @@
     async fn whole(&self, mut body: Incoming) -> Result<Option<Bytes>, Failed> {
         let (mut all, mut claim) = (Vec::new(), self.0.budget.claim(0).ok_or(Failed::Reset)?);
         while let Some(frame) = body.frame().await {
-            if let Ok(data) = frame.map_err(|_| Failed::Reset)?.into_data() {
+            if let Ok(data) = frame.map_err(|e| broken(&e))?.into_data() {
                 if all.len() + data.len() > WHOLE || !claim.grow(data.len()) {
                     return Ok(None);
                 }
@@ -332,17 +343,36 @@
     }
 }
 
-/// The next bytes of a body; `None` after its last chunk.
-async fn next_data(body: &mut Incoming, tail: &mut Tail) -> Result<Option<Bytes>, Failed> {
-    while let Some(frame) = body.frame().await {
-        if let Ok(data) = frame.map_err(|_| Failed::Reset)?.into_data() {
-            tail.add(&data);
-            if !data.is_empty() {
-                return Ok(Some(data));
+/// A stream of events that is coming in.
+struct Stream {
+    body: Incoming,
+    events: Events,
+    tail: Tail,
+}
+
+impl Stream {
+    /// The next whole events; `None` after the last chunk.
+    async fn next(&mut self) -> Result<Option<Bytes>, Failed> {
+        while let Some(frame) = self.body.frame().await {
+            if let Ok(data) = frame.map_err(|e| broken(&e))?.into_data() {
+                if let Some(whole) = self.events.take(&data).map_err(|Spoilt| Failed::Spoilt)? {
+                    self.tail.add(&whole);
+                    return Ok(Some(whole));
+                }
             }
         }
+        self.events.complete().then_some(None).ok_or(Failed::Spoilt)
+    }
+}
+
+/// Whether an answer broke off or could not be read. Either way the request may have run.
+fn broken(e: &hyper::Error) -> Failed {
+    let io = e.source().and_then(|s| s.downcast_ref::<io::Error>()).map(io::Error::kind);
+    match io {
+        Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => Failed::Spoilt,
+        _ if e.is_parse() => Failed::Spoilt,
+        _ => Failed::Reset,
     }
-    Ok(None)
 }
 
 /// Method, path, query, body and headers as they came; only what belongs to one connection is left out.
--- a/gateway/src/engine/reply.rs
+++ b/gateway/src/engine/reply.rs
@@ -2,11 +2,12 @@
 
 use bytes::Bytes;
 use deckhub::Report;
-use http::header::RETRY_AFTER;
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::HeaderMap;
 
 use crate::exchange::Head;
 
+const EVENTS: &str = "text/event-stream";
 const LOAD: &str = "srv-load";
 const DECLINED: &str = "srv-declined";
 /// The last events of a stream lie within so many bytes of its end.
@@ -23,6 +24,12 @@
     marked || public_api && public
 }
 
+/// Whether an answer says that it is a stream of events.
+pub fn is_events(head: &Head) -> bool {
+    let kind = head.headers.get(CONTENT_TYPE).and_then(|v| v.to_str().ok());
+    kind.and_then(|k| k.get(..EVENTS.len())).is_some_and(|k| k.eq_ignore_ascii_case(EVENTS))
+}
+
 /// A load report: a word that names the form, then values by name.
 pub fn report(text: &str) -> Option<Report> {
     let pairs: Vec<(&str, f64)> = text
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -52,6 +52,10 @@
     Deadline,
     /// The servers tried did not answer it.
     Upstream,
+    /// A server says that the fault is the request's own.
+    Unfit,
+    /// A request of this name is open.
+    NameTaken,
 }
 
 #[derive(Debug, PartialEq)]
@@ -85,8 +89,16 @@
 impl ClientSide {
     /// An answer that is a refusal from the start.
     pub fn refused(after: Duration) -> Self {
+        ClientSide::answered(Piece::Refused(after))
+    }
+
+    pub fn failed(why: Failure) -> Self {
+        ClientSide::answered(Piece::Failed(why))
+    }
+
+    fn answered(piece: Piece) -> Self {
         let (tx, pieces) = mpsc::channel(1);
-        let _ = tx.try_send(Piece::Refused(after));
+        let _ = tx.try_send(piece);
         ClientSide { pieces, observer: None }
     }
 
--- a/gateway/src/front/platform.rs
+++ b/gateway/src/front/platform.rs
@@ -105,6 +105,12 @@
         }
         Some(Piece::Refused(after)) => refusal(after),
         Some(Piece::Failed(Failure::Deadline)) => response(StatusCode::GATEWAY_TIMEOUT, "out of time\n"),
+        Some(Piece::Failed(Failure::NameTaken)) => {
+            response(StatusCode::CONFLICT, "Req-Id: a request with this id is open\n")
+        }
+        Some(Piece::Failed(Failure::Unfit)) => {
+            response(StatusCode::BAD_REQUEST, "the servers cannot use it\n")
+        }
         _ => response(StatusCode::BAD_GATEWAY, "failed\n"),
     }
 }
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -53,6 +53,10 @@
     Error {
         report: Option<Report>,
     },
+    /// Turned away for a fault of its own, which every server would find.
+    Unfit {
+        report: Option<Report>,
+    },
     /// Held, not held, or not known.
     Held(Option<bool>),
     Probed {
@@ -75,6 +79,8 @@
     Connect,
     /// It may have run.
     Reset,
+    /// What came back could not be read; it may have run.
+    Spoilt,
     /// Kept back: the server had to get nothing new.
     NotSent,
 }
--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -177,3 +177,32 @@
         assert_eq!(second.headers()["retry-after"], "1");
     });
 }
+
+/// Guards an open request from another client's copy of its id: the copy is refused and reaches no server, the
+/// first does not notice, and the id may come again later.
+#[test]
+fn a_copy_of_an_open_requests_id_is_refused() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let go = std::rc::Rc::new(std::cell::Cell::new(false));
+        let began = go.clone();
+        let writer = StandIn::start(move |_, _| {
+            began.set(true);
+            Act::Later(
+                Duration::from_millis(50),
+                answer(200, &[("content-type", "text/event-stream")], STREAM),
+            )
+        })
+        .await;
+        let g = gateway(&[&reader], &[&writer], None, 50).await;
+        let copy = async {
+            until(|| go.get()).await;
+            assert_eq!(chat_as(&g, "a7").await.status(), 409);
+        };
+        let (first, ()) = tokio::join!(chat_as(&g, "a7"), copy);
+        assert_eq!((first.status().as_u16(), first.body().as_deref()), (200, Some(STREAM.as_bytes())));
+        assert_eq!((reader.seen.borrow().len(), writer.seen.borrow().len()), (1, 1));
+        until(|| g.pool.core.idle()).await;
+        assert_eq!(chat_as(&g, "a7").await.status(), 200);
+    });
+}
--- a/gateway/tests/common/gateway.rs
+++ b/gateway/tests/common/gateway.rs
@@ -96,3 +96,10 @@
 ) -> http::Response<Option<bytes::Bytes>> {
     ask(g.address, post(CHAT, &headers(class, deadline), "{\"model\": \"chat\"}")).await
 }
+
+/// A request beside others that are open, under an id of its own.
+pub async fn chat_as(g: &Gateway, id: &'static str) -> http::Response<Option<bytes::Bytes>> {
+    let mut headers = headers("item-query", "10");
+    headers[0].1 = id;
+    ask(g.address, post(CHAT, &headers, "{\"model\": \"chat\"}")).await
+}
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -155,9 +155,9 @@
                         tokio::time::sleep(time).await;
                         Ok(response.map(Piecemeal::Whole))
                     }
-                    Act::Part(part) => Ok(Response::new(Piecemeal::Part(Some(part), false))),
-                    Act::Stuck(part) => Ok(Response::new(Piecemeal::Stuck(Some(part)))),
-                    Act::Head => Ok(Response::new(Piecemeal::Part(None, false))),
+                    Act::Part(part) => Ok(events(Piecemeal::Part(Some(part), false))),
+                    Act::Stuck(part) => Ok(events(Piecemeal::Stuck(Some(part)))),
+                    Act::Head => Ok(events(Piecemeal::Part(None, false))),
                     Act::Break => {
                         cut.notify_one();
                         std::future::pending().await
@@ -175,6 +175,10 @@
     ended.set(ended.get() + 1);
 }
 
+fn events(body: Piecemeal) -> Response<Piecemeal> {
+    Response::builder().header("content-type", "text/event-stream").body(body).expect("a response")
+}
+
 /// A body that is whole, or breaks off after a part.
 pub enum Piecemeal {
     Whole(Full<Bytes>),
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -19,6 +19,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::sync::Semaphore;
+use tokio::task::spawn_local;
 use tower::ServiceExt;
 
 const SERVER: ServerId = ServerId(1);
@@ -102,7 +103,7 @@
     let declined = [("srv-declined", "1")];
     type Fits = fn(&Result<Reply, Failed>) -> bool;
     type Case<'a> = (u16, &'a [(&'a str, &'a str)], Fits);
-    let cases: [Case; 6] = [
+    let cases: [Case; 7] = [
         (202, &[], |r| matches!(r, Ok(Reply::Read { kept, .. }) if *kept == 7.0)),
         (410, &declined, |r| matches!(r, Ok(Reply::Declined { no_state: true, .. }))),
         (503, &declined, |r| matches!(r, Ok(Reply::Declined { no_state: false, .. }))),
@@ -110,6 +111,8 @@
         // Unmarked, it may have run.
         (503, &[("retry-after", "1")], |r| matches!(r, Ok(Reply::Error { .. }))),
         (500, &[], |r| matches!(r, Ok(Reply::Error { .. }))),
+        // The request's own fault: not to be tried elsewhere.
+        (400, &[], |r| matches!(r, Ok(Reply::Unfit { .. }))),
     ];
     for (status, headers, fits) in cases {
         run(async move {
@@ -343,3 +346,137 @@
         });
     }
 }
+
+/// A server that answers each request with raw bytes, in pieces between which other tasks have turns; the
+/// connection then stays open.
+async fn raw_server(pieces: Vec<Vec<u8>>) -> (Engine, Rc<std::cell::Cell<usize>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let dial = listener.local_addr().expect("an address").to_string();
+    let engine = engine(AGES, 8);
+    engine.learn(true, &[Address { server: SERVER, dial, serving: true }], &[]);
+    let connections = Rc::new(std::cell::Cell::new(0));
+    let count = connections.clone();
+    spawn_local(async move {
+        while let Ok((mut peer, _)) = listener.accept().await {
+            count.set(count.get() + 1);
+            let pieces = pieces.clone();
+            spawn_local(async move {
+                let mut got = Vec::new();
+                while peer.read_buf(&mut got).await.is_ok_and(|n| n > 0) {
+                    if got.ends_with(b"last byte") {
+                        got.clear();
+                        for piece in &pieces {
+                            let _ = peer.write_all(piece).await;
+                            back_to_the_pool().await;
+                        }
+                    }
+                }
+            });
+        }
+    });
+    (engine, connections)
+}
+
+/// How an attempt went: how its answer began, the bytes passed on, and how it ended.
+async fn streamed(engine: &Engine) -> Result<(Vec<u8>, Option<Failed>), Failed> {
+    let frames = match attempt(engine, "last byte").await? {
+        Reply::Answer { frames, .. } => frames,
+        _ => panic!("no stream"),
+    };
+    let (mut bytes, mut frames) = (Vec::new(), frames);
+    while let Some(frame) = frames.next().await {
+        match frame {
+            Ok(Frame::Data(data)) => bytes.extend_from_slice(&data),
+            Ok(Frame::End { .. }) => return Ok((bytes, None)),
+            Err(how) => return Ok((bytes, Some(how))),
+        }
+    }
+    panic!("a stream has an end")
+}
+
+const OPENING: &str =
+    "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const EVENT: &str = "a\r\ndata: {}\n\n\r\n";
+
+/// Guards the client from a stream that is spoilt: before its first event it is a failed attempt that may have
+/// run, after that a broken answer of which only whole events were passed on; and its connection is not used again.
+#[test]
+fn a_spoilt_stream_is_told_apart_and_its_connection_dropped() {
+    let noise = "5\r\n\u{1}\u{2}\u{3}\u{4}\u{5}\r\n";
+    for opening in [
+        "nonsense\r\n\r\n".to_string(),
+        "HTTP/1.1 2x0 OK\r\n\r\n".into(),
+        format!("HTTP/1.1 200 OK\r\n{}", "x-more: y\r\n".repeat(3_000)),
+        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nfour".into(),
+        format!("{OPENING}{noise}"),
+        format!("{OPENING}zz\r\n"),
+        format!("{OPENING}fffffffffffffffffff\r\n"),
+        format!("{OPENING}c0000000\r\n{}", "n".repeat(100_000)),
+        format!("{OPENING}c0000000\r\ndata: {}", "n".repeat(300_000)),
+        format!("{OPENING}0\r\n\r\n"),
+    ] {
+        run(async {
+            let (engine, connections) = raw_server(vec![opening.clone().into_bytes()]).await;
+            for n in 1..3 {
+                let told = streamed(&engine).await;
+                assert_eq!(told, Err(Failed::Spoilt), "{}", &opening[..opening.len().min(200)]);
+                // A connection that ended well in HTTP's terms may be used again.
+                assert!(
+                    connections.get() == n || opening.ends_with("four") || opening.ends_with("0\r\n\r\n")
+                );
+            }
+        });
+    }
+    for later in [
+        noise.to_string(),
+        "zz\r\n".into(),
+        format!("c0000000\r\n{}", "n".repeat(100_000)),
+        "9\r\ndata: cut\r\n0\r\n\r\n".into(),
+    ] {
+        run(async {
+            let whole = format!("{OPENING}{EVENT}").into_bytes();
+            let (engine, connections) = raw_server(vec![whole, later.clone().into_bytes()]).await;
+            for n in 1..3 {
+                let told = streamed(&engine).await;
+                assert_eq!(told, Ok((b"data: {}\n\n".to_vec(), Some(Failed::Spoilt))), "{later}");
+                assert_eq!(connections.get(), n);
+            }
+        });
+    }
+}
+
+/// Guards good answers that come with more: interim answers in front, also one that hyper takes for an upgrade, a
+/// load report that cannot be read, and a second answer behind, after which the connection is not used again.
+#[test]
+fn a_good_answer_with_more_than_belongs_to_it_is_kept() {
+    let good = format!("{OPENING}{EVENT}0\r\n\r\n");
+    let odd = good.replace("content-type", "srv-load: TEXT inflight=\u{e9}, x0=, =\r\ncontent-type");
+    for (front, answer, behind, kept) in [
+        ("HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n", &good, "", true),
+        (
+            "HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
+            &good,
+            "",
+            true,
+        ),
+        ("", &odd, "", true),
+        ("", &good, "HTTP/1.1 202 Accepted\r\ncontent-length: 2\r\n\r\n{}", false),
+    ] {
+        for pieces in
+            [vec![format!("{front}{answer}{behind}")], vec![format!("{front}{answer}"), behind.into()]]
+        {
+            run(async {
+                let pieces = pieces.iter().map(|p| p.clone().into_bytes()).collect();
+                let (engine, connections) = raw_server(pieces).await;
+                for n in 1..4 {
+                    let told = streamed(&engine).await;
+                    assert_eq!(told, Ok((b"data: {}\n\n".to_vec(), None)), "{front}{answer}{behind}");
+                    for _ in 0..5 {
+                        back_to_the_pool().await;
+                    }
+                    assert_eq!(connections.get(), if kept { 1 } else { n }, "{front}{answer}{behind}");
+                }
+            });
+        }
+    }
+}
--- a/gateway/tests/platform.rs
+++ b/gateway/tests/platform.rs
@@ -194,7 +194,7 @@
         assert!(poll_once(ended.as_mut()).is_pending());
         let late = async {
             assert_eq!(ask(g.address, ready()).await.status(), 503);
-            chat(&g, "item-query", "10").await
+            chat_as(&g, "9b1f03aa5c7e2d42").await
         };
         let ((), first, late) = tokio::join!(ended, first, late);
         assert_eq!((first.status().as_u16(), first.body().as_deref()), (200, Some(STREAM.as_bytes())));
--- a/src/api.rs
+++ b/src/api.rs
@@ -188,6 +188,8 @@
     Timeout,
     ConnectFailed,
     Reset,
+    /// What came back could not be read; it may have run.
+    Spoilt,
     Cancelled,
     NotSent,
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -33,8 +33,9 @@
 /// Health: a first ejection lasts this long (ms), each further one twice as long, up to so many doublings.
 const EJECT: Ms = 500.0;
 const EJECT_DOUBLINGS: u32 = 4;
-/// Health: weight of a broken connection (the others eject alone); what success leaves of it.
+/// Health: weights of a broken connection and a spoilt answer (the others eject alone); what success leaves.
 const RESET_WEIGHT: f64 = 0.6;
+const SPOILT_WEIGHT: f64 = 0.2;
 const FORGIVE: f64 = 0.8;
 /// Health: when less than this share of a role looks well, soft symptoms are not believed.
 const PANIC_SHARE: f64 = 0.5;
@@ -77,14 +78,6 @@
 
 type FixedHasher = BuildHasherDefault<DefaultHasher>;
 
-impl Pace {
-    fn add(&mut self, sample: f64) {
-        let follow = if sample < self.low { 0.5 } else { 0.05 };
-        self.low += (sample - self.low) * if self.samples == 0 { 1.0 } else { follow };
-        self.samples = self.samples.saturating_add(1);
-    }
-}
-
 impl Job {
     fn expected_out(&self) -> f64 {
         let hint = self.ask.hint.filter(|h| *h > 0.0 && self.class.token_aim > 0.0);
@@ -317,8 +310,13 @@
     fn symptom(&mut self, id: ServerId, what: Symptom, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&id) else { return };
-        s.health.score += if what == Symptom::Reset { RESET_WEIGHT } else { 1.0 };
-        let spared = if s.health.on_trial { now < s.health.until } else { s.health.score < 1.0 };
+        s.health.score += match what {
+            Symptom::Reset => RESET_WEIGHT,
+            Symptom::Spoilt => SPOILT_WEIGHT,
+            _ => 1.0,
+        };
+        let trial = s.health.on_trial && what != Symptom::Spoilt;
+        let spared = if trial { now < s.health.until } else { s.health.score < 1.0 };
         if spared {
             return;
         }
@@ -700,11 +698,10 @@
         if cancel {
             job.call_back(None, out);
         }
-        job.state_at = None;
-        if !job.begun() && job.attempts.iter().any(|a| a.stage == Stage::Read) {
-            out.push(Action::Release { id });
-        }
         if !job.any_out() {
+            if job.state_at.is_some() {
+                out.push(Action::Release { id });
+            }
             self.jobs.remove(&id);
         }
     }
@@ -797,19 +794,15 @@
             s.recent.remove(&o.id);
         }
         self.judge(&o, stage, sent, prompt, out);
-        match o.status {
-            Status::Read => {
-                self.note_success(server);
-                self.on_read(&o, server)
-            }
-            Status::Full if o.note >= 1.0 => {
-                // The writer found no state, but its reader may only be cut off from it: let go in any case.
-                if let Some(job) = self.jobs.get_mut(&o.id) {
-                    job.state_at = None;
-                    out.push(Action::Release { id: o.id });
-                }
-            }
-            _ => {}
+        if o.status == Status::Read {
+            self.note_success(server);
+            self.on_read(&o, server);
+        }
+        // The writer found no state, or has spent it; its reader may only be cut off: let go in any case.
+        let gone = o.status == Status::Full && o.note >= 1.0 || o.status == Status::Spoilt;
+        let held = |j: &mut Job| j.state_at.take().is_some();
+        if gone && self.jobs.get_mut(&o.id).is_some_and(held) {
+            out.push(Action::Release { id: o.id });
         }
         self.after_outcome(o.id, o.status, out);
     }
@@ -833,6 +826,7 @@
             Status::ConnectFailed => self.symptom(server, Symptom::NoConnection, out),
             Status::Error => self.symptom(server, Symptom::Error, out),
             Status::Reset => self.symptom(server, Symptom::Reset, out),
+            Status::Spoilt => self.symptom(server, Symptom::Spoilt, out),
             Status::Full if o.note < 1.0 => {
                 // Turned away: full, whatever the last report said, until a fresh one.
                 if let Some(s) = self.servers.get_mut(&server) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -25,6 +25,7 @@
 pub enum Symptom {
     Error,
     Reset,
+    Spoilt,
     Silence,
     NoConnection,
 }
@@ -37,6 +38,14 @@
     pub samples: u32,
 }
 
+impl Pace {
+    pub fn add(&mut self, sample: f64) {
+        let follow = if sample < self.low { 0.5 } else { 0.05 };
+        self.low += (sample - self.low) * if self.samples == 0 { 1.0 } else { follow };
+        self.samples = self.samples.saturating_add(1);
+    }
+}
+
 impl Health {
     /// It could not be reached, which the panic threshold does not forgive.
     pub fn unreachable(&self) -> bool {
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -164,6 +164,38 @@
     }
 }
 
+/// Guards good servers: spoilt answers come from any server alike, so a few say nothing of one; many in a row do.
+#[test]
+fn spoilt_answers_eject_only_the_server_that_gives_no_other() {
+    let mut rig = Rig::plain();
+    let mut spoil = |ids: std::ops::Range<u64>, spoilt: &dyn Fn(u64, u64) -> bool| {
+        let mut ejected = None;
+        for id in ids {
+            let to = rig.read_at(Request { prefix: Some(id), ..ask(id) });
+            let status = if spoilt(id, to) { Status::Spoilt } else { Status::Read };
+            rig.give(Event::ClientGone { id: RequestId(id) });
+            let actions = rig.outcome(id, 0, to, status);
+            let told = |a: &Action| matches!(a, Action::Log(w) if w.starts_with("ejection"));
+            ejected = ejected.or(actions.iter().any(told).then_some(id));
+        }
+        ejected
+    };
+    assert_eq!(spoil(1..200, &|id, _| id % 8 == 0), None);
+    let ejected = spoil(200..300, &|_, to| to == READERS[0]).expect("an ejection");
+    assert!(ejected >= 203, "after {ejected}");
+}
+
+/// Guards a spoilt stream's repeat: the writer has spent the state, so it is let go and the prompt is read anew.
+#[test]
+fn a_request_whose_stream_was_spoilt_is_read_anew() {
+    let mut rig = Rig::plain();
+    let home = rig.read_at(ask(1));
+    let writer = sent(&rig.outcome(1, 0, home, Status::Read)).expect("a send");
+    let actions = rig.outcome(1, 1, writer, Status::Spoilt);
+    assert!(released(&actions));
+    assert!(READERS.contains(&sent(&actions).expect("another try")));
+}
+
 #[test]
 fn when_most_readers_look_bad_none_is_skipped_for_it() {
     let mut rig = Rig::plain();
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -145,9 +145,10 @@
             Status::ConnectFailed,
             Status::Timeout,
             Status::Cancelled,
+            Status::Spoilt,
         ];
         if self.draw.below(3) == 0 {
-            let status = faults[self.draw.below(6) as usize];
+            let status = faults[self.draw.below(7) as usize];
             self.settle(id, n, status);
         } else if server < 20 {
             self.settle(id, n, Status::Read);
