Call back attempts that later ones overtake, and measure no queue by them

Ruled out: the engine client (written == length, no error on the socket), a full reader (memory 0.02, in flight 1 to 5), releases, CPU, cold servers (later windows with as many were well). At fault: src/logic.rs expected() took the oldest waiting attempt for the queue, and nothing called a single lost attempt back before its time-out; evacuate() left reads of orders waiting, though a read has no effect. Now an attempt that 3 later ones overtook is no measure, and is called back after 0.3 of the aim and twice its work.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -56,6 +56,10 @@
 const SILENCE_OF_AIM: f64 = 3.0;
 /// Silence: a server whose reports or probe answers still come is given this many times as long.
 const HEARD_PATIENCE: f64 = 2.5;
+/// Lost: an attempt that so many later ones at its server have overtaken, after this share of the aim and
+/// twice its own work. Its wait tells nothing of the server's queue.
+const OVERTAKEN: u32 = 3;
+const LOST_OF_AIM: f64 = 0.3;
 /// Share of the pin limit after which a held state is let go.
 const PIN_USED: f64 = 0.8;
 /// Memory of the rate carried (ms).
@@ -238,8 +242,8 @@
 
     fn on_member(&mut self, info: Member) {
         let kind = self.settings.kinds.get(info.kind as usize);
-        let (role, memory) = kind.map_or((Role::Mixed, 0.0), |k| (k.role, k.memory_tokens));
-        let now = self.now;
+        let (now, (role, memory)) =
+            (self.now, kind.map_or((Role::Mixed, 0.0), |k| (k.role, k.memory_tokens)));
         if let Some(old) = self.servers.get_mut(&info.server) {
             if info.started.is_some() && info.started != old.info.started {
                 // A new process: cold, empty, and not to blame for what the old one did.
@@ -310,11 +314,8 @@
     fn symptom(&mut self, id: ServerId, what: Symptom, out: &mut Vec<Action>) {
         let now = self.now;
         let Some(s) = self.servers.get_mut(&id) else { return };
-        s.health.score += match what {
-            Symptom::Reset => RESET_WEIGHT,
-            Symptom::Spoilt => SPOILT_WEIGHT,
-            _ => 1.0,
-        };
+        let weights = [(Symptom::Reset, RESET_WEIGHT), (Symptom::Spoilt, SPOILT_WEIGHT)];
+        s.health.score += weights.iter().find(|w| w.0 == what).map_or(1.0, |w| w.1);
         let trial = s.health.on_trial && what != Symptom::Spoilt;
         let spared = if trial { now < s.health.until } else { s.health.score < 1.0 };
         if spared {
@@ -333,18 +334,19 @@
         let unreachable = s.health.unreachable();
         self.log("ejection", format!("server {:x}, {what:?}", id.0), out);
         if unreachable {
-            self.evacuate(id, out);
+            self.recall(|_, _, a| a.server == id, out);
         }
     }
 
-    /// Requests that wait on a server just found unreachable are called back at once, not at their time-outs.
-    fn evacuate(&mut self, id: ServerId, out: &mut Vec<Action>) {
-        if !self.settings.limits.cancel {
-            return;
-        }
-        for job in self.jobs.values_mut() {
-            if !job.closed && job.class.effect == Effect::Safe && !job.begun() {
-                job.call_back(Some(id), out);
+    /// Attempts taken for lost are called back at once, not at their time-outs, where another may follow: a
+    /// read has no effect.
+    fn recall(&mut self, lost: impl Fn(&Server, &Job, &Attempt) -> bool, out: &mut Vec<Action>) {
+        let Router { jobs, servers, settings, .. } = self;
+        for job in jobs.values_mut().filter(|j| settings.limits.cancel && !j.closed && !j.begun()) {
+            let Some(a) = job.attempts.last().filter(|a| a.out) else { continue };
+            let may = a.stage == Stage::Read || job.class.effect == Effect::Safe;
+            if may && servers.get(&a.server).is_some_and(|s| lost(s, job, a)) {
+                job.call_back(None, out);
             }
         }
     }
@@ -367,10 +369,6 @@
         }
     }
 
-    fn suspect(&self, s: &Server) -> bool {
-        s.health.on_trial && self.now < s.health.until
-    }
-
     /// Servers of these roles that may get work now: ready, not suspect, and with slow-start credit.
     fn usable(&mut self, roles: &[Role], job: &Job, stage: Stage, out: &mut Vec<Action>) -> Vec<ServerId> {
         let ready: Vec<ServerId> = self
@@ -380,7 +378,7 @@
             .filter(|s| job.may_send(&s.info, self.now))
             .map(|s| s.info.server)
             .collect();
-        let well = |me: &Self, id: &ServerId| me.servers.get(id).is_some_and(|s| !me.suspect(s));
+        let well = |me: &Self, id: &ServerId| me.servers.get(id).is_some_and(|s| !s.health.suspect(me.now));
         let mut good: Vec<ServerId> = ready.iter().copied().filter(|id| well(self, id)).collect();
         if (good.len() as f64) < PANIC_SHARE * ready.len() as f64 {
             // Panic threshold: most of a role looks bad, so the cause is not the server.
@@ -423,8 +421,7 @@
             *e = (1.0 + decayed(*e, now, ASKED_MEMORY), now);
         }
         let over_share = self.over_share(ask.tenant);
-        let arrived = self.now;
-        let job = Job { ask, class, arrived, deadline, idle_since: arrived, over_share, ..Job::default() };
+        let job = Job { ask, class, arrived: now, deadline, idle_since: now, over_share, ..Job::default() };
         self.jobs.insert(id, job);
         let answer_by = (deadline - 2.0 * self.settings.tick).max(self.now);
         out.push(Action::Timer { at: answer_by, key: id.0 << 1 });
@@ -448,7 +445,7 @@
     /// When a read of this much work would end at a reader, or a stream begin at a writer, if sent now.
     fn expected(&self, id: ServerId, work: f64) -> Ms {
         let Some(s) = self.servers.get(&id) else { return 0.0 };
-        let oldest = s.waiting.values().copied().fold(self.now, f64::min);
+        let oldest = s.waiting.values().filter(|w| w.1 < OVERTAKEN).map(|w| w.0).fold(self.now, f64::min);
         let trust = if s.waiting.is_empty() { ((s.answered - self.now) / WAIT_FADES).exp() } else { 1.0 };
         let (like, at) = self.waits[s.role as usize];
         // A writer's wait fades into its role's: one of many routers meets it too seldom to have its own.
@@ -459,8 +456,9 @@
         wait + if s.role == Role::Reader { work * pace } else { 0.0 }
     }
 
-    fn waited(&mut self, id: ServerId, wait: Ms) {
+    fn waited(&mut self, id: ServerId, wait: Ms, sent: Ms) {
         let Some(s) = self.servers.get_mut(&id) else { return };
+        s.waiting.values_mut().filter(|w| w.0 < sent).for_each(|w| w.1 += 1);
         s.wait += WAIT_BLEND * (wait - s.wait);
         let like = &mut self.waits[s.role as usize];
         *like = (like.0 + WAIT_BLEND * (wait - like.0), self.now);
@@ -468,7 +466,7 @@
 
     /// Load shedding: what can hardly be in time is refused at once, over-share tenants first.
     fn shed(&mut self, job: &Job, reader: ServerId, kept: f64) -> bool {
-        let writers = self.servers.values().filter(|s| s.role == Role::Writer && !self.suspect(s));
+        let writers = self.servers.values().filter(|s| s.role == Role::Writer && !s.health.suspect(self.now));
         let write = writers.map(|s| self.expected(s.info.server, 0.0)).fold(f64::MAX, f64::min);
         let whole = self.servers.get(&reader).is_some_and(|s| s.role != Role::Reader) || write == f64::MAX;
         let first = self.expected(reader, job.work(kept)) + if whole { 0.0 } else { write };
@@ -640,7 +638,7 @@
         let own = job.work(if stage == Stage::Read { kept } else { 0.0 });
         s.out += 1;
         s.sends = (1.0 + decayed(s.sends, now, ASKED_MEMORY), now);
-        s.waiting.insert(id, now);
+        s.waiting.insert(id, (now, 0));
         (s.credit, s.credit_at) = (credit - 1.0, now);
         if s.health.on_trial {
             // One trial at a time.
@@ -669,11 +667,15 @@
             let alive = if self.now < s.heard + 2.0 * PROBE_AFTER { HEARD_PATIENCE } else { 1.0 };
             self.now > since.max(s.answered) + alive * least
         };
-        let quiet = self.servers.iter().filter(|(_, s)| s.waiting.values().any(|w| late(s, *w)));
+        let quiet = self.servers.iter().filter(|(_, s)| s.waiting.values().any(|w| late(s, w.0)));
         let silent: Vec<ServerId> = quiet.map(|(id, _)| *id).collect();
         for id in silent {
             self.symptom(id, Symptom::Silence, out);
         }
+        let now = self.now;
+        let wait = |s: &Server, j: &Job, a: &Attempt| LOST_OF_AIM * j.aim() + 2.0 * a.work * s.start.low;
+        let late = |s: &Server, j: &Job, a: &Attempt| now > a.sent + wait(s, j, a);
+        self.recall(|s, j, a| s.overtaken(j.ask.id) >= OVERTAKEN && late(s, j, a), out);
     }
 
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
@@ -745,7 +747,7 @@
             s.start.add(per_work);
             s.waiting.remove(&id);
         }
-        self.waited(server, sane(elapsed));
+        self.waited(server, sane(elapsed), sent);
         self.note_success(server);
         if whole {
             self.learn(session, prefix, server);
@@ -819,7 +821,7 @@
                     let per_work = sane(o.elapsed) / work;
                     s.start.add(per_work);
                     let wait = (sane(o.elapsed) - work * s.start.low).max(0.0);
-                    self.waited(server, wait);
+                    self.waited(server, wait, sent);
                     self.pace[Stage::Read as usize].add(per_work);
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,10 @@
 }
 
 impl Health {
+    /// Ejected at this time.
+    pub fn suspect(&self, now: Ms) -> bool {
+        self.on_trial && now < self.until
+    }
     /// It could not be reached, which the panic threshold does not forgive.
     pub fn unreachable(&self) -> bool {
         matches!(self.cause, Some(Symptom::Silence | Symptom::NoConnection))
@@ -70,9 +74,10 @@
     pub info: Member,
     pub role: Role,
     pub memory_tokens: f64,
-    /// Attempts out, and those of them that wait for their read to end or their stream to begin: since when.
+    /// Attempts out, and those of them that wait for their read to end or their stream to begin: since when, and
+    /// how many that were sent later have moved on.
     pub out: u32,
-    pub waiting: BTreeMap<RequestId, Ms>,
+    pub waiting: BTreeMap<RequestId, (Ms, u32)>,
     pub memory: Option<f64>,
     pub memory_seen: Ms,
     /// Own streams that the last report cannot know of: when sent, share of memory.
@@ -96,6 +101,10 @@
     pub fn trust(&self, now: Ms, fades: Ms) -> f64 {
         self.memory.map_or(0.0, |_| ((self.memory_seen - now) / fades).exp())
     }
+    /// How many attempts that were sent here later than this request's have moved on before it.
+    pub fn overtaken(&self, id: RequestId) -> u32 {
+        self.waiting.get(&id).map_or(0, |w| w.1)
+    }
     /// Forgets what was measured of its speed.
     pub fn unlearn(&mut self) {
         (self.start, self.wait) = (Pace::default(), 0.0);
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -185,6 +185,59 @@
     assert!(ejected >= 203, "after {ejected}");
 }
 
+/// Guards against one lost request in the place of a queue: a read that later ones overtake is called back and
+/// tried elsewhere, an order's read too, and the reader gets on with its work.
+#[test]
+fn a_read_that_later_ones_overtake_is_called_back_and_its_reader_kept() {
+    for class in [0, 2] {
+        let mut rig = Rig::plain();
+        let home = rig.read_at(Request { class, ..ask(1) });
+        let (mut cancelled, mut id) = (None, 1);
+        for tick in 1..40 {
+            rig.at(f64::from(tick) * 100.0);
+            id += 1;
+            let actions = rig.request(ask(id));
+            assert!(!refused(&actions), "the lost read is no queue");
+            let to = sent(&actions).expect("a send");
+            rig.at(rig.now + 50.0);
+            let writer = sent(&rig.outcome(id, 0, to, Status::Read)).expect("a send");
+            rig.outcome(id, 1, writer, Status::Served);
+            if rig.timer(1 << 52).contains(&Action::Cancel { id: RequestId(1), attempt: 0 }) {
+                cancelled = cancelled.or(Some(rig.now));
+                let retry = sent(&rig.outcome(1, 0, home, Status::Cancelled)).expect("a retry");
+                assert_ne!(retry, home);
+                break;
+            }
+        }
+        let at = cancelled.expect("called back");
+        assert!((300.0..1_000.0).contains(&at), "in time for another read: {at}");
+        assert_eq!(rig.read_at(ask(90)), home);
+    }
+}
+
+/// Guards what must be left alone: a read that nothing overtakes, and an order at its writer, which may have begun
+/// though later streams there did so before it.
+#[test]
+fn what_is_merely_slow_or_may_not_be_repeated_is_left_alone() {
+    let mut rig = Rig::new(settings(), vec![member(11, 0, 0), member(21, 1, 0)]);
+    rig.read_at(Request { class: 2, ..ask(1) });
+    assert_eq!(sent(&rig.outcome(1, 0, 11, Status::Read)), Some(21));
+    let cancels = |actions: &[Action]| actions.iter().any(|a| matches!(a, Action::Cancel { .. }));
+    for id in 2..12 {
+        rig.at(id as f64 * 100.0);
+        rig.read_at(ask(id));
+        rig.outcome(id, 0, 11, Status::Read);
+        let first = Event::FirstToken { id: RequestId(id), attempt: 1, server: ServerId(21), elapsed: 20.0 };
+        rig.give(first);
+        assert!(!cancels(&rig.timer(1 << 52)), "the order");
+    }
+    rig.read_at(ask(20));
+    for tick in 12..30 {
+        rig.at(f64::from(tick) * 100.0);
+        assert!(!cancels(&rig.timer(1 << 52)), "the read");
+    }
+}
+
 /// Guards a spoilt stream's repeat: the writer has spent the state, so it is let go and the prompt is read anew.
 #[test]
 fn a_request_whose_stream_was_spoilt_is_read_anew() {
