Read EDGE_CONFIG anew on SIGHUP and move the watch of discovery at once

At fault: daemon.rs awaited signals.reload only for the second front's file; discovery.rs watch() took one address. Now the file is read and checked whole, a fault is logged with its key and changes nothing, and the watch's call is given up at once for the new address, from which the whole list is asked. The program's test sends faulty files, a good one, and SIGHUP after SIGTERM.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -9,7 +9,7 @@
 use serde::Deserialize;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::Semaphore;
+use tokio::sync::{watch, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::sleep;
 
@@ -58,6 +58,7 @@
     let budget = Budget::new(bounds.bodies);
     let shutdown = Shutdown::default();
     let mut pools = Vec::new();
+    let mut reloads: Vec<Box<dyn Fn()>> = Vec::new();
     let mut chat = None;
     let mut signals = Signals::new()?;
     // The second front's connections come out of the same descriptors; alone, it may have them all.
@@ -77,13 +78,20 @@
         let pool = Pool::new(p.seed, p.settings, limits, slots.clone(), budget.clone());
         pools.push(pool.clone());
         let words = Names { zones: p.zones, kinds: p.kinds };
+        let address = watch::Sender::new(p.discovery);
+        let watched = address.subscribe();
+        reloads.push(Box::new(move || match config::platform(|name| std::env::var(name).ok()) {
+            Ok(Some(new)) => move_discovery(&address, new.discovery),
+            Ok(None) => {}
+            Err(e) => log!("{e}; all stays as it was"),
+        }));
         let known = List::deserialize(&p.known).ok();
         if let Some(known) = &known {
             discovery::apply(known, Scope::Cached, &words, &pool.clock, &pool.engine, &pool.core);
         }
         spawn_local({
             let pool = pool.clone();
-            discovery::watch(p.discovery, known.map(|k| k.seq), move |list, scope| {
+            discovery::watch(watched, known.map(|k| k.seq), move |list, scope| {
                 discovery::apply(list, scope, &words, &pool.clock, &pool.engine, &pool.core)
             })
         });
@@ -102,21 +110,29 @@
         let second = Second::new(&file, chat, &plugin, slots, budget)?;
         pools.extend(second.pools());
         spawn_local(server::serve(listener, second.front.clone(), seconds, shutdown.clone()));
-        spawn_local(async move {
-            while signals.reload.recv().await.is_some() {
-                match config::front(&path) {
-                    Ok(file) => second.reload(&file),
-                    Err(e) => log!("{e}; the servers stay as they were"),
-                }
-            }
-        });
+        reloads.push(Box::new(move || match config::front(&path) {
+            Ok(file) => second.reload(&file),
+            Err(e) => log!("{e}; the servers stay as they were"),
+        }));
     }
 
+    // Also while the process ends, when it changes nothing that matters any more.
+    spawn_local(async move {
+        while signals.reload.recv().await.is_some() {
+            log!("told to read the configuration anew");
+            reloads.iter().for_each(|reload| reload());
+        }
+    });
     signals.end.recv().await;
     leave(&shutdown, &pools).await;
     Ok(())
 }
 
+/// Of a new configuration, discovery's address takes effect at once; the rest holds from the next start on.
+fn move_discovery(address: &watch::Sender<String>, to: String) {
+    address.send_if_modified(|at| std::mem::replace(at, to.clone()) != to);
+}
+
 struct Signals {
     end: tokio::signal::unix::Signal,
     reload: tokio::signal::unix::Signal,
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::{spawn_local, AbortHandle};
 use tokio::time::{sleep, timeout};
 
@@ -144,23 +145,36 @@
     timeout(HOLD + LATE, answer).await.map_err(|_| "no answer in time")?
 }
 
-/// Watches for as long as the process runs, from the version of the list that it began with.
-pub async fn watch(address: String, mut from: Option<u64>, take: impl Fn(&List, Scope)) {
+/// Watches for as long as the process runs, from the version of the list that it began with. Where the address
+/// changes, the call under way is given up at once, and the new place's whole list is the truth about what is gone.
+pub async fn watch(mut address: watch::Receiver<String>, mut from: Option<u64>, take: impl Fn(&List, Scope)) {
     let mut open: Option<Watch> = None;
+    let mut at = address.borrow_and_update().clone();
     loop {
-        let answer = match open.take() {
-            Some(watch) => Ok(watch),
-            None => connect(&address).await,
+        let told = address.borrow_and_update().clone();
+        if told != at {
+            log!("discovery: moved to {told}");
+            (at, open, from) = (told, None, None);
+        }
+        let ask = async {
+            let mut watch = match open.take() {
+                Some(watch) => watch,
+                None => connect(&at).await?,
+            };
+            let list = call(&mut watch, &at, from).await?;
+            Ok::<_, String>((watch, list))
         };
-        let answer = match answer {
-            Ok(mut watch) => call(&mut watch, &address, from).await.map(|list| (watch, list)),
-            Err(e) => Err(e),
+        let answer = tokio::select! {
+            biased;
+            Ok(()) = address.changed() => continue,
+            answer = ask => answer,
         };
         match answer {
             Ok((watch, list)) => {
                 open = Some(watch);
-                if list.whole || !list.hosts.is_empty() {
-                    take(&list, if list.whole { Scope::Full } else { Scope::Delta });
+                let whole = list.whole || from.is_none();
+                if whole || !list.hosts.is_empty() {
+                    take(&list, if whole { Scope::Full } else { Scope::Delta });
                 }
                 from = Some(list.seq);
             }
--- a/gateway/tests/platform.rs
+++ b/gateway/tests/platform.rs
@@ -241,10 +241,14 @@
         let (pool, scopes) = (g.pool.clone(), Rc::new(std::cell::RefCell::new(Vec::new())));
         let seen = scopes.clone();
         let mut served = Vec::new();
-        let watching = discovery::watch(agent.address.to_string(), Some(4), move |list, scope| {
-            discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
-            seen.borrow_mut().push((scope, pool.core.can_serve()));
-        });
+        let watching = discovery::watch(
+            tokio::sync::watch::Sender::new(agent.address.to_string()).subscribe(),
+            Some(4),
+            move |list, scope| {
+                discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
+                seen.borrow_mut().push((scope, pool.core.can_serve()));
+            },
+        );
         tokio::select! {
             () = watching => {}
             () = until(|| agent.seen.borrow().len() == 4) => {}
@@ -257,6 +261,44 @@
     });
 }
 
+/// Guards a new configuration: the watch moves at once though the old place's call hangs, asks the new one for its
+/// whole list, and takes that as the truth; in the meantime the old list serves on.
+#[test]
+fn a_moved_discovery_is_asked_for_its_whole_list() {
+    run(async {
+        let server = StandIn::start(|_, _| read()).await;
+        let (old, new) = (StandIn::start(|_, _| Act::Silence).await, {
+            let list =
+                json!({"seq": 2, "whole": true, "hosts": [host("r9", "prompt-side", &server, "SERVING")]});
+            StandIn::start(move |n, _| match n {
+                0 => Act::Answer(answer(200, &[], list.to_string())),
+                _ => Act::Silence,
+            })
+            .await
+        });
+        let g = gateway(&[&server], &[&server], None, 50).await;
+        let (pool, address) = (g.pool.clone(), tokio::sync::watch::Sender::new(old.address.to_string()));
+        let watching = discovery::watch(address.subscribe(), Some(70), move |list, scope| {
+            assert_eq!(scope, deckhub::Scope::Full);
+            discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
+        });
+        let moved = async {
+            until(|| old.seen.borrow().len() == 1).await;
+            assert!(g.pool.core.can_serve());
+            address.send_replace(new.address.to_string());
+            until(|| new.seen.borrow().len() == 2).await;
+        };
+        tokio::select! {
+            () = watching => {}
+            () = moved => {}
+        }
+        assert!(!g.pool.core.can_serve(), "only a reader is left");
+        let paths: Vec<String> = new.seen.borrow().iter().map(|s| s.path.clone()).collect();
+        assert_eq!(paths, ["/v1/endpoints", "/v1/endpoints?from=2&hold_ms=2000"]);
+        assert_eq!(old.seen.borrow().len(), 1);
+    });
+}
+
 /// Guards slow start: a server's start on the machine's clock becomes one on the module's.
 #[test]
 fn a_start_is_told_on_the_modules_clock() {
--- a/gateway/tests/program.rs
+++ b/gateway/tests/program.rs
@@ -82,9 +82,13 @@
         (running, address)
     }
 
-    fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let id = self.0.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+    }
+
+    fn terminate(&self) {
+        self.signal("-TERM");
     }
 }
 
@@ -96,14 +100,15 @@
 }
 
 /// Guards the way from the platform's configuration to a stream: the known list is used at once, discovery's list
-/// after it, and SIGTERM in the middle of a stream neither cuts it nor makes an error of the end.
+/// after it; a new configuration moves discovery on SIGHUP and a faulty one changes nothing; SIGTERM in the middle
+/// of a stream neither cuts it nor makes an error of the end, whatever SIGHUP comes after it.
 #[test]
 fn the_platforms_gateway_serves_and_ends_in_good_order() {
     use common::{answer, ask, post, read, run, stream, until, Act, StandIn, STREAM};
     run(async {
         let reader = StandIn::start(|_, _| read()).await;
         let writer = StandIn::start(|n, _| match n {
-            0 => stream(),
+            0..3 => stream(),
             _ => {
                 let slow = answer(200, &[("content-type", "text/event-stream")], STREAM);
                 Act::Later(std::time::Duration::from_millis(1_200), slow)
@@ -114,7 +119,13 @@
             serde_json::json!({"host": name, "dial": at.address.to_string(), "site": "dc", "class": kind,
                 "block": 0, "health": "SERVING", "share": 1.0, "born_ms": 0})
         };
-        let first = host("w", "answer-side", &writer);
+        let hosts = serde_json::json!([host("r", "prompt-side", &reader), host("w", "answer-side", &writer)]);
+        let list = serde_json::json!({"seq": 3, "whole": true, "hosts": hosts}).to_string();
+        let moved = StandIn::start(move |n, _| match n {
+            0 => Act::Answer(answer(200, &[], list.clone())),
+            _ => Act::Silence,
+        })
+        .await;
         let agent = StandIn::start(move |n, _| match n {
             0 => Act::Answer(answer(200, &[], r#"{"seq":8,"whole":false,"hosts":[]}"#)),
             _ => Act::Silence,
@@ -122,11 +133,13 @@
         .await;
         let config = serde_json::json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "8c1f30d27a5be964",
             "discovery": agent.address.to_string(), "limits": {"memory_mb": 192, "sockets": 1024},
-            "known": {"seq": 7, "whole": true, "hosts": [host("r", "prompt-side", &reader), first]},
+            "known": {"seq": 7, "whole": true, "hosts": hosts},
             "settings": {"quantum": 4.0, "zones": ["dc"], "kinds": ["prompt-side", "answer-side"],
                 "services": [{"name": "order-chat", "aim": 2500.0, "deadline": 12000.0, "semantics": "single_shot"}],
                 "domain": {"stage-of-kind": ["read", "write"], "pin-limit": 500.0},
                 "policy-limits": {"max-attempts": 5, "cancel": true, "dial-timeout": 5000.0}}});
+        let mut later = config.clone();
+        later["discovery"] = moved.address.to_string().into();
         let config = file("platform.json", &config.to_string());
         let mut command = Command::new(env!("CARGO_BIN_EXE_glenrail"));
         let (mut running, address) = Running::start(command.env("EDGE_CONFIG", &config), "platform");
@@ -137,13 +150,23 @@
         assert_eq!((served.status().as_u16(), served.body().as_deref()), (200, Some(STREAM.as_bytes())));
         until(|| !agent.seen.borrow().is_empty()).await;
         assert_eq!(agent.seen.borrow()[0].path, "/v1/endpoints?from=7&hold_ms=2000");
+        for text in ["{ half", r#"{"listen": 7, "discovery": "127.0.0.1:1"}"#] {
+            std::fs::write(&config, text).expect("a file");
+            running.signal("-HUP");
+            assert_eq!(chat().await.status(), 200);
+        }
+        std::fs::write(&config, later.to_string()).expect("a file");
+        running.signal("-HUP");
+        until(|| moved.seen.borrow().len() == 2).await;
+        assert_eq!(moved.seen.borrow()[0].path, "/v1/endpoints");
         let slow = chat();
         tokio::pin!(slow);
         tokio::select! {
             _ = &mut slow => panic!("the answer takes longer"),
-            () = until(|| writer.count("POST") == 2) => {}
+            () = until(|| writer.count("POST") == 4) => {}
         }
         running.terminate();
+        running.signal("-HUP");
         let slow = slow.await;
         assert_eq!((slow.status().as_u16(), slow.body().as_deref()), (200, Some(STREAM.as_bytes())));
         let mut ended = None;
