--- a/tests/path.rs
+++ b/tests/path.rs
@@ -552,7 +552,7 @@
 fn a_new_process_is_not_taken_for_as_full_or_as_sick_as_the_old_one() {
     let mut rig = Rig::plain();
     rig.at(30_000.0);
-    let mut picked = |from: u64, rig: &mut Rig| {
+    let picked = |from: u64, rig: &mut Rig| {
         let mut to_old = 0;
         for id in from..from + 30 {
             let reader = rig.read_at(ask(id));
