--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -1,5 +1,8 @@
 //! Puts the parts together and runs them on one thread until the process is told to end.
 
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, OwnedFd};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -11,7 +14,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 use crate::budget::Budget;
 use crate::config::{self, Bounds};
@@ -19,18 +22,22 @@
 use crate::counters::Counters;
 use crate::discovery::{self, List, Names};
 use crate::engine::Limits;
-use crate::front::{inference, platform, server};
+use crate::front::server::{self, Door};
+use crate::front::{inference, platform};
 use crate::log;
 use crate::ops::{self, Desk, Ops};
 use crate::plugin::Plugin;
 use crate::pools::{PlatformChat, Pool, Second};
 use crate::rotation::{Orders, Rotation};
 use crate::shutdown::{Phase, Shutdown};
+use crate::upgrade::{self, Inboxes, Share};
 
 /// Connections still come for a while after the process was told to end (0.4 s on the platform).
 const LEAVING: Duration = Duration::from_millis(600);
 /// Servers close idle connections after their own time; here they go at this share of it.
 const IDLE_SHARE: f64 = 0.5;
+/// A second process waits no longer than this to hear of the list; then it trusts the one it was started with.
+const SILENT_DISCOVERY: Duration = Duration::from_millis(1_000);
 /// Releases under way are waited for in steps of this length.
 const SETTLE: Duration = Duration::from_millis(20);
 
@@ -46,13 +53,30 @@
     LocalSet::new().block_on(&runtime, serve(platform, second.zip(front), plugin))
 }
 
-async fn listen(address: &str, key: &str, front: &str) -> Result<TcpListener, String> {
+/// Listens at an address, or goes on with the listener of another process that is there already.
+async fn listen(
+    address: &str, key: &str, front: &str, inherited: Option<std::net::TcpListener>,
+) -> Result<TcpListener, String> {
     let failed = |e| format!("configuration: {key}: cannot listen on {address}: {e}");
-    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let wanted = address.parse::<SocketAddr>().ok();
+    let same = |l: &std::net::TcpListener| {
+        let at = l.local_addr().ok();
+        at.zip(wanted).is_some_and(|(at, w)| at == w || w.port() == 0 && at.ip() == w.ip())
+    };
+    let listener = match inherited.filter(same) {
+        Some(listener) => TcpListener::from_std(listener).map_err(failed)?,
+        None => TcpListener::bind(address).await.map_err(failed)?,
+    };
     log!("{front} front on {}", listener.local_addr().map_err(failed)?);
     Ok(listener)
 }
 
+/// What stands ready for a process that is to take over.
+fn to_hand_over(number: u8, listener: &TcpListener) -> Result<(u8, OwnedFd), String> {
+    let copy = listener.as_fd().try_clone_to_owned();
+    copy.map(|l| (number, l)).map_err(|e| format!("cannot copy a listener: {e}"))
+}
+
 async fn serve(
     platform: Option<config::Platform>, second: Option<(config::Front, PathBuf)>, plugin: Option<Rc<Plugin>>,
 ) -> Result<(), String> {
@@ -60,6 +84,24 @@
     let slots = Arc::new(Semaphore::new(bounds.server_connections));
     let budget = Budget::new(bounds.bodies);
     let shutdown = Shutdown::default();
+    let state = platform.as_ref().filter(|p| p.ops.is_some()).map(|p| p.state.clone());
+    let estate = match &state {
+        Some(state) => upgrade::inherit(state).await,
+        None => None,
+    };
+    let ([first, other], link) = estate.map_or_else(Default::default, |e| (e.listeners, Some(e.link)));
+    let (inboxes, [first_inbox, other_inbox]) = Inboxes::new();
+    // After another process, this one accepts only once it can do all that the other could.
+    let (opener, open) = watch::channel(link.is_none());
+    let shared = Share {
+        slots: slots.clone(),
+        connections: bounds.server_connections,
+        budget: budget.clone(),
+        bodies: bounds.bodies,
+    };
+    let after = link.map(|link| (link, shared.halve()));
+    let mut listeners = Vec::new();
+    let mut able: Rc<dyn Fn() -> bool> = Rc::new(|| true);
     let mut pools = Vec::new();
     let mut reloads: Vec<Box<dyn Fn()>> = Vec::new();
     let mut chat = None;
@@ -74,7 +116,10 @@
     let seconds = second.as_ref().map_or(0, |(f, _)| f.max_connections.min(share));
 
     if let Some(p) = platform {
-        let listener = listen(&p.listen.to_string(), "listen", "platform").await?;
+        let listener = listen(&p.listen.to_string(), "listen", "platform", first).await?;
+        listeners.push(to_hand_over(upgrade::PLATFORM, &listener)?);
+        let inbox = Some(first_inbox);
+        let door = Door { number: upgrade::PLATFORM, listener, inbox, open: open.clone() };
         let limits = Limits {
             connect_timeout: duration(p.settings.limits.connect_timeout),
             idle: p.conn_idle.mul_f64(IDLE_SHARE),
@@ -102,34 +147,48 @@
         if let Some(known) = &known {
             rotation.take(known, Scope::Cached);
         }
+        // A second process asks for the whole list, which is answered at once: what it was started with may be old.
+        let from = known.map(|k| k.seq).filter(|_| after.is_none());
+        let told = Rc::new(Cell::new(false));
         spawn_local({
-            let rotation = rotation.clone();
-            discovery::watch(watched, known.map(|k| k.seq), move |list, scope| rotation.take(list, scope))
+            let (rotation, told) = (rotation.clone(), told.clone());
+            discovery::watch(watched, from, move |list, scope| {
+                rotation.take(list, scope);
+                told.set(true);
+            })
         });
         let ready: Rc<dyn Fn() -> bool> = Rc::new({
             let (core, shutdown) = (pool.core.clone(), shutdown.clone());
+            // Of the gateway: yes also where another process has taken over.
             move || !shutdown.leaving() && core.can_serve()
         });
         if let Some(at) = p.ops {
-            let listener = listen(&at.to_string(), "ops", "operators'").await?;
-            let (core, shutdown) = (pool.core.clone(), shutdown.clone());
+            let listener = listen(&at.to_string(), "ops", "operators'", None).await?;
+            let (core, shutdown, open) = (pool.core.clone(), shutdown.clone(), open.clone());
             // Of the process, whether or not it sends its clients away.
-            let able = move || shutdown.phase() == Phase::Serving && core.can_serve();
-            desk = Some((listener, Rc::new(able), rotation.clone()));
+            let ready = move || *open.borrow() && shutdown.phase() == Phase::Serving && core.can_serve();
+            desk = Some((listener, Rc::new(ready), rotation.clone()));
+            let (core, orders, began) = (pool.core.clone(), rotation.clone(), Instant::now());
+            able = Rc::new(move || {
+                orders.look();
+                core.can_serve() && (told.get() || began.elapsed() > SILENT_DISCOVERY)
+            });
             spawn_local(async move { rotation.keep_looking().await });
         }
         chat = Some(PlatformChat { names: names.classes.clone(), classes, pool: pool.clone() });
         let front =
             platform::Platform::new(names, budget.clone(), pool.entry(&plugin), ready, counters.clone());
         let cap = bounds.client_connections - seconds;
-        spawn_local(server::serve(listener, front, cap, shutdown.clone()));
+        spawn_local(server::serve(door, front, cap, shutdown.clone()));
     }
 
     if let Some((file, path)) = second {
-        let listener = listen(&file.listen, "listen", "second").await?;
+        let listener = listen(&file.listen, "listen", "second", other).await?;
+        listeners.push(to_hand_over(upgrade::SECOND, &listener)?);
+        let door = Door { number: upgrade::SECOND, listener, inbox: Some(other_inbox), open: open.clone() };
         let second = Second::new(&file, chat, &plugin, slots, budget, counters.clone())?;
         pools.extend(second.pools());
-        spawn_local(server::serve(listener, second.front.clone(), seconds, shutdown.clone()));
+        spawn_local(server::serve(door, second.front.clone(), seconds, shutdown.clone()));
         reloads.push(Box::new(move || match config::front(&path) {
             Ok(file) => second.reload(&file),
             Err(e) => log!("{e}; the servers stay as they were"),
@@ -142,6 +201,20 @@
         spawn_local(server::serve(listener, Ops::new(desk), ops::CONNECTIONS, Shutdown::default()));
     }
 
+    if let Some(state) = state {
+        let shutdown = shutdown.clone();
+        spawn_local(async move {
+            if let Some((link, half)) = after {
+                while !able() {
+                    sleep(SETTLE).await;
+                }
+                opener.send_replace(true);
+                spawn_local(upgrade::take_over(link, inboxes.clone(), shutdown.clone(), half));
+            }
+            upgrade::hand_over(state, listeners, inboxes, shutdown, shared).await;
+        });
+    }
+
     // Also while the process ends, when it changes nothing that matters any more.
     spawn_local(async move {
         while signals.reload.recv().await.is_some() {
@@ -175,7 +248,10 @@
 pub async fn leave(shutdown: &Shutdown, pools: &[Pool]) {
     log!("told to end");
     shutdown.enter(Phase::Leaving);
-    sleep(LEAVING).await;
+    // Where another process has taken over, connections come to that one.
+    if !shutdown.superseded() {
+        sleep(LEAVING).await;
+    }
     shutdown.enter(Phase::Closing);
     // Accepting ends with what the machine had taken; those connections are counted by then.
     sleep(SETTLE).await;
--- a/gateway/src/front/connection.rs
+++ b/gateway/src/front/connection.rs
@@ -54,6 +54,8 @@
     since: Cell<Instant>,
     /// The client does not take what is written.
     blocked: Cell<bool>,
+    /// Bytes of a request have been read that it does not show in its stage yet.
+    ahead: Cell<bool>,
     /// Why the open request must not be served.
     fault: Cell<Option<&'static str>>,
     /// The open request is the last on this connection.
@@ -68,6 +70,7 @@
             stage: Cell::new(Stage::New),
             since: Cell::new(Instant::now()),
             blocked: Cell::default(),
+            ahead: Cell::default(),
             fault: Cell::default(),
             last: Cell::default(),
             changed: Notify::new(),
@@ -107,6 +110,11 @@
         !self.blocked.get() && !matches!(self.stage(), Stage::Body | Stage::Answer)
     }
 
+    /// Whether nothing at all is under way on it, in either direction.
+    pub fn rests(&self) -> bool {
+        matches!(self.stage(), Stage::New | Stage::Idle) && !self.blocked.get() && !self.ahead.get()
+    }
+
     /// When it has stood where it is for too long. Bodies and answers have timers where they are awaited.
     fn due(&self) -> Option<Instant> {
         let wait = match self.stage() {
@@ -260,6 +268,7 @@
         let mut part = ReadBuf::new(&mut space);
         ready!(Pin::new(&mut self.wire).poll_read(cx, &mut part))?;
         self.ahead.extend_from_slice(part.filled());
+        self.watch.ahead.set(!self.ahead.is_empty());
         Poll::Ready(Ok(part.filled().len()))
     }
 
@@ -278,6 +287,7 @@
                 buf.put_slice(&me.ahead[..n]);
                 me.ahead.drain(..n);
                 me.cleared -= n;
+                me.watch.ahead.set(!me.ahead.is_empty());
                 return Poll::Ready(Ok(()));
             }
             match me.watch.stage() {
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -1,6 +1,7 @@
 //! Accepts connections and serves a tower service on them until the process is to end.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -17,6 +18,7 @@
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep, timeout, Instant};
 use tower::{service_fn, Service, ServiceExt};
@@ -26,6 +28,7 @@
 use crate::counters::{Outcome, Tally};
 use crate::log;
 use crate::shutdown::{Phase, Shutdown};
+use crate::upgrade::{self, Handed, Inbox};
 use crate::wire::Wire;
 
 /// Connections beyond the cap that may at the same time be told to come back later; further ones are closed.
@@ -39,8 +42,26 @@
 
 type Classify = Rc<dyn Fn(&Request<Incoming>) -> Option<Tally>>;
 
+/// How connections come to a front.
+pub struct Door {
+    /// The front's number, by which another process knows it.
+    pub number: u8,
+    pub listener: TcpListener,
+    /// Connections that another process hands over.
+    pub inbox: Option<Inbox>,
+    /// Accepting begins once this is so.
+    pub open: watch::Receiver<bool>,
+}
+
+impl From<TcpListener> for Door {
+    fn from(listener: TcpListener) -> Self {
+        Door { number: upgrade::PLATFORM, listener, inbox: None, open: watch::Sender::new(true).subscribe() }
+    }
+}
+
 /// Serves until shutdown has passed its accepting phase, then lets connections end by themselves.
-pub async fn serve(listener: TcpListener, front: impl Front, cap: usize, shutdown: Shutdown) {
+pub async fn serve(door: impl Into<Door>, front: impl Front, cap: usize, shutdown: Shutdown) {
+    let Door { number, listener, mut inbox, mut open } = door.into();
     let service = front.clone().service();
     let classify: Classify = Rc::new(move |request| front.tally(request));
     let crowd = Rc::new(Crowd::default());
@@ -56,7 +77,7 @@
         }
         let full = crowd.len() >= cap;
         let (service, classify) = (service.clone(), classify.clone());
-        let (shutdown, place) = (shutdown.clone(), crowd.enter());
+        let (shutdown, place) = ((shutdown.clone(), number), crowd.enter());
         spawn_local(async move {
             if full {
                 let refuse = service_fn(|_| async { Ok(come_back("too many connections\n")) });
@@ -68,11 +89,24 @@
     };
     let stop = shutdown.reached(Phase::Closing);
     tokio::pin!(stop);
+    tokio::select! {
+        () = &mut stop => return,
+        // Whoever would open it is gone: then it stays shut.
+        _ = open.wait_for(|open| *open) => {}
+    }
+    let mut heirs = shutdown.heirs();
     loop {
+        // Another process accepts in place of this one for as long as it is there.
+        let accepting = heirs.borrow_and_update().is_none();
         tokio::select! {
             biased;
             () = &mut stop => break,
-            accepted = listener.accept() => match accepted {
+            _ = heirs.changed() => {}
+            Some(handed) = next(&mut inbox) => match TcpStream::from_std(handed) {
+                Ok(socket) => take(socket),
+                Err(e) => log!("a connection could not be taken over: {e}"),
+            },
+            accepted = listener.accept(), if accepting => match accepted {
                 Ok((socket, _)) => {
                     take(socket);
                     // Whoever gives way closes, and whoever is new is read, before the next one comes.
@@ -87,11 +121,22 @@
             },
         }
     }
+    if shutdown.superseded() {
+        return;
+    }
     while let Ok(Ok((socket, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
         take(socket);
     }
 }
 
+/// The next connection handed over; none ever where nobody can.
+async fn next(inbox: &mut Option<Inbox>) -> Option<std::net::TcpStream> {
+    match inbox {
+        Some(inbox) => inbox.recv().await,
+        None => None,
+    }
+}
+
 fn come_back(why: &'static str) -> Response<Body> {
     let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, why);
     refusal.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
@@ -99,13 +144,14 @@
     refusal
 }
 
-async fn connection<S>(socket: TcpStream, service: S, classify: Classify, shutdown: Shutdown, place: Place)
-where
+async fn connection<S>(
+    socket: TcpStream, service: S, classify: Classify, (shutdown, front): (Shutdown, u8), place: Place,
+) where
     S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: 'static>
         + Clone
         + 'static,
 {
-    let _guard = shutdown.guard();
+    let guard = shutdown.guard();
     let _ = socket.set_nodelay(true);
     let (wire, leaving, watch) = (Wire::new(socket), shutdown.clone(), place.watch.clone());
     let began = Instant::now();
@@ -138,22 +184,35 @@
             TokioIo::new(Gate::new(wire.clone(), place.watch.clone())),
             TowerToHyperService::new(service),
         );
-    {
+    let at_rest = {
         tokio::pin!(connection);
         let stop = shutdown.over(began);
         tokio::pin!(stop);
-        let mut stopping = false;
+        let (mut stopping, mut heirs) = (false, shutdown.heirs());
         loop {
+            let rests = || shutdown.superseded() && place.watch.rests();
             tokio::select! {
+                // Asked in this order: what the connection has just done decides whether it rests.
+                biased;
                 // Errors are the client's going, or an answer that broke off on purpose.
-                _ = connection.as_mut() => break,
+                _ = connection.as_mut() => break false,
                 () = place.watch.over() => return,
-                () = &mut stop, if !stopping => {
+                () = poll_fn(|_| if rests() { Poll::Ready(()) } else { Poll::Pending }) => break true,
+                _ = heirs.changed() => {}
+                () = &mut stop, if !stopping && !shutdown.superseded() => {
                     stopping = true;
                     connection.as_mut().graceful_shutdown();
                 }
             }
         }
+    };
+    if at_rest {
+        // hyper has let go of it, and nothing of a request has been read: the other process goes on with it.
+        let socket = Rc::try_unwrap(wire.socket).ok().and_then(|s| s.into_std().ok());
+        if let (Some(socket), Some(heir)) = (socket, shutdown.heirs().borrow().as_ref()) {
+            let _ = heir.send(Handed { front, socket, guard });
+        }
+        return;
     }
     if place.watch.stage() == Stage::Closing {
         linger(&wire).await;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod pools;
 pub mod rotation;
 pub mod shutdown;
+pub mod upgrade;
 pub mod upstream;
 mod wire;
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -7,6 +7,8 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::{sleep_until, Instant};
 
+use crate::upgrade::Heir;
+
 /// Told to send its clients away, the gateway ends their connections after this time: until then they may move by
 /// themselves, as each answer tells them to.
 const STAY: Duration = Duration::from_millis(1_500);
@@ -26,6 +28,8 @@
 
 #[derive(Clone)]
 pub struct Shutdown {
+    /// Where connections at rest go, once another process has taken over.
+    heir: Rc<watch::Sender<Option<Heir>>>,
     /// Since when the gateway is out of service, if operators took it out.
     away: Rc<watch::Sender<Option<Instant>>>,
     phase: Rc<watch::Sender<Phase>>,
@@ -47,7 +51,8 @@
     fn default() -> Self {
         let phase = Rc::new(watch::Sender::new(Phase::Serving));
         let away = Rc::new(watch::Sender::new(None));
-        Shutdown { away, phase, open: Rc::default(), empty: Rc::default() }
+        let heir = Rc::new(watch::Sender::new(None));
+        Shutdown { heir, away, phase, open: Rc::default(), empty: Rc::default() }
     }
 }
 
@@ -80,7 +85,7 @@
     }
     /// Whether each answer should tell its client that the connection ends.
     pub fn leaving(&self) -> bool {
-        self.phase() != Phase::Serving || self.away()
+        self.away() || self.phase() != Phase::Serving && !self.superseded()
     }
     /// Until a connection that began at this time has to end, once its open request has.
     pub async fn over(&self, began: Instant) {
@@ -106,6 +111,16 @@
             }
         }
     }
+    /// Another process has taken over, or is gone again.
+    pub fn succeed(&self, heir: Option<Heir>) {
+        self.heir.send_replace(heir);
+    }
+    pub fn superseded(&self) -> bool {
+        self.heir.borrow().is_some()
+    }
+    pub fn heirs(&self) -> watch::Receiver<Option<Heir>> {
+        self.heir.subscribe()
+    }
     pub fn guard(&self) -> Guard {
         self.open.set(self.open.get() + 1);
         Guard(self.clone())
--- /dev/null
+++ b/gateway/src/upgrade.rs
@@ -0,0 +1,276 @@
+//! Upgrades: a second process at the same address takes over from the first. It is handed the listening sockets, so
+//! there is one accept queue throughout, and then each client's connection that is at rest.
+
+use std::fs::File;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::{TcpListener, TcpStream};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustix::net::{
+    recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
+    SendAncillaryMessage, SendFlags,
+};
+use tokio::io::Interest;
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::{mpsc, Semaphore};
+use tokio::time::timeout;
+
+use crate::budget::{Budget, Claim};
+use crate::log;
+use crate::shutdown::{Guard, Phase, Shutdown};
+
+/// The fronts whose sockets are handed over.
+pub const PLATFORM: u8 = 0;
+pub const SECOND: u8 = 1;
+pub const FRONTS: usize = 2;
+
+/// The words between the two processes, each one byte; to some a front's number is added, and a socket comes along.
+const LISTENER: u8 = 0x10;
+const CLIENT: u8 = 0x20;
+/// All listeners have been handed over.
+const ALL: u8 = 1;
+/// The second process accepts from now on.
+const SERVING: u8 = 2;
+
+/// The first process must hand over its listeners by then, or is taken for dead.
+const PATIENCE: Duration = Duration::from_millis(1_500);
+/// Longest path that a Unix socket's address holds, less a margin.
+const PATH: usize = 100;
+const NAME: &str = "handover";
+
+/// A client's connection at rest, on its way to the other process.
+pub struct Handed {
+    pub front: u8,
+    pub socket: TcpStream,
+    /// The process that hands it over waits for it until it is sent.
+    pub guard: Guard,
+}
+
+/// Where connections at rest go once another process has taken over.
+pub type Heir = mpsc::UnboundedSender<Handed>;
+/// Where connections that another process hands over come in.
+pub type Inbox = mpsc::UnboundedReceiver<TcpStream>;
+
+/// The way in of one front.
+pub struct Inboxes([mpsc::UnboundedSender<TcpStream>; FRONTS]);
+
+impl Inboxes {
+    pub fn new() -> (Rc<Self>, [Inbox; FRONTS]) {
+        let ((a, a_in), (b, b_in)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+        (Rc::new(Inboxes([a, b])), [a_in, b_in])
+    }
+    fn put(&self, front: u8, socket: TcpStream) {
+        if let Some(inbox) = self.0.get(usize::from(front)) {
+            // A front that is not there any more: its client sees the connection end.
+            let _ = inbox.send(socket);
+        }
+    }
+}
+
+/// What two processes share while both live: each then has half.
+#[derive(Clone)]
+pub struct Share {
+    pub slots: Arc<Semaphore>,
+    pub connections: usize,
+    pub budget: Budget,
+    pub bodies: usize,
+}
+
+/// The half that is the other process's; given back when this is dropped.
+pub struct Half {
+    slots: Arc<Semaphore>,
+    kept: usize,
+    _bodies: Option<Claim>,
+}
+
+impl Share {
+    pub fn halve(&self) -> Half {
+        let kept = self.slots.forget_permits(self.connections / 2);
+        Half { slots: self.slots.clone(), kept, _bodies: self.budget.claim(self.bodies / 2) }
+    }
+}
+
+impl Drop for Half {
+    fn drop(&mut self) {
+        self.slots.add_permits(self.kept);
+    }
+}
+
+/// The connection between the two processes.
+pub struct Link(UnixStream);
+
+impl Link {
+    async fn send(&self, word: u8, socket: Option<BorrowedFd<'_>>) -> io::Result<()> {
+        self.0
+            .async_io(Interest::WRITABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut control = SendAncillaryBuffer::new(&mut space);
+                let sockets: Vec<BorrowedFd<'_>> = socket.into_iter().collect();
+                if !sockets.is_empty() {
+                    control.push(SendAncillaryMessage::ScmRights(&sockets));
+                }
+                sendmsg(&self.0, &[IoSlice::new(&[word])], &mut control, SendFlags::NOSIGNAL)?;
+                Ok(())
+            })
+            .await
+    }
+
+    /// The next word, and the socket that came with it; `None` at the end.
+    async fn receive(&self) -> io::Result<Option<(u8, Option<OwnedFd>)>> {
+        self.0
+            .async_io(Interest::READABLE, || {
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut control = RecvAncillaryBuffer::new(&mut space);
+                let mut word = [0];
+                let got = recvmsg(
+                    &self.0,
+                    &mut [IoSliceMut::new(&mut word)],
+                    &mut control,
+                    RecvFlags::CMSG_CLOEXEC,
+                )?;
+                let mut sockets = control.drain().filter_map(|message| match message {
+                    RecvAncillaryMessage::ScmRights(mut sockets) => sockets.next(),
+                    _ => None,
+                });
+                Ok((got.bytes > 0).then(|| (word[0], sockets.next())))
+            })
+            .await
+    }
+}
+
+/// A way to name a file of this directory in the few bytes that a socket's address holds.
+fn near(dir: &Path, name: &str) -> io::Result<(PathBuf, Option<File>)> {
+    let path = dir.join(name);
+    if path.as_os_str().len() <= PATH {
+        return Ok((path, None));
+    }
+    let open = File::open(dir)?;
+    Ok((PathBuf::from(format!("/proc/self/fd/{}/{name}", open.as_raw_fd())), Some(open)))
+}
+
+/// What a first process leaves to this one.
+pub struct Estate {
+    pub listeners: [Option<TcpListener>; FRONTS],
+    pub link: Link,
+}
+
+/// Asks for what another process at this address holds; `None` where there is no such process.
+pub async fn inherit(state: &Path) -> Option<Estate> {
+    let ask = async {
+        let (path, _open) = near(state, NAME)?;
+        let link = Link(UnixStream::connect(path).await?);
+        let mut listeners = [None, None];
+        loop {
+            match link.receive().await? {
+                Some((ALL, _)) => return Ok(Estate { listeners, link }),
+                Some((word, Some(socket))) if usize::from(word - LISTENER) < FRONTS => {
+                    listeners[usize::from(word - LISTENER)] = Some(TcpListener::from(socket));
+                }
+                other => {
+                    return Err(io::Error::other(format!("unexpected: {:?}", other.map(|o| o.0))));
+                }
+            }
+        }
+    };
+    match timeout(PATIENCE, ask).await {
+        Ok(Ok(estate)) => {
+            log!("another process hands over to this one");
+            Some(estate)
+        }
+        // None was there, or the one that was has died.
+        Ok(Err(e)) if matches!(e.kind(), io::ErrorKind::NotFound | io::ErrorKind::ConnectionRefused) => None,
+        Ok(Err(e)) => {
+            log!("no process hands over to this one: {e}");
+            None
+        }
+        Err(_) => {
+            log!("the process at this address does not hand over in time");
+            None
+        }
+    }
+}
+
+/// Takes over: says that this process serves, then takes the connections that the other one hands over, until that
+/// one has ended. Should this process be told to end meanwhile, the other one learns of it and accepts again.
+pub async fn take_over(link: Link, inboxes: Rc<Inboxes>, shutdown: Shutdown, half: Half) {
+    let taking = async {
+        link.send(SERVING, None).await?;
+        while let Some((word, socket)) = link.receive().await? {
+            if let Some(socket) = socket.filter(|_| word >= CLIENT) {
+                inboxes.put(word - CLIENT, TcpStream::from(socket));
+            }
+        }
+        Ok::<_, io::Error>(())
+    };
+    tokio::select! {
+        ended = taking => log!("the other process has ended{}", ended.err().map_or(String::new(), |e| format!(": {e}"))),
+        () = shutdown.reached(Phase::Closing) => {}
+    }
+    drop(half);
+}
+
+/// Makes this process the one that hands over from now on, in place of any before.
+fn publish(state: &Path) -> io::Result<UnixListener> {
+    let own = format!("{NAME}-{}", std::process::id());
+    let (path, _open) = near(state, &own)?;
+    let _ = std::fs::remove_file(state.join(&own));
+    let listener = UnixListener::bind(path)?;
+    std::fs::rename(state.join(&own), state.join(NAME))?;
+    Ok(listener)
+}
+
+/// Waits for a process that is to take over, for as long as this one runs.
+pub async fn hand_over(
+    state: PathBuf, listeners: Vec<(u8, OwnedFd)>, inboxes: Rc<Inboxes>, shutdown: Shutdown, share: Share,
+) {
+    loop {
+        let asked = async { publish(&state)?.accept().await };
+        let link = match asked.await {
+            Ok((stream, _)) => Link(stream),
+            Err(e) => return log!("no upgrade is possible: {e}"),
+        };
+        let _half = share.halve();
+        if let Err(e) = succeed(&link, &listeners, &inboxes, &shutdown).await {
+            log!("a handing over ended: {e}");
+        }
+    }
+}
+
+/// Hands over to one process, and ends when that one has gone.
+async fn succeed(
+    link: &Link, listeners: &[(u8, OwnedFd)], inboxes: &Inboxes, shutdown: &Shutdown,
+) -> io::Result<()> {
+    for (front, listener) in listeners {
+        link.send(LISTENER + front, Some(listener.as_fd())).await?;
+    }
+    link.send(ALL, None).await?;
+    if !matches!(link.receive().await?, Some((SERVING, _))) {
+        return Err(io::Error::other("the other process ended before it served"));
+    }
+    log!("another process has taken over");
+    let (heir, mut handed) = mpsc::unbounded_channel::<Handed>();
+    shutdown.succeed(Some(heir));
+    loop {
+        let at_rest = tokio::select! {
+            biased;
+            Some(at_rest) = handed.recv() => at_rest,
+            _ = link.receive() => break,
+        };
+        if link.send(CLIENT + at_rest.front, Some(at_rest.socket.as_fd())).await.is_err() {
+            inboxes.put(at_rest.front, at_rest.socket);
+            break;
+        }
+    }
+    shutdown.succeed(None);
+    // Not sent any more, so it is still ours.
+    while let Ok(at_rest) = handed.try_recv() {
+        inboxes.put(at_rest.front, at_rest.socket);
+    }
+    log!("the process that had taken over is gone; this one accepts again");
+    Ok(())
+}
