--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -467,30 +467,7 @@
         if !pass(&pieces, Piece::Begin(head, first)).await {
             return End::plain(Status::Cancelled);
         }
-        loop {
-            let frame = tokio::select! {
-                biased;
-                frame = timeout(SILENT, frames.next()) => frame,
-                () = pieces.closed() => return End::plain(Status::Cancelled),
-            };
-            match frame {
-                Ok(Some(Ok(Frame::Data(bytes)))) => {
-                    if !pass(&pieces, Piece::Chunk(bytes)).await {
-                        return End::plain(Status::Cancelled);
-                    }
-                }
-                Ok(Some(Ok(Frame::End { kept, report }))) => {
-                    pass(&pieces, Piece::End).await;
-                    return End { status: Status::Served, note: kept, report };
-                }
-                Ok(Some(Err(how))) => return End::plain(status(how)),
-                Ok(None) => return End::plain(Status::Reset),
-                Err(_) => {
-                    log!("a stream of server {:x} fell silent and is cut", server.0);
-                    return End::plain(Status::Timeout);
-                }
-            }
-        }
+        rest(&pieces, frames).await
     }
 
     /// The one outcome of an attempt.
@@ -570,6 +547,49 @@
     }
 }
 
+/// Passes an answer on after its first piece, to its end.
+async fn rest(
+    pieces: &mpsc::Sender<Piece>, mut frames: LocalBoxStream<'static, Result<Frame, Failed>>,
+) -> End {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = timeout(SILENT, frames.next()) => frame,
+            () = pieces.closed() => return End::plain(Status::Cancelled),
+        };
+        match frame {
+            Ok(Some(Ok(Frame::Data(bytes)))) => {
+                if !pass(pieces, Piece::Chunk(bytes)).await {
+                    return End::plain(Status::Cancelled);
+                }
+            }
+            Ok(Some(Ok(Frame::Moved(rest)))) => {
+                pass(pieces, Piece::Moved(rest)).await;
+                return End::plain(Status::Served);
+            }
+            Ok(Some(Ok(Frame::End { kept, report }))) => {
+                pass(pieces, Piece::End).await;
+                return End { status: Status::Served, note: kept, report };
+            }
+            Ok(Some(Err(how))) => return End::plain(status(how)),
+            Ok(None) => return End::plain(Status::Reset),
+            Err(_) => {
+                log!("a stream fell silent and is cut");
+                return End::plain(Status::Timeout);
+            }
+        }
+    }
+}
+
+/// Goes on with an answer that another process began. No request of the router belongs to it any more.
+pub fn resume(frames: LocalBoxStream<'static, Result<Frame, Failed>>) -> ClientSide {
+    let (client, pieces) = exchange::answer();
+    spawn_local(async move {
+        rest(&pieces, frames).await;
+    });
+    client
+}
+
 /// Whether the client took the piece.
 async fn pass(pieces: &mpsc::Sender<Piece>, piece: Piece) -> bool {
     matches!(timeout(STALLED, pieces.send(piece)).await, Ok(Ok(())))
--- a/gateway/src/counters.rs
+++ b/gateway/src/counters.rs
@@ -59,6 +59,10 @@
 }
 
 impl Tally {
+    pub fn class(&self) -> String {
+        self.counters.0.borrow()[self.place].0.clone()
+    }
+
     pub fn count(self, outcome: Outcome) {
         let mut all = self.counters.0.borrow_mut();
         let counts = &mut all[self.place].1;
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -36,6 +36,9 @@
 const LEAVING: Duration = Duration::from_millis(600);
 /// Servers close idle connections after their own time; here they go at this share of it.
 const IDLE_SHARE: f64 = 0.5;
+/// Told to end while another process serves, this one goes on for so long with the streams under way; then the other
+/// one does. The platform leaves 3.7 s in all.
+const LAST_WORDS: Duration = Duration::from_millis(2_000);
 /// A second process waits no longer than this to hear of the list; then it trusts the one it was started with.
 const SILENT_DISCOVERY: Duration = Duration::from_millis(1_000);
 /// Releases under way are waited for in steps of this length.
@@ -118,8 +121,6 @@
     if let Some(p) = platform {
         let listener = listen(&p.listen.to_string(), "listen", "platform", first).await?;
         listeners.push(to_hand_over(upgrade::PLATFORM, &listener)?);
-        let inbox = Some(first_inbox);
-        let door = Door { number: upgrade::PLATFORM, listener, inbox, open: open.clone() };
         let limits = Limits {
             connect_timeout: duration(p.settings.limits.connect_timeout),
             idle: p.conn_idle.mul_f64(IDLE_SHARE),
@@ -176,6 +177,13 @@
             spawn_local(async move { rotation.keep_looking().await });
         }
         chat = Some(PlatformChat { names: names.classes.clone(), classes, pool: pool.clone() });
+        let door = Door {
+            number: upgrade::PLATFORM,
+            listener,
+            inbox: Some(first_inbox),
+            resume: Some(server::resume(&pool, &counters)),
+            open: open.clone(),
+        };
         let front =
             platform::Platform::new(names, budget.clone(), pool.entry(&plugin), ready, counters.clone());
         let cap = bounds.client_connections - seconds;
@@ -185,9 +193,17 @@
     if let Some((file, path)) = second {
         let listener = listen(&file.listen, "listen", "second", other).await?;
         listeners.push(to_hand_over(upgrade::SECOND, &listener)?);
-        let door = Door { number: upgrade::SECOND, listener, inbox: Some(other_inbox), open: open.clone() };
         let second = Second::new(&file, chat, &plugin, slots, budget, counters.clone())?;
-        pools.extend(second.pools());
+        let own = second.pools();
+        let door = Door {
+            number: upgrade::SECOND,
+            listener,
+            inbox: Some(other_inbox),
+            // Whichever pool a stream began in: reading on needs none of its servers' names.
+            resume: own.first().or(pools.first()).map(|pool| server::resume(pool, &counters)),
+            open: open.clone(),
+        };
+        pools.extend(own);
         spawn_local(server::serve(door, second.front.clone(), seconds, shutdown.clone()));
         reloads.push(Box::new(move || match config::front(&path) {
             Ok(file) => second.reload(&file),
@@ -249,8 +265,17 @@
     log!("told to end");
     shutdown.enter(Phase::Leaving);
     // Where another process has taken over, connections come to that one.
-    if !shutdown.superseded() {
-        sleep(LEAVING).await;
+    match shutdown.superseded() {
+        true => {
+            let (shutdown, pools) = (shutdown.clone(), pools.to_vec());
+            spawn_local(async move {
+                sleep(LAST_WORDS).await;
+                if shutdown.superseded() {
+                    pools.iter().for_each(|p| p.engine.move_streams());
+                }
+            });
+        }
+        false => sleep(LEAVING).await,
     }
     shutdown.enter(Phase::Closing);
     // Accepting ends with what the machine had taken; those connections are counted by then.
--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -4,6 +4,7 @@
 use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
+use std::os::fd::AsFd;
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -17,13 +18,18 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{spawn_local, AbortHandle};
 
-use super::inlet::Inlet;
+use super::inlet::{Inlet, Tap};
+use crate::exchange::Rest;
 use crate::wire::Wire;
 
 pub struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
     wire: Wire,
     awaited: Rc<Cell<bool>>,
+    /// The body of the answer under way, as it is read.
+    pub tap: Rc<Tap>,
+    /// The socket is another process's now.
+    released: bool,
     task: AbortHandle,
     _slot: OwnedSemaphorePermit,
 }
@@ -33,13 +39,14 @@
         let socket = TcpStream::connect(dial).await?;
         socket.set_nodelay(true)?;
         let (wire, awaited) = (Wire::new(socket), Rc::new(Cell::new(false)));
-        let inlet = Inlet::new(wire.clone(), awaited.clone());
+        let tap = Rc::new(Tap::default());
+        let inlet = Inlet::new(wire.clone(), awaited.clone(), tap.clone());
         let (sender, connection) = handshake(TokioIo::new(inlet)).await.map_err(io::Error::other)?;
         let task = spawn_local(async move {
             // Whoever waits for the answer is told of the error.
             let _ = connection.await;
         });
-        Ok(Connection { sender, wire, awaited, task: task.abort_handle(), _slot: slot })
+        Ok(Connection { sender, wire, awaited, tap, released: false, task: task.abort_handle(), _slot: slot })
     }
 
     /// Sends a request; its answer is the next thing that the server may say.
@@ -53,6 +60,13 @@
         self.wire.count_after(length(request), count);
     }
 
+    /// Gives the connection away as it stands; nothing is read of it here any more.
+    pub fn release(mut self) -> io::Result<Rest> {
+        let socket = self.wire.socket.as_fd().try_clone_to_owned()?;
+        self.released = true;
+        Ok(Rest { socket: socket.into(), ahead: self.tap.ahead.take() })
+    }
+
     /// Bytes handed to the machine so far.
     pub fn written(&self) -> u64 {
         self.wire.written()
@@ -72,7 +86,9 @@
 /// must not find this one still open.
 impl Drop for Connection {
     fn drop(&mut self) {
-        let _ = SockRef::from(&*self.wire.socket).shutdown(std::net::Shutdown::Both);
+        if !self.released {
+            let _ = SockRef::from(&*self.wire.socket).shutdown(std::net::Shutdown::Both);
+        }
         self.task.abort();
     }
 }
--- a/gateway/src/engine/events.rs
+++ b/gateway/src/engine/events.rs
@@ -25,6 +25,11 @@
 }
 
 impl Events {
+    /// Of a stream whose first events have passed already.
+    pub fn resumed() -> Self {
+        Events { begun: true, ..Events::default() }
+    }
+
     /// Takes in bytes and gives back the events that are whole now.
     pub fn take(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, Spoilt> {
         self.held.extend_from_slice(bytes);
--- a/gateway/src/engine/inlet.rs
+++ b/gateway/src/engine/inlet.rs
@@ -1,17 +1,18 @@
 //! What a server says, as hyper reads it: the head of an answer passes once it is whole, and the interim answers
 //! in front of it are left out. hyper would take a 101 for an upgrade, and has no bound in time for a head.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{ready, Context, Poll};
+use std::task::{ready, Context, Poll, Waker};
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::time::{sleep, Sleep};
 
+use crate::chunks::Chunks;
 use crate::wire::Wire;
 
 /// Most bytes of a head, and of all interim answers in front of it.
@@ -20,6 +21,59 @@
 /// A head that has begun must be whole so soon.
 const HALF_HEAD: Duration = Duration::from_secs(1);
 
+/// The chunked body of the answer under way, as it passes to hyper: reading can be stopped between two chunks.
+#[derive(Default)]
+pub struct Tap {
+    /// Where the framing stands after all that was passed on; `None` where the body has no chunks.
+    chunks: Cell<Option<Chunks>>,
+    /// Bytes of data among what was passed on.
+    data: Cell<u64>,
+    stop: Cell<bool>,
+    /// Read and not passed on, since reading is to stop.
+    pub ahead: RefCell<Vec<u8>>,
+    stopped: RefCell<Option<Waker>>,
+}
+
+impl Tap {
+    /// Stops reading when the chunk under way has ended, or goes on.
+    pub fn stop(&self, stop: bool) {
+        if self.stop.replace(stop) && !stop {
+            if let Some(waker) = self.stopped.take() {
+                waker.wake();
+            }
+        }
+    }
+
+    /// Whether reading has stopped between two chunks, with so many bytes of data passed on.
+    pub fn stands(&self, data: u64) -> bool {
+        self.stop.get() && self.data.get() == data && self.between()
+    }
+
+    fn between(&self) -> bool {
+        self.chunks.get().is_some_and(|c| c.between())
+    }
+
+    fn begin(&self, chunked: bool) {
+        self.chunks.set(chunked.then(Chunks::default));
+        self.data.set(0);
+        self.stop(false);
+    }
+
+    /// Notes what is passed on of these bytes, and how many they are.
+    fn note(&self, bytes: &[u8]) -> usize {
+        let Some(mut chunks) = self.chunks.get() else { return bytes.len() };
+        let mut data = self.data.get();
+        let read = chunks.read(bytes, self.stop.get(), |d| data += d.len() as u64);
+        self.data.set(data);
+        // What hyper cannot read either is its to tell; the stream is only not to be moved any more.
+        self.chunks.set(read.is_ok().then_some(chunks));
+        match read {
+            Ok(read) if !chunks.ended() => read,
+            _ => bytes.len(),
+        }
+    }
+}
+
 pub struct Inlet {
     wire: Wire,
     /// A request was sent, and the head of its answer has not come.
@@ -29,6 +83,7 @@
     cleared: usize,
     interim: usize,
     begun: Option<Pin<Box<Sleep>>>,
+    tap: Rc<Tap>,
 }
 
 fn unreadable(what: &'static str) -> io::Error {
@@ -36,8 +91,8 @@
 }
 
 impl Inlet {
-    pub fn new(wire: Wire, awaited: Rc<Cell<bool>>) -> Self {
-        Inlet { wire, awaited, ahead: Vec::new(), cleared: 0, interim: 0, begun: None }
+    pub fn new(wire: Wire, awaited: Rc<Cell<bool>>, tap: Rc<Tap>) -> Self {
+        Inlet { wire, awaited, ahead: Vec::new(), cleared: 0, interim: 0, begun: None, tap }
     }
 
     /// Looks for a final head in what has been read; without one, more has to come.
@@ -50,7 +105,13 @@
                     self.ahead.drain(..size);
                     self.interim += size;
                 }
-                Ok(httparse::Status::Complete(_)) => {
+                Ok(httparse::Status::Complete(size)) => {
+                    let chunked = |h: &&httparse::Header| {
+                        h.name.eq_ignore_ascii_case("transfer-encoding")
+                            && h.value.eq_ignore_ascii_case(b"chunked")
+                    };
+                    self.tap.begin(response.headers.iter().find(chunked).is_some());
+                    self.tap.note(&self.ahead[size..]);
                     (self.cleared, self.interim, self.begun) = (self.ahead.len(), 0, None);
                     self.awaited.set(false);
                     return Ok(true);
@@ -63,6 +124,34 @@
     }
 }
 
+impl Inlet {
+    fn poll_body(&mut self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        let tap = self.tap.clone();
+        if tap.stop.get() && tap.between() {
+            tap.stopped.replace(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
+        let mut ahead = tap.ahead.borrow_mut();
+        if !tap.stop.get() && ahead.is_empty() {
+            let before = buf.filled().len();
+            ready!(Pin::new(&mut self.wire).poll_read(cx, buf))?;
+            tap.note(&buf.filled()[before..]);
+            return Poll::Ready(Ok(()));
+        }
+        if ahead.is_empty() {
+            let mut space = [0; 4096];
+            let mut part = ReadBuf::new(&mut space);
+            ready!(Pin::new(&mut self.wire).poll_read(cx, &mut part))?;
+            ahead.extend_from_slice(part.filled());
+        }
+        let most = ahead.len().min(buf.remaining());
+        let n = tap.note(&ahead[..most]);
+        buf.put_slice(&ahead[..n]);
+        ahead.drain(..n);
+        Poll::Ready(Ok(()))
+    }
+}
+
 impl AsyncRead for Inlet {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let me = self.get_mut();
@@ -76,7 +165,7 @@
             }
             if !me.awaited.get() {
                 me.ahead = Vec::new();
-                return Pin::new(&mut me.wire).poll_read(cx, buf);
+                return me.poll_body(cx, buf);
             }
             let mut space = [0; 4096];
             let mut part = ReadBuf::new(&mut space);
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -7,6 +7,7 @@
 mod events;
 mod inlet;
 mod reply;
+mod resume;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -20,21 +21,22 @@
 use bytes::Bytes;
 use deckhub::ServerId;
 use futures_util::future::LocalBoxFuture;
-use futures_util::stream::{self, StreamExt};
+use futures_util::stream::{self, LocalBoxStream, StreamExt};
 use http::header::{self, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use tokio::sync::Semaphore;
+use tokio::sync::{watch, Semaphore};
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout, Instant};
 use tower::Service;
 
 use self::connection::Connection;
 use self::events::{Events, Spoilt};
+use self::inlet::Tap;
 use self::reply::Tail;
 use crate::budget::Budget;
-use crate::exchange::{Head, Payload};
+use crate::exchange::{Head, Payload, Rest};
 use crate::log;
 use crate::upstream::{Call, Failed, Frame, Reply};
 
@@ -86,6 +88,8 @@
     /// For answers that are kept whole.
     budget: Budget,
     next: Cell<u64>,
+    /// Streams under way are to go to another process.
+    moving: watch::Sender<bool>,
     /// Attempts written whole.
     relayed: Rc<Cell<u64>>,
 }
@@ -106,7 +110,15 @@
     /// `slots` bounds the connections of all pools together, `budget` the bodies held.
     pub fn new(limits: Limits, slots: Arc<Semaphore>, budget: Budget) -> Self {
         let places = RefCell::default();
-        Engine(Rc::new(Shared { limits, places, slots, budget, next: Cell::new(0), relayed: Rc::default() }))
+        Engine(Rc::new(Shared {
+            limits,
+            places,
+            slots,
+            budget,
+            next: Cell::new(0),
+            moving: watch::Sender::new(false),
+            relayed: Rc::default(),
+        }))
     }
 
     /// Takes in a list, or changes to it.
@@ -127,6 +139,17 @@
         }
     }
 
+    /// Has every stream end here, now and from now on, where another process can go on with it.
+    pub fn move_streams(&self) {
+        self.0.moving.send_replace(true);
+    }
+
+    /// Goes on with a stream that another process began.
+    pub fn resume(&self, rest: Rest) -> LocalBoxStream<'static, Result<Frame, Failed>> {
+        let slot = self.0.slots.clone().try_acquire_owned().ok();
+        resume::resume(rest, slot, self.0.moving.subscribe())
+    }
+
     /// Attempts whose last byte was handed to the machine.
     pub fn relayed(&self) -> u64 {
         self.0.relayed.get()
@@ -243,15 +266,24 @@
                 return Err(Failed::Spoilt);
             }
             // From here on the connection is dropped, so closed, unless the stream comes to its end.
-            let mut events = Stream { body, events: Events::default(), tail: Tail::default() };
-            let first = events.next().await?.ok_or(Failed::Reset)?;
+            let (moving, tap) = (self.0.moving.subscribe(), connection.tap.clone());
+            let mut events =
+                Stream { body, events: Events::default(), tail: Tail::default(), read: 0, tap, moving };
+            let first = match events.next().await? {
+                Next::Events(first) => first,
+                Next::End | Next::Stands => return Err(Failed::Reset),
+            };
             let rest = stream::try_unfold(
                 (self.clone(), Some((events, connection))),
                 move |(engine, open)| async move {
                     let Some((mut events, connection)) = open else { return Ok(None) };
                     Ok(match events.next().await? {
-                        Some(data) => Some((Frame::Data(data), (engine, Some((events, connection))))),
-                        None => {
+                        Next::Events(data) => Some((Frame::Data(data), (engine, Some((events, connection))))),
+                        Next::Stands => {
+                            let rest = connection.release().map_err(|_| Failed::Reset)?;
+                            Some((Frame::Moved(rest), (engine, None)))
+                        }
+                        Next::End => {
                             engine.keep(server, connection);
                             let tail = &events.tail;
                             let end = Frame::End { kept: tail.kept(), report: tail.report().or(report) };
@@ -368,20 +400,46 @@
     body: Incoming,
     events: Events,
     tail: Tail,
+    /// Bytes of its body that have come.
+    read: u64,
+    tap: Rc<Tap>,
+    moving: watch::Receiver<bool>,
+}
+
+/// How a stream goes on.
+enum Next {
+    Events(Bytes),
+    /// Its last chunk has come.
+    End,
+    /// All that was read of it has passed, and reading has stopped for another process to go on.
+    Stands,
 }
 
 impl Stream {
-    /// The next whole events; `None` after the last chunk.
-    async fn next(&mut self) -> Result<Option<Bytes>, Failed> {
-        while let Some(frame) = self.body.frame().await {
+    async fn next(&mut self) -> Result<Next, Failed> {
+        loop {
+            // Between two chunks, but never within an event.
+            let stop = *self.moving.borrow_and_update() && self.events.complete();
+            self.tap.stop(stop);
+            if stop && self.tap.stands(self.read) {
+                return Ok(Next::Stands);
+            }
+            let frame = tokio::select! {
+                biased;
+                frame = self.body.frame() => frame,
+                // The sender lives as long as the engine does.
+                _ = self.moving.changed() => continue,
+            };
+            let Some(frame) = frame else { break };
             if let Ok(data) = frame.map_err(|e| broken(&e))?.into_data() {
+                self.read += data.len() as u64;
                 if let Some(whole) = self.events.take(&data).map_err(|Spoilt| Failed::Spoilt)? {
                     self.tail.add(&whole);
-                    return Ok(Some(whole));
+                    return Ok(Next::Events(whole));
                 }
             }
         }
-        self.events.complete().then_some(None).ok_or(Failed::Spoilt)
+        self.events.complete().then_some(Next::End).ok_or(Failed::Spoilt)
     }
 }
 
--- /dev/null
+++ b/gateway/src/engine/resume.rs
@@ -0,0 +1,89 @@
+//! The rest of a stream that another process began: its server's connection, read on from between two chunks.
+
+use std::net::Shutdown;
+
+use bytes::BytesMut;
+use futures_util::stream::{self, LocalBoxStream, StreamExt};
+use socket2::SockRef;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
+use tokio::sync::{watch, OwnedSemaphorePermit};
+
+use super::events::{Events, Spoilt};
+use crate::chunks::Chunks;
+use crate::exchange::Rest;
+use crate::upstream::{Failed, Frame};
+
+/// Bytes read at once.
+const READ: usize = 16 << 10;
+
+struct Resumed {
+    /// Gone only once the stream has moved on.
+    socket: Option<TcpStream>,
+    /// Read and not yet looked at.
+    ahead: BytesMut,
+    chunks: Chunks,
+    events: Events,
+    moving: watch::Receiver<bool>,
+    _slot: Option<OwnedSemaphorePermit>,
+}
+
+/// Only this process reads the connection now, so it is closed here, whichever copies of it still stand open.
+impl Drop for Resumed {
+    fn drop(&mut self) {
+        if let Some(socket) = &self.socket {
+            let _ = SockRef::from(socket).shutdown(Shutdown::Both);
+        }
+    }
+}
+
+impl Resumed {
+    async fn next(&mut self) -> Result<Frame, Failed> {
+        loop {
+            let mut data = BytesMut::new();
+            let read = self.chunks.read(&self.ahead, false, |d| data.extend_from_slice(d));
+            let read = read.map_err(|_| Failed::Spoilt)?;
+            let _ = self.ahead.split_to(read);
+            if let Some(whole) = self.events.take(&data.freeze()).map_err(|Spoilt| Failed::Spoilt)? {
+                return Ok(Frame::Data(whole));
+            }
+            if self.chunks.ended() {
+                let end = Frame::End { kept: 0.0, report: None };
+                return self.events.complete().then_some(end).ok_or(Failed::Spoilt);
+            }
+            let stands = self.chunks.between() && self.events.complete();
+            if *self.moving.borrow_and_update() && stands {
+                let socket = self.socket.take().and_then(|s| s.into_std().ok()).ok_or(Failed::Reset)?;
+                return Ok(Frame::Moved(Rest { socket, ahead: Vec::new() }));
+            }
+            self.ahead.reserve(READ);
+            let socket = self.socket.as_mut().ok_or(Failed::Reset)?;
+            let read = tokio::select! {
+                read = socket.read_buf(&mut self.ahead) => read.map_err(|_| Failed::Reset)?,
+                // The sender lives as long as the engine does.
+                _ = self.moving.changed() => continue,
+            };
+            if read == 0 {
+                return Err(Failed::Reset);
+            }
+        }
+    }
+}
+
+pub fn resume(
+    rest: Rest, slot: Option<OwnedSemaphorePermit>, moving: watch::Receiver<bool>,
+) -> LocalBoxStream<'static, Result<Frame, Failed>> {
+    let Ok(socket) = TcpStream::from_std(rest.socket) else {
+        return stream::iter([Err(Failed::Reset)]).boxed_local();
+    };
+    let (ahead, chunks) = (BytesMut::from(&rest.ahead[..]), Chunks::default());
+    let (socket, events) = (Some(socket), Events::resumed());
+    let resumed = Resumed { socket, ahead, chunks, events, moving, _slot: slot };
+    stream::try_unfold(Some(resumed), |resumed| async move {
+        let Some(mut resumed) = resumed else { return Ok(None) };
+        let frame = resumed.next().await?;
+        let more = matches!(frame, Frame::Data(_)).then_some(resumed);
+        Ok(Some((frame, more)))
+    })
+    .boxed_local()
+}
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -5,6 +5,8 @@
 //! answer broke off.
 
 use std::future::poll_fn;
+use std::net::TcpStream;
+use std::os::fd::AsRawFd;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
@@ -58,11 +60,28 @@
     NameTaken,
 }
 
+/// The rest of an answer, for another process to go on with: the server's connection, between two chunks of its body,
+/// and what has been read of it beyond that.
+#[derive(Debug)]
+pub struct Rest {
+    pub socket: TcpStream,
+    pub ahead: Vec<u8>,
+}
+
+/// The same connection at the same place.
+impl PartialEq for Rest {
+    fn eq(&self, other: &Self) -> bool {
+        self.socket.as_raw_fd() == other.socket.as_raw_fd() && self.ahead == other.ahead
+    }
+}
+
 #[derive(Debug, PartialEq)]
 pub enum Piece {
     Begin(Head, Bytes),
     Chunk(Bytes),
     End,
+    /// Another process goes on from here.
+    Moved(Rest),
     /// Final: trying again is harmless, after this time.
     Refused(Duration),
     /// Final, promising nothing.
@@ -72,6 +91,7 @@
 /// How an answer ended, for whoever watches it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ended {
+    /// To its end, or to where another process went on.
     Served,
     Refused,
     Failed,
@@ -111,7 +131,7 @@
     pub fn poll_piece(&mut self, cx: &mut Context<'_>) -> Poll<Option<Piece>> {
         let piece = ready!(self.pieces.poll_recv(cx));
         let ended = match &piece {
-            Some(Piece::End) => Some(Ended::Served),
+            Some(Piece::End | Piece::Moved(_)) => Some(Ended::Served),
             Some(Piece::Refused(_)) => Some(Ended::Refused),
             Some(Piece::Failed(_)) => Some(Ended::Failed),
             None => Some(Ended::Cut),
@@ -145,7 +165,13 @@
     pub pieces: mpsc::Sender<Piece>,
 }
 
+/// The two ends of an answer alone, for one that another process began.
+pub fn answer() -> (ClientSide, mpsc::Sender<Piece>) {
+    let (tx, pieces) = mpsc::channel(PIECES);
+    (ClientSide { pieces, observer: None }, tx)
+}
+
 pub fn pair(request: Request) -> (ClientSide, ServerSide) {
-    let (tx, rx) = mpsc::channel(PIECES);
-    (ClientSide { pieces: rx, observer: None }, ServerSide { request, pieces: tx })
+    let (client, pieces) = answer();
+    (client, ServerSide { request, pieces })
 }
--- a/gateway/src/front/connection.rs
+++ b/gateway/src/front/connection.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant};
 
+use crate::upgrade::Moved;
 use crate::wire::Wire;
 
 /// A new connection must have begun its first head by then ...
@@ -56,6 +57,8 @@
     blocked: Cell<bool>,
     /// Bytes of a request have been read that it does not show in its stage yet.
     ahead: Cell<bool>,
+    /// The open answer's rest, if another process is to go on with it.
+    moved: RefCell<Option<Moved>>,
     /// Why the open request must not be served.
     fault: Cell<Option<&'static str>>,
     /// The open request is the last on this connection.
@@ -71,6 +74,7 @@
             since: Cell::new(Instant::now()),
             blocked: Cell::default(),
             ahead: Cell::default(),
+            moved: RefCell::default(),
             fault: Cell::default(),
             last: Cell::default(),
             changed: Notify::new(),
@@ -115,6 +119,25 @@
         matches!(self.stage(), Stage::New | Stage::Idle) && !self.blocked.get() && !self.ahead.get()
     }
 
+    /// The open answer goes no further here.
+    pub fn leave(&self, moved: Moved) {
+        self.moved.replace(Some(moved));
+    }
+
+    /// Whether another process can go on with the open answer: what went before is out.
+    pub fn left(&self) -> bool {
+        self.moved.borrow().is_some() && !self.blocked.get() && !self.ahead.get()
+    }
+
+    pub fn moved(&self) -> Option<Moved> {
+        self.moved.take()
+    }
+
+    /// An answer is under way, which another process began.
+    pub fn resume(&self) {
+        self.enter(Stage::Answer);
+    }
+
     /// When it has stood where it is for too long. Bodies and answers have timers where they are awaited.
     fn due(&self) -> Option<Instant> {
         let wait = match self.stage() {
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -4,6 +4,7 @@
 mod connection;
 pub mod inference;
 pub mod platform;
+mod resume;
 pub mod server;
 
 use std::convert::Infallible;
@@ -24,7 +25,7 @@
 
 use crate::budget::Budget;
 use crate::counters::Tally;
-use crate::exchange::{self, ClientSide, Piece};
+use crate::exchange::{self, ClientSide, Piece, Rest};
 
 /// A body must have come by then ...
 const BODY_WAIT: Duration = Duration::from_secs(10);
@@ -37,7 +38,12 @@
 /// What a front answers with.
 pub enum Body {
     Whole(Full<Bytes>),
-    Stream { first: Option<Bytes>, rest: ClientSide },
+    Stream {
+        first: Option<Bytes>,
+        rest: ClientSide,
+    },
+    /// Another process goes on with the stream: nothing more comes here.
+    Moved(Option<Rest>),
 }
 
 impl Body {
@@ -53,7 +59,9 @@
     fn poll_frame(
         self: Pin<&mut Self>, cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        match self.get_mut() {
+        let me = self.get_mut();
+        match me {
+            Body::Moved(_) => Poll::Pending,
             Body::Whole(full) => Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
             Body::Stream { first, rest } => {
                 if let Some(first) = first.take() {
@@ -62,6 +70,10 @@
                 Poll::Ready(match ready!(rest.poll_piece(cx)) {
                     Some(Piece::Chunk(bytes)) => Some(Ok(Frame::data(bytes))),
                     Some(Piece::End) => None,
+                    Some(Piece::Moved(rest)) => {
+                        *me = Body::Moved(Some(rest));
+                        return Poll::Pending;
+                    }
                     // Broken off: an error ends the connection without the last chunk.
                     _ => Some(Err(io::Error::other("the answer broke off"))),
                 })
@@ -73,7 +85,7 @@
     fn size_hint(&self) -> SizeHint {
         match self {
             Body::Whole(full) => full.size_hint(),
-            Body::Stream { .. } => SizeHint::default(),
+            _ => SizeHint::default(),
         }
     }
 }
--- /dev/null
+++ b/gateway/src/front/resume.rs
@@ -0,0 +1,51 @@
+//! The client side of an answer that another process began: chunks, written on to its socket.
+
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::exchange::{ClientSide, Piece, Rest};
+
+/// How the rest of an answer ended.
+pub enum Ended {
+    Whole,
+    Broken,
+    ClientGone,
+    /// A further process goes on with it.
+    Moved(Rest),
+}
+
+/// Until the client has closed its end. What it sends ahead of its answer stays unread.
+async fn gone(socket: &TcpStream) {
+    // If it has asked for more already, whether it goes shows in writing.
+    if matches!(socket.peek(&mut [0]).await, Ok(1..)) {
+        std::future::pending().await
+    }
+}
+
+/// Writes the rest of an answer.
+pub async fn resume(socket: &mut TcpStream, mut answer: ClientSide) -> Ended {
+    loop {
+        let piece = tokio::select! {
+            biased;
+            piece = answer.piece() => piece,
+            () = gone(socket) => return Ended::ClientGone,
+        };
+        match piece {
+            Some(Piece::Chunk(bytes)) => {
+                let mut chunk = format!("{:x}\r\n", bytes.len()).into_bytes();
+                chunk.extend_from_slice(&bytes);
+                chunk.extend_from_slice(b"\r\n");
+                if socket.write_all(&chunk).await.is_err() {
+                    return Ended::ClientGone;
+                }
+            }
+            Some(Piece::End) => match socket.write_all(b"0\r\n\r\n").await {
+                Ok(()) => return Ended::Whole,
+                Err(_) => return Ended::ClientGone,
+            },
+            Some(Piece::Moved(rest)) => return Ended::Moved(rest),
+            // Broken off: the connection ends without the last chunk.
+            _ => return Ended::Broken,
+        }
+    }
+}
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use http::header::{CONNECTION, RETRY_AFTER};
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, Version};
 use http_body::{Frame, SizeHint};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -24,11 +24,14 @@
 use tower::{service_fn, Service, ServiceExt};
 
 use super::connection::{self, linger, Crowd, Gate, Place, Stage, Watch};
+use super::resume::Ended;
 use super::{response, Body, Front};
-use crate::counters::{Outcome, Tally};
+use crate::core;
+use crate::counters::{Counters, Outcome, Tally};
 use crate::log;
-use crate::shutdown::{Phase, Shutdown};
-use crate::upgrade::{self, Handed, Inbox};
+use crate::pools::Pool;
+use crate::shutdown::{Guard, Phase, Shutdown};
+use crate::upgrade::{self, Handed, Inbox, Moved};
 use crate::wire::Wire;
 
 /// Connections beyond the cap that may at the same time be told to come back later; further ones are closed.
@@ -42,6 +45,40 @@
 
 type Classify = Rc<dyn Fn(&Request<Incoming>) -> Option<Tally>>;
 
+/// What a connection is good for after a stream that another process began.
+pub enum After {
+    Kept,
+    Over,
+    /// A further process goes on with the stream.
+    Moved(Moved),
+}
+
+/// Goes on with a stream.
+pub type Resume = Rc<dyn for<'a> Fn(&'a mut TcpStream, Moved) -> LocalBoxFuture<'a, After>>;
+
+/// Goes on with streams over this pool, and counts them here at their end.
+pub fn resume(pool: &Pool, counters: &Counters) -> Resume {
+    let (pool, counters) = (pool.clone(), counters.clone());
+    Rc::new(move |socket, Moved { rest, class }| {
+        let tally = class.as_ref().and_then(|class| counters.tally(class));
+        let (frames, open) = (pool.engine.resume(rest), pool.resumed.open());
+        Box::pin(async move {
+            let ended = super::resume::resume(socket, core::resume(frames)).await;
+            drop(open);
+            let (outcome, after) = match ended {
+                Ended::Whole => (Some(Outcome::Fulfilled), After::Kept),
+                Ended::Broken => (Some(Outcome::Faulted), After::Over),
+                Ended::ClientGone => (None, After::Over),
+                Ended::Moved(rest) => (None, After::Moved(Moved { rest, class })),
+            };
+            if let Some((tally, outcome)) = tally.zip(outcome) {
+                tally.count(outcome);
+            }
+            after
+        })
+    })
+}
+
 /// How connections come to a front.
 pub struct Door {
     /// The front's number, by which another process knows it.
@@ -49,25 +86,33 @@
     pub listener: TcpListener,
     /// Connections that another process hands over.
     pub inbox: Option<Inbox>,
+    /// Goes on with streams that another process began.
+    pub resume: Option<Resume>,
     /// Accepting begins once this is so.
     pub open: watch::Receiver<bool>,
 }
 
 impl From<TcpListener> for Door {
     fn from(listener: TcpListener) -> Self {
-        Door { number: upgrade::PLATFORM, listener, inbox: None, open: watch::Sender::new(true).subscribe() }
+        Door {
+            number: upgrade::PLATFORM,
+            listener,
+            inbox: None,
+            resume: None,
+            open: watch::Sender::new(true).subscribe(),
+        }
     }
 }
 
 /// Serves until shutdown has passed its accepting phase, then lets connections end by themselves.
 pub async fn serve(door: impl Into<Door>, front: impl Front, cap: usize, shutdown: Shutdown) {
-    let Door { number, listener, mut inbox, mut open } = door.into();
+    let Door { number, listener, mut inbox, resume, mut open } = door.into();
     let service = front.clone().service();
     let classify: Classify = Rc::new(move |request| front.tally(request));
     let crowd = Rc::new(Crowd::default());
     // Guards the descriptors of servers and discovery, and the way in: at the cap, whoever has stood longest
     // without an open request gives way; only where all have one is the new connection refused.
-    let take = |socket: TcpStream| {
+    let take = |socket: TcpStream, stream: Option<Moved>| {
         if crowd.len() >= cap {
             crowd.evict();
         }
@@ -76,9 +121,21 @@
             return;
         }
         let full = crowd.len() >= cap;
-        let (service, classify) = (service.clone(), classify.clone());
+        let (service, classify, resume) = (service.clone(), classify.clone(), resume.clone());
         let (shutdown, place) = ((shutdown.clone(), number), crowd.enter());
         spawn_local(async move {
+            let mut socket = socket;
+            if let Some((moved, resume)) = stream.zip(resume) {
+                place.watch.resume();
+                let guard = shutdown.0.guard();
+                match resume(&mut socket, moved).await {
+                    After::Kept => place.watch.answered(),
+                    After::Over => return,
+                    After::Moved(moved) => {
+                        return hand(&shutdown, socket.into_std().ok(), Some(moved), guard)
+                    }
+                }
+            }
             if full {
                 let refuse = service_fn(|_| async { Ok(come_back("too many connections\n")) });
                 connection(socket, refuse, classify, shutdown, place).await;
@@ -102,13 +159,13 @@
             biased;
             () = &mut stop => break,
             _ = heirs.changed() => {}
-            Some(handed) = next(&mut inbox) => match TcpStream::from_std(handed) {
-                Ok(socket) => take(socket),
+            Some((socket, stream)) = next(&mut inbox) => match TcpStream::from_std(socket) {
+                Ok(socket) => take(socket, stream),
                 Err(e) => log!("a connection could not be taken over: {e}"),
             },
             accepted = listener.accept(), if accepting => match accepted {
                 Ok((socket, _)) => {
-                    take(socket);
+                    take(socket, None);
                     // Whoever gives way closes, and whoever is new is read, before the next one comes.
                     if crowd.len() >= cap {
                         yield_now().await;
@@ -125,18 +182,28 @@
         return;
     }
     while let Ok(Ok((socket, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
-        take(socket);
+        take(socket, None);
     }
 }
 
 /// The next connection handed over; none ever where nobody can.
-async fn next(inbox: &mut Option<Inbox>) -> Option<std::net::TcpStream> {
+async fn next(inbox: &mut Option<Inbox>) -> Option<(std::net::TcpStream, Option<Moved>)> {
     match inbox {
         Some(inbox) => inbox.recv().await,
         None => None,
     }
 }
 
+/// Hands a connection to the process that has taken over.
+fn hand(
+    (shutdown, front): &(Shutdown, u8), socket: Option<std::net::TcpStream>, stream: Option<Moved>,
+    guard: Guard,
+) {
+    if let (Some(socket), Some(heir)) = (socket, shutdown.heirs().borrow().as_ref()) {
+        let _ = heir.send(Handed { front: *front, socket, stream, guard });
+    }
+}
+
 fn come_back(why: &'static str) -> Response<Body> {
     let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, why);
     refusal.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
@@ -156,7 +223,7 @@
     let (wire, leaving, watch) = (Wire::new(socket), shutdown.clone(), place.watch.clone());
     let began = Instant::now();
     let service = service_fn(move |request| -> LocalBoxFuture<'static, Answer> {
-        let tally = classify(&request);
+        let (tally, chunked) = (classify(&request), request.version() == Version::HTTP_11);
         let (service, leaving, watch) = (service.clone(), leaving.clone(), watch.clone());
         Box::pin(async move {
             let mut response = match watch.fault() {
@@ -176,7 +243,7 @@
                 }
                 (tally, _) => tally,
             };
-            Ok(response.map(|body| Watched { body, watch, tally }))
+            Ok(response.map(|body| Watched { body, watch, chunked, tally }))
         })
     });
     let connection =
@@ -190,7 +257,7 @@
         tokio::pin!(stop);
         let (mut stopping, mut heirs) = (false, shutdown.heirs());
         loop {
-            let rests = || shutdown.superseded() && place.watch.rests();
+            let rests = || shutdown.superseded() && (place.watch.rests() || place.watch.left());
             tokio::select! {
                 // Asked in this order: what the connection has just done decides whether it rests.
                 biased;
@@ -207,11 +274,10 @@
         }
     };
     if at_rest {
-        // hyper has let go of it, and nothing of a request has been read: the other process goes on with it.
+        // hyper has let go of it. Nothing of a request has been read, or all of its answer so far is out: either way
+        // the other process can go on.
         let socket = Rc::try_unwrap(wire.socket).ok().and_then(|s| s.into_std().ok());
-        if let (Some(socket), Some(heir)) = (socket, shutdown.heirs().borrow().as_ref()) {
-            let _ = heir.send(Handed { front, socket, guard });
-        }
+        hand(&(shutdown, front), socket, place.watch.moved(), guard);
         return;
     }
     if place.watch.stage() == Stage::Closing {
@@ -223,6 +289,8 @@
 struct Watched {
     body: Body,
     watch: Rc<Watch>,
+    /// It goes out in chunks, as to every client but those of HTTP/1.0.
+    chunked: bool,
     /// Counts the request when its stream has ended.
     tally: Option<Tally>,
 }
@@ -240,7 +308,20 @@
     fn poll_frame(
         mut self: Pin<&mut Self>, cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if let Body::Moved(rest) = &mut self.body {
+            let rest = rest.take();
+            let class = self.tally.take().map(|t| t.class());
+            if let Some(rest) = rest {
+                if !self.chunked {
+                    return Poll::Ready(Some(Err(io::Error::other(
+                        "no chunks, so nobody can go on with it",
+                    ))));
+                }
+                self.watch.leave(Moved { rest, class });
+            }
+        }
+        let frame = ready!(frame);
         let outcome = match &frame {
             Some(Ok(_)) => None,
             Some(Err(_)) => Some(Outcome::Faulted),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! ```
 
 pub mod budget;
+mod chunks;
 pub mod config;
 pub mod core;
 pub mod counters;
--- a/gateway/src/ops.rs
+++ b/gateway/src/ops.rs
@@ -61,7 +61,7 @@
             "throttled": by_class(|c| c.throttled),
             "faulted": by_class(|c| c.faulted),
             "relayed": desk.pools.iter().map(|p| p.engine.relayed()).sum::<u64>(),
-            "open_requests": sum(|p| p.core.open()),
+            "open_requests": sum(Pool::open),
             "registry_entries": desk.rotation.listed(),
             "out_of_rotation": sum(|p| p.core.avoided()),
         })
--- a/gateway/src/pools.rs
+++ b/gateway/src/pools.rs
@@ -1,6 +1,6 @@
 //! Pools of servers: each has a router and connections of its own, and all run on the same core.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::hash::{BuildHasher, RandomState};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,6 +25,28 @@
     pub core: Core<Engine>,
     pub engine: Engine,
     pub clock: Clock,
+    /// Streams that go on here and began in another process.
+    pub resumed: Resumed,
+}
+
+/// How many streams are under way that another process began.
+#[derive(Clone, Default)]
+pub struct Resumed(Rc<Cell<usize>>);
+
+/// One such stream.
+pub struct OpenStream(Resumed);
+
+impl Resumed {
+    pub fn open(&self) -> OpenStream {
+        self.0.set(self.0.get() + 1);
+        OpenStream(self.clone())
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.0 .0.set(self.0 .0.get() - 1);
+    }
 }
 
 impl Pool {
@@ -32,7 +54,17 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let clock = Clock::new(unix);
         let engine = Engine::new(limits, slots, budget);
-        Pool { core: Core::new(seed, settings, clock, engine.clone()), engine, clock }
+        Pool {
+            core: Core::new(seed, settings, clock, engine.clone()),
+            engine,
+            clock,
+            resumed: Resumed::default(),
+        }
+    }
+
+    /// Requests that were taken and have not ended, here or in the process that began them.
+    pub fn open(&self) -> usize {
+        self.core.open() + self.resumed.0.get()
     }
 
     /// The pool as a front calls it, behind the plug-in.
--- a/gateway/src/upgrade.rs
+++ b/gateway/src/upgrade.rs
@@ -21,6 +21,7 @@
 use tokio::time::timeout;
 
 use crate::budget::{Budget, Claim};
+use crate::exchange::Rest;
 use crate::log;
 use crate::shutdown::{Guard, Phase, Shutdown};
 
@@ -32,6 +33,11 @@
 /// The words between the two processes, each one byte; to some a front's number is added, and a socket comes along.
 const LISTENER: u8 = 0x10;
 const CLIENT: u8 = 0x20;
+/// With a stream under way: its server's socket comes along, then what was read ahead of it and its class, each
+/// behind its length in four bytes.
+const STREAM: u8 = 0x30;
+/// Most bytes of either.
+const MOST: usize = 1 << 20;
 /// All listeners have been handed over.
 const ALL: u8 = 1;
 /// The second process accepts from now on.
@@ -43,10 +49,17 @@
 const PATH: usize = 100;
 const NAME: &str = "handover";
 
-/// A client's connection at rest, on its way to the other process.
+/// The rest of a stream that goes on in the other process, and the class that it counts for.
+pub struct Moved {
+    pub rest: Rest,
+    pub class: Option<String>,
+}
+
+/// A client's connection on its way to the other process: at rest, or with a stream under way.
 pub struct Handed {
     pub front: u8,
     pub socket: TcpStream,
+    pub stream: Option<Moved>,
     /// The process that hands it over waits for it until it is sent.
     pub guard: Guard,
 }
@@ -54,20 +67,20 @@
 /// Where connections at rest go once another process has taken over.
 pub type Heir = mpsc::UnboundedSender<Handed>;
 /// Where connections that another process hands over come in.
-pub type Inbox = mpsc::UnboundedReceiver<TcpStream>;
+pub type Inbox = mpsc::UnboundedReceiver<(TcpStream, Option<Moved>)>;
 
 /// The way in of one front.
-pub struct Inboxes([mpsc::UnboundedSender<TcpStream>; FRONTS]);
+pub struct Inboxes([mpsc::UnboundedSender<(TcpStream, Option<Moved>)>; FRONTS]);
 
 impl Inboxes {
     pub fn new() -> (Rc<Self>, [Inbox; FRONTS]) {
         let ((a, a_in), (b, b_in)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
         (Rc::new(Inboxes([a, b])), [a_in, b_in])
     }
-    fn put(&self, front: u8, socket: TcpStream) {
+    fn put(&self, front: u8, socket: TcpStream, stream: Option<Moved>) {
         if let Some(inbox) = self.0.get(usize::from(front)) {
             // A front that is not there any more: its client sees the connection end.
-            let _ = inbox.send(socket);
+            let _ = inbox.send((socket, stream));
         }
     }
 }
@@ -105,14 +118,13 @@
 pub struct Link(UnixStream);
 
 impl Link {
-    async fn send(&self, word: u8, socket: Option<BorrowedFd<'_>>) -> io::Result<()> {
+    async fn send(&self, word: u8, sockets: &[BorrowedFd<'_>]) -> io::Result<()> {
         self.0
             .async_io(Interest::WRITABLE, || {
-                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
                 let mut control = SendAncillaryBuffer::new(&mut space);
-                let sockets: Vec<BorrowedFd<'_>> = socket.into_iter().collect();
                 if !sockets.is_empty() {
-                    control.push(SendAncillaryMessage::ScmRights(&sockets));
+                    control.push(SendAncillaryMessage::ScmRights(sockets));
                 }
                 sendmsg(&self.0, &[IoSlice::new(&[word])], &mut control, SendFlags::NOSIGNAL)?;
                 Ok(())
@@ -120,11 +132,54 @@
             .await
     }
 
-    /// The next word, and the socket that came with it; `None` at the end.
-    async fn receive(&self) -> io::Result<Option<(u8, Option<OwnedFd>)>> {
+    async fn pass(&self, handed: &Handed) -> io::Result<()> {
+        let Some(moved) = &handed.stream else {
+            return self.send(CLIENT + handed.front, &[handed.socket.as_fd()]).await;
+        };
+        self.send(STREAM + handed.front, &[handed.socket.as_fd(), moved.rest.socket.as_fd()]).await?;
+        self.send_bytes(&moved.rest.ahead).await?;
+        self.send_bytes(moved.class.as_deref().unwrap_or("").as_bytes()).await
+    }
+
+    async fn send_bytes(&self, bytes: &[u8]) -> io::Result<()> {
+        let size = u32::try_from(bytes.len()).map_err(io::Error::other)?;
+        let all = [&size.to_le_bytes(), bytes].concat();
+        let mut left = &all[..];
+        while !left.is_empty() {
+            let sent = self.0.async_io(Interest::WRITABLE, || Ok(rustix::io::write(&self.0, left)?)).await?;
+            left = &left[sent..];
+        }
+        Ok(())
+    }
+
+    async fn exactly(&self, size: usize) -> io::Result<Vec<u8>> {
+        let mut bytes = vec![0; size];
+        let mut got = 0;
+        while got < size {
+            let read =
+                self.0.async_io(Interest::READABLE, || Ok(rustix::io::read(&self.0, &mut bytes[got..])?));
+            match read.await? {
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                n => got += n,
+            }
+        }
+        Ok(bytes)
+    }
+
+    async fn receive_bytes(&self) -> io::Result<Vec<u8>> {
+        let size = self.exactly(4).await?;
+        let size = u32::from_le_bytes([size[0], size[1], size[2], size[3]]) as usize;
+        if size > MOST {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        self.exactly(size).await
+    }
+
+    /// The next word, and the sockets that came with it; `None` at the end.
+    async fn receive(&self) -> io::Result<Option<(u8, Vec<OwnedFd>)>> {
         self.0
             .async_io(Interest::READABLE, || {
-                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+                let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(2))];
                 let mut control = RecvAncillaryBuffer::new(&mut space);
                 let mut word = [0];
                 let got = recvmsg(
@@ -133,11 +188,12 @@
                     &mut control,
                     RecvFlags::CMSG_CLOEXEC,
                 )?;
-                let mut sockets = control.drain().filter_map(|message| match message {
-                    RecvAncillaryMessage::ScmRights(mut sockets) => sockets.next(),
+                let sockets = control.drain().filter_map(|message| match message {
+                    RecvAncillaryMessage::ScmRights(sockets) => Some(sockets),
                     _ => None,
                 });
-                Ok((got.bytes > 0).then(|| (word[0], sockets.next())))
+                let sockets = sockets.flatten().collect();
+                Ok((got.bytes > 0).then_some((word[0], sockets)))
             })
             .await
     }
@@ -168,8 +224,9 @@
         loop {
             match link.receive().await? {
                 Some((ALL, _)) => return Ok(Estate { listeners, link }),
-                Some((word, Some(socket))) if usize::from(word - LISTENER) < FRONTS => {
-                    listeners[usize::from(word - LISTENER)] = Some(TcpListener::from(socket));
+                Some((word, sockets)) if usize::from(word.wrapping_sub(LISTENER)) < FRONTS => {
+                    listeners[usize::from(word - LISTENER)] =
+                        sockets.into_iter().next().map(TcpListener::from);
                 }
                 other => {
                     return Err(io::Error::other(format!("unexpected: {:?}", other.map(|o| o.0))));
@@ -199,10 +256,21 @@
 /// one has ended. Should this process be told to end meanwhile, the other one learns of it and accepts again.
 pub async fn take_over(link: Link, inboxes: Rc<Inboxes>, shutdown: Shutdown, half: Half) {
     let taking = async {
-        link.send(SERVING, None).await?;
-        while let Some((word, socket)) = link.receive().await? {
-            if let Some(socket) = socket.filter(|_| word >= CLIENT) {
-                inboxes.put(word - CLIENT, TcpStream::from(socket));
+        link.send(SERVING, &[]).await?;
+        while let Some((word, sockets)) = link.receive().await? {
+            let mut sockets = sockets.into_iter().map(TcpStream::from);
+            let stream = match word {
+                STREAM.. => Some((link.receive_bytes().await?, link.receive_bytes().await?)),
+                _ => None,
+            };
+            match (sockets.next(), sockets.next(), stream) {
+                (Some(client), None, None) => inboxes.put(word.wrapping_sub(CLIENT), client, None),
+                (Some(client), Some(socket), Some((ahead, class))) => {
+                    let class = String::from_utf8(class).ok().filter(|c| !c.is_empty());
+                    let moved = Moved { rest: Rest { socket, ahead }, class };
+                    inboxes.put(word.wrapping_sub(STREAM), client, Some(moved));
+                }
+                _ => log!("the other process handed over too little: no descriptor may be left"),
             }
         }
         Ok::<_, io::Error>(())
@@ -246,9 +314,9 @@
     link: &Link, listeners: &[(u8, OwnedFd)], inboxes: &Inboxes, shutdown: &Shutdown,
 ) -> io::Result<()> {
     for (front, listener) in listeners {
-        link.send(LISTENER + front, Some(listener.as_fd())).await?;
+        link.send(LISTENER + front, &[listener.as_fd()]).await?;
     }
-    link.send(ALL, None).await?;
+    link.send(ALL, &[]).await?;
     if !matches!(link.receive().await?, Some((SERVING, _))) {
         return Err(io::Error::other("the other process ended before it served"));
     }
@@ -261,15 +329,15 @@
             Some(at_rest) = handed.recv() => at_rest,
             _ = link.receive() => break,
         };
-        if link.send(CLIENT + at_rest.front, Some(at_rest.socket.as_fd())).await.is_err() {
-            inboxes.put(at_rest.front, at_rest.socket);
+        if link.pass(&at_rest).await.is_err() {
+            inboxes.put(at_rest.front, at_rest.socket, at_rest.stream);
             break;
         }
     }
     shutdown.succeed(None);
     // Not sent any more, so it is still ours.
     while let Ok(at_rest) = handed.try_recv() {
-        inboxes.put(at_rest.front, at_rest.socket);
+        inboxes.put(at_rest.front, at_rest.socket, at_rest.stream);
     }
     log!("the process that had taken over is gone; this one accepts again");
     Ok(())
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -8,7 +8,7 @@
 use deckhub::{Report, ServerId};
 use futures_util::stream::LocalBoxStream;
 
-use crate::exchange::{Head, Payload};
+use crate::exchange::{Head, Payload, Rest};
 
 #[derive(Clone, Debug)]
 pub enum Call {
@@ -66,10 +66,15 @@
     Done,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub enum Frame {
     Data(Bytes),
-    End { kept: f64, report: Option<Report> },
+    /// Another process goes on from here.
+    Moved(Rest),
+    End {
+        kept: f64,
+        report: Option<Report>,
+    },
 }
 
 /// How a call ended that got no answer.
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -36,6 +36,8 @@
     Head,
     /// Never answers.
     Silence,
+    /// Sends the head of a stream, then these parts of its body, one at a time with a pause before each.
+    Slowly(Vec<&'static str>, Duration),
     /// Says this after so long.
     Later(Duration, Response<Full<Bytes>>),
 }
@@ -157,6 +159,10 @@
                     }
                     Act::Part(part) => Ok(events(Piecemeal::Part(Some(part), false))),
                     Act::Stuck(part) => Ok(events(Piecemeal::Stuck(Some(part)))),
+                    Act::Slowly(parts, pause) => {
+                        let parts = parts.into_iter();
+                        Ok(events(Piecemeal::Slowly(parts, pause, Box::pin(tokio::time::sleep(pause)))))
+                    }
                     Act::Head => Ok(events(Piecemeal::Part(None, false))),
                     Act::Break => {
                         cut.notify_one();
@@ -185,6 +191,7 @@
     /// The part, and whether a pause for its write has been made.
     Part(Option<&'static str>, bool),
     Stuck(Option<&'static str>),
+    Slowly(std::vec::IntoIter<&'static str>, Duration, std::pin::Pin<Box<tokio::time::Sleep>>),
 }
 
 impl http_body::Body for Piecemeal {
@@ -195,6 +202,11 @@
     ) -> std::task::Poll<Option<Result<http_body::Frame<Bytes>, std::io::Error>>> {
         match self.get_mut() {
             Piecemeal::Whole(full) => std::pin::Pin::new(full).poll_frame(cx).map_err(|never| match never {}),
+            Piecemeal::Slowly(parts, pause, wait) => {
+                std::task::ready!(wait.as_mut().poll(cx));
+                *wait = Box::pin(tokio::time::sleep(*pause));
+                std::task::Poll::Ready(parts.next().map(|p| Ok(http_body::Frame::data(Bytes::from(p)))))
+            }
             Piecemeal::Stuck(part) => match part.take() {
                 Some(part) => std::task::Poll::Ready(Some(Ok(http_body::Frame::data(Bytes::from(part))))),
                 None => std::task::Poll::Pending,
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -390,6 +390,7 @@
         match frame {
             Ok(Frame::Data(data)) => bytes.extend_from_slice(&data),
             Ok(Frame::End { .. }) => return Ok((bytes, None)),
+            Ok(Frame::Moved(_)) => panic!("nothing asked for a move"),
             Err(how) => return Ok((bytes, Some(how))),
         }
     }
