--- a/gateway/src/core.rs
+++ b/gateway/src/core.rs
@@ -195,6 +195,15 @@
         has(Role::Mixed) || (has(Role::Reader) && has(Role::Writer))
     }
 
+    /// What the router has learned, for another process that takes over.
+    pub fn recollect(&self) -> Vec<u8> {
+        self.inner.borrow().router.recollect()
+    }
+
+    pub fn inherit(&self, learned: &[u8]) {
+        self.inner.borrow_mut().router.inherit(learned);
+    }
+
     /// Requests that were taken and have not ended.
     pub fn open(&self) -> usize {
         self.inner.borrow().jobs.values().filter(|j| !j.closed).count()
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -30,7 +30,7 @@
 use crate::pools::{PlatformChat, Pool, Second};
 use crate::rotation::{Orders, Rotation};
 use crate::shutdown::{Phase, Shutdown};
-use crate::upgrade::{self, Inboxes, Share};
+use crate::upgrade::{self, Inboxes, Learned, Share};
 
 /// Connections still come for a while after the process was told to end (0.4 s on the platform).
 const LEAVING: Duration = Duration::from_millis(600);
@@ -104,6 +104,7 @@
     };
     let after = link.map(|link| (link, shared.halve()));
     let mut listeners = Vec::new();
+    let mut learned = Learned { give: Rc::new(Vec::new), take: Rc::new(|_| {}) };
     let mut able: Rc<dyn Fn() -> bool> = Rc::new(|| true);
     let mut pools = Vec::new();
     let mut reloads: Vec<Box<dyn Fn()>> = Vec::new();
@@ -131,6 +132,11 @@
         let classes = p.settings.classes.clone();
         let pool = Pool::new(p.seed, p.settings, limits, slots.clone(), budget.clone());
         pools.push(pool.clone());
+        let (from, to) = (pool.core.clone(), pool.core.clone());
+        learned = Learned {
+            give: Rc::new(move || from.recollect()),
+            take: Rc::new(move |bytes| to.inherit(bytes)),
+        };
         let words = Names { zones: p.zones, kinds: p.kinds };
         // Without a place for them, orders are denied; all else works.
         let orders =
@@ -225,9 +231,15 @@
                     sleep(SETTLE).await;
                 }
                 opener.send_replace(true);
-                spawn_local(upgrade::take_over(link, inboxes.clone(), shutdown.clone(), half));
+                spawn_local(upgrade::take_over(
+                    link,
+                    inboxes.clone(),
+                    learned.clone(),
+                    shutdown.clone(),
+                    half,
+                ));
             }
-            upgrade::hand_over(state, listeners, inboxes, shutdown, shared).await;
+            upgrade::hand_over(state, listeners, inboxes, learned, shutdown, shared).await;
         });
     }
 
--- a/gateway/src/upgrade.rs
+++ b/gateway/src/upgrade.rs
@@ -43,6 +43,9 @@
 /// The second process accepts from now on.
 const SERVING: u8 = 2;
 
+/// What the router has learned, in bytes behind their length.
+const LEARNED: u8 = 3;
+
 /// The first process must hand over its listeners by then, or is taken for dead.
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Longest path that a Unix socket's address holds, less a margin.
@@ -114,6 +117,13 @@
     }
 }
 
+/// What the platform's router has learned: given to another process, or taken from one.
+#[derive(Clone)]
+pub struct Learned {
+    pub give: Rc<dyn Fn() -> Vec<u8>>,
+    pub take: Rc<dyn Fn(&[u8])>,
+}
+
 /// The connection between the two processes.
 pub struct Link(UnixStream);
 
@@ -254,10 +264,14 @@
 
 /// Takes over: says that this process serves, then takes the connections that the other one hands over, until that
 /// one has ended. Should this process be told to end meanwhile, the other one learns of it and accepts again.
-pub async fn take_over(link: Link, inboxes: Rc<Inboxes>, shutdown: Shutdown, half: Half) {
+pub async fn take_over(link: Link, inboxes: Rc<Inboxes>, learned: Learned, shutdown: Shutdown, half: Half) {
     let taking = async {
         link.send(SERVING, &[]).await?;
         while let Some((word, sockets)) = link.receive().await? {
+            if word == LEARNED {
+                (learned.take)(&link.receive_bytes().await?);
+                continue;
+            }
             let mut sockets = sockets.into_iter().map(TcpStream::from);
             let stream = match word {
                 STREAM.. => Some((link.receive_bytes().await?, link.receive_bytes().await?)),
@@ -294,7 +308,8 @@
 
 /// Waits for a process that is to take over, for as long as this one runs.
 pub async fn hand_over(
-    state: PathBuf, listeners: Vec<(u8, OwnedFd)>, inboxes: Rc<Inboxes>, shutdown: Shutdown, share: Share,
+    state: PathBuf, listeners: Vec<(u8, OwnedFd)>, inboxes: Rc<Inboxes>, learned: Learned,
+    shutdown: Shutdown, share: Share,
 ) {
     loop {
         let asked = async { publish(&state)?.accept().await };
@@ -303,7 +318,7 @@
             Err(e) => return log!("no upgrade is possible: {e}"),
         };
         let _half = share.halve();
-        if let Err(e) = succeed(&link, &listeners, &inboxes, &shutdown).await {
+        if let Err(e) = succeed(&link, &listeners, &inboxes, &learned, &shutdown).await {
             log!("a handing over ended: {e}");
         }
     }
@@ -311,7 +326,7 @@
 
 /// Hands over to one process, and ends when that one has gone.
 async fn succeed(
-    link: &Link, listeners: &[(u8, OwnedFd)], inboxes: &Inboxes, shutdown: &Shutdown,
+    link: &Link, listeners: &[(u8, OwnedFd)], inboxes: &Inboxes, learned: &Learned, shutdown: &Shutdown,
 ) -> io::Result<()> {
     for (front, listener) in listeners {
         link.send(LISTENER + front, &[listener.as_fd()]).await?;
@@ -321,6 +336,8 @@
         return Err(io::Error::other("the other process ended before it served"));
     }
     log!("another process has taken over");
+    link.send(LEARNED, &[]).await?;
+    link.send_bytes(&(learned.give)()).await?;
     let (heir, mut handed) = mpsc::unbounded_channel::<Handed>();
     shutdown.succeed(Some(heir));
     loop {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 
 mod api;
 mod logic;
+mod memory;
 mod state;
 
 pub use api::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -122,24 +122,24 @@
 /// The decisions of one dispatcher.
 pub struct Router {
     settings: Settings,
-    now: Ms,
+    pub(crate) now: Ms,
     random: Random,
-    started: Option<Ms>,
+    pub(crate) started: Option<Ms>,
     servers: BTreeMap<ServerId, Server>,
     jobs: BTreeMap<RequestId, Job>,
-    table: LruCache<Key, (ServerId, Ms), FixedHasher>,
+    pub(crate) table: LruCache<Key, (ServerId, Ms), FixedHasher>,
     /// How often each beginning is asked for, and all requests together (`None`).
     asked: LruCache<Option<u64>, (f64, Ms), FixedHasher>,
-    pace: [Pace; 2],
+    pub(crate) pace: [Pace; 2],
     /// What was waited of late at the servers of each role, and when.
     waits: [(f64, Ms); 3],
     /// What each role has carried of late.
-    carried: [Carried; 3],
+    pub(crate) carried: [Carried; 3],
     retries: f64,
     /// Probes earned and not yet sent.
     probes: f64,
     /// Mean tokens of a prompt.
-    prompt: f64,
+    pub(crate) prompt: f64,
     allowance: Vec<(f64, Ms)>,
     logged: BTreeMap<&'static str, Ms>,
     ask_list_at: Option<Ms>,
--- /dev/null
+++ b/src/memory.rs
@@ -0,0 +1,85 @@
+//! What a router has learned and no list tells, as bytes for a second process that takes the place of this one:
+//! what each role has carried, the paces, and the newest homes of sessions and beginnings. Times are ages.
+
+use crate::api::*;
+use crate::logic::Router;
+use crate::state::*;
+
+/// The form of the bytes.
+const FORM: u64 = 1;
+/// Most homes that are told; the newest ones.
+const HOMES: usize = 4_000;
+
+/// Numbers, eight bytes each.
+#[derive(Default)]
+struct Words(Vec<u8>);
+
+impl Words {
+    fn put(&mut self, word: u64) {
+        self.0.extend_from_slice(&word.to_le_bytes());
+    }
+    fn number(&mut self, x: f64) {
+        self.put(x.to_bits());
+    }
+}
+
+fn words(bytes: &[u8]) -> impl Iterator<Item = u64> + '_ {
+    let word = |b: &[u8]| b.iter().rev().fold(0, |w, b| w << 8 | u64::from(*b));
+    bytes.chunks_exact(8).map(word)
+}
+
+impl Router {
+    pub fn recollect(&self) -> Vec<u8> {
+        let mut all = Words::default();
+        all.put(FORM);
+        all.number(self.now - self.started.unwrap_or(self.now));
+        all.number(self.prompt);
+        for c in &self.carried {
+            [c.count, self.now - c.at, c.units, c.peak].into_iter().for_each(|x| all.number(x));
+        }
+        for p in &self.pace {
+            all.number(p.low);
+            all.put(u64::from(p.samples));
+        }
+        for (key, (server, at)) in self.table.iter().take(HOMES) {
+            let (kind, name) = match key {
+                Key::Session(name) => (0, *name),
+                Key::Prefix(name) => (1, *name),
+            };
+            [kind, name, server.0].into_iter().for_each(|word| all.put(word));
+            all.number(self.now - at);
+        }
+        all.0
+    }
+
+    /// Takes such bytes in, as far as they can be read. What this router has learned itself by now gives way.
+    pub fn inherit(&mut self, bytes: &[u8]) {
+        let mut words = words(bytes);
+        if words.next() != Some(FORM) {
+            return;
+        }
+        let now = self.now;
+        let mut number = || words.next().map(|word| sane(f64::from_bits(word)));
+        let (Some(age), Some(prompt)) = (number(), number()) else { return };
+        let mut carried = [Carried::default(); 3];
+        for c in &mut carried {
+            let (Some(count), Some(age), Some(units), Some(peak)) = (number(), number(), number(), number())
+            else {
+                return;
+            };
+            *c = Carried { count, at: now - age, units, peak };
+        }
+        let mut pace = [Pace::default(); 2];
+        for p in &mut pace {
+            let (Some(low), Some(samples)) = (words.next(), words.next()) else { return };
+            *p = Pace { low: sane(f64::from_bits(low)), samples: u32::try_from(samples).unwrap_or(u32::MAX) };
+        }
+        (self.started, self.prompt, self.carried, self.pace) = (Some(now - age), prompt, carried, pace);
+        let rest: Vec<u64> = words.take(4 * HOMES).collect();
+        // The newest came first, and what is put last counts as the newest.
+        for home in rest.chunks_exact(4).rev() {
+            let key = if home[0] == 0 { Key::Session(home[1]) } else { Key::Prefix(home[1]) };
+            self.table.put(key, (ServerId(home[2]), now - sane(f64::from_bits(home[3]))));
+        }
+    }
+}
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -579,3 +579,44 @@
             && !rig.router.avoids(ServerId(99))
     );
 }
+
+/// Guards an upgrade: a router that takes another's place knows how much a cold server may be sent and where sessions
+/// live, at any time of its own clock; bytes that are no such knowledge change nothing and break nothing.
+#[test]
+fn what_a_router_has_learned_can_be_passed_on() {
+    let mut old = Rig::plain();
+    let mut home = 0;
+    for id in 0..400 {
+        old.at(id as f64 * 25.0);
+        home = old.read_at(ask(id));
+        let writer = sent(&old.outcome(id, 0, home, Status::Read)).expect("a write");
+        old.outcome(id, 1, writer, Status::Served);
+    }
+    let learned = old.router.recollect();
+    let to_cold = |learned: &[u8]| {
+        let mut rig = Rig::plain();
+        rig.router.inherit(learned);
+        let cold = Member { started: Some(0.0), ..member(14, 0, 0) };
+        rig.give(Event::Members { scope: Scope::Delta, members: vec![cold] });
+        let mut to_cold = 0;
+        for id in 0..120 {
+            rig.at(id as f64 * 25.0);
+            if let Some(to) = sent(&rig.request(Request { prefix: Some(id), ..ask(1_000 + id) })) {
+                to_cold += u32::from(to == 14);
+                rig.outcome(1_000 + id, 0, to, Status::Cancelled);
+            }
+            rig.give(Event::ClientGone { id: RequestId(1_000 + id) });
+        }
+        to_cold
+    };
+    let (told, untold) = (to_cold(&learned), to_cold(&[]));
+    assert!(told > 2 * untold && told < 80, "{told} with, {untold} without what was learned");
+    let mut new = Rig::plain();
+    new.router.inherit(&learned);
+    assert_eq!(new.read_at(Request { session: 1_399, prefix: None, ..ask(5_000) }), home);
+    for noise in [&learned[..20], &learned[1..], &[0xff; 4_000][..], &[1; 24][..]] {
+        let mut rig = Rig::plain();
+        rig.router.inherit(noise);
+        rig.read_at(ask(1));
+    }
+}
