--- a/gateway/src/upgrade.rs
+++ b/gateway/src/upgrade.rs
@@ -117,11 +117,13 @@
     }
 }
 
+type Take = Rc<dyn Fn(&[u8])>;
+
 /// What the platform's router has learned: given to another process, or taken from one.
 #[derive(Clone)]
 pub struct Learned {
     pub give: Rc<dyn Fn() -> Vec<u8>>,
-    pub take: Rc<dyn Fn(&[u8])>,
+    pub take: Take,
 }
 
 /// The connection between the two processes.
