--- a/gateway/src/engine/inlet.rs
+++ b/gateway/src/engine/inlet.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::sync::Notify;
 use tokio::time::{sleep, Sleep};
 
 use crate::chunks::Chunks;
@@ -32,6 +33,8 @@
     /// Read and not passed on, since reading is to stop.
     pub ahead: RefCell<Vec<u8>>,
     stopped: RefCell<Option<Waker>>,
+    /// Told each time that reading stops: the end of a chunk alone brings no data that would tell.
+    reached: Notify,
 }
 
 impl Tap {
@@ -49,6 +52,11 @@
         self.stop.get() && self.data.get() == data && self.between()
     }
 
+    /// Until reading has stopped.
+    pub async fn reached(&self) {
+        self.reached.notified().await;
+    }
+
     fn between(&self) -> bool {
         self.chunks.get().is_some_and(|c| c.between())
     }
@@ -129,6 +137,7 @@
         let tap = self.tap.clone();
         if tap.stop.get() && tap.between() {
             tap.stopped.replace(Some(cx.waker().clone()));
+            tap.reached.notify_one();
             return Poll::Pending;
         }
         let mut ahead = tap.ahead.borrow_mut();
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -429,6 +429,7 @@
                 frame = self.body.frame() => frame,
                 // The sender lives as long as the engine does.
                 _ = self.moving.changed() => continue,
+                () = self.tap.reached() => continue,
             };
             let Some(frame) = frame else { break };
             if let Ok(data) = frame.map_err(|e| broken(&e))?.into_data() {
--- a/gateway/tests/clients.rs
+++ b/gateway/tests/clients.rs
@@ -6,6 +6,8 @@
 
 use common::gateway::*;
 use common::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::{pause, Instant};
@@ -206,3 +208,35 @@
         assert_eq!(chat_as(&g, "a7").await.status(), 200);
     });
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, rng_seed: RngSeed::Fixed(3), ..ProptestConfig::default() })]
+
+    /// Guards clients whose messages come in pieces, cut at any byte: head, chunk sizes and body alike.
+    #[test]
+    fn a_request_may_come_in_pieces(lengths in prop::collection::vec(1usize..60, 1..5), chunked in any::<bool>()) {
+        run(async {
+            let reader = StandIn::start(|_, _| read()).await;
+            let writer = StandIn::start(|_, _| stream()).await;
+            let g = gateway(&[&reader], &[&writer], None, 50).await;
+            let text = match chunked {
+                true => request("p1", "transfer-encoding: chunked\r\n", "1\r\n{\r\n1;x=y\r\n}\r\n0\r\n\r\n"),
+                false => request("p1", "content-length: 2\r\n", "{}"),
+            };
+            let mut raw = TcpStream::connect(g.address).await.expect("a connection");
+            raw.set_nodelay(true).expect("set");
+            let (mut rest, mut lengths) = (text.as_bytes(), lengths.iter().cycle());
+            while !rest.is_empty() {
+                let length = lengths.next().copied().unwrap_or(1).min(rest.len());
+                raw.write_all(&rest[..length]).await.expect("sent");
+                rest = &rest[length..];
+                // What was sent is read before more comes.
+                for _ in 0..3 {
+                    tokio::task::yield_now().await;
+                }
+            }
+            assert_eq!(status(&mut raw).await, 200);
+            assert_eq!(&writer.seen.borrow()[0].body[..], b"{}");
+        });
+    }
+}
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -483,3 +483,63 @@
         }
     }
 }
+
+/// Cuts bytes into pieces of these lengths, over and over.
+fn cut(bytes: &[u8], lengths: &[usize]) -> Vec<Vec<u8>> {
+    let (mut rest, mut pieces) = (bytes, Vec::new());
+    for length in lengths.iter().cycle() {
+        if rest.is_empty() {
+            break;
+        }
+        let (piece, more) = rest.split_at((*length).min(rest.len()));
+        pieces.push(piece.to_vec());
+        rest = more;
+    }
+    pieces
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, rng_seed: RngSeed::Fixed(2), ..ProptestConfig::default() })]
+
+    /// Guards streams at an upgrade: whatever their pieces, their chunks and the moment at which they go over, or go
+    /// over twice, all of their events pass, once and in order.
+    #[test]
+    fn a_stream_that_goes_over_is_whole(
+        lengths in prop::collection::vec(1usize..90, 2..6),
+        chunks in prop::collection::vec(1usize..40, 1..6),
+        (first, second) in (0usize..6, 0usize..6),
+    ) {
+        let events: String = (0..6).map(|n| format!("data: {{\"n\":{n}}}\n\n")).collect();
+        let body = cut(events.as_bytes(), &chunks).into_iter().flat_map(|c| {
+            [format!("{:x}\r\n", c.len()).into_bytes(), c, b"\r\n".to_vec()].concat()
+        });
+        let answer: Vec<u8> = OPENING.bytes().chain(body).chain(*b"0\r\n\r\n").collect();
+        run(async {
+            let (engine, _) = raw_server(cut(&answer, &lengths)).await;
+            let Reply::Answer { mut frames, .. } = attempt(&engine, "last byte").await.expect("a stream") else {
+                panic!("no stream")
+            };
+            let mut at = engine;
+            let (mut passed, mut got, mut moves) = (Vec::new(), 0, vec![second, first]);
+            while let Some(frame) = frames.next().await {
+                match frame.expect("a whole stream") {
+                    Frame::Data(data) => {
+                        passed.extend_from_slice(&data);
+                        got += 1;
+                        if moves.last().is_some_and(|m| got > *m) {
+                            moves.pop();
+                            at.move_streams();
+                        }
+                    }
+                    Frame::Moved(rest) => {
+                        // Another process has an engine of its own.
+                        at = self::engine(AGES, 8);
+                        frames = at.resume(rest);
+                    }
+                    Frame::End { .. } => break,
+                }
+            }
+            assert_eq!(String::from_utf8_lossy(&passed), events);
+        });
+    }
+}
