Test the hand-over's long paths, stale files and halves

Checked: a state directory whose path is longer than a socket's address holds, a file that a dead process left, and that each process has half of the connections and bodies while both live.

--- a/gateway/src/upgrade.rs
+++ b/gateway/src/upgrade.rs
@@ -361,3 +361,43 @@
     log!("the process that had taken over is gone; this one accepts again");
     Ok(())
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the upgrade from where `$TMPDIR` lies: a path may be longer than a socket's address holds. A file that a
+    /// dead process left, or none at all, means that there is nobody to take over from.
+    #[tokio::test]
+    async fn a_long_path_will_do_and_a_stale_file_does_not_hinder() {
+        let top = std::env::temp_dir().join(format!("glenrail-upgrade-{}", std::process::id()));
+        let state = top.join("x".repeat(120));
+        std::fs::create_dir_all(&state).expect("a directory");
+        assert!(inherit(&state).await.is_none(), "nobody was ever there");
+        for _ in 0..2 {
+            let listener = publish(&state).expect("a socket");
+            let (path, _open) = near(&state, NAME).expect("a path");
+            let (asked, answered) = tokio::join!(UnixStream::connect(path), listener.accept());
+            assert!(asked.is_ok() && answered.is_ok());
+        }
+        assert!(inherit(&state).await.is_none(), "it has died");
+        std::fs::remove_dir_all(top).expect("removed");
+    }
+
+    /// Guards the limits of both processes together: each has half while both live, and all of it after.
+    #[test]
+    fn half_is_kept_back_for_as_long_as_both_live() {
+        let share = Share {
+            slots: Arc::new(Semaphore::new(10)),
+            connections: 10,
+            budget: Budget::new(100),
+            bodies: 100,
+        };
+        let half = share.halve();
+        assert_eq!(share.slots.available_permits(), 5);
+        assert!(share.budget.claim(51).is_none() && share.budget.claim(50).is_some());
+        drop(half);
+        assert_eq!(share.slots.available_permits(), 10);
+        assert!(share.budget.claim(100).is_some());
+    }
+}
