Keep the state directory to its owner

Seen: where TMPDIR is not set, the directory of orders and of the upgrade's socket lies in a place that others can write to. Now it is made with mode 0700; a test holds it.

--- a/gateway/src/rotation.rs
+++ b/gateway/src/rotation.rs
@@ -3,7 +3,9 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::fs::DirBuilder;
 use std::io;
+use std::os::unix::fs::DirBuilderExt;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -29,10 +31,10 @@
 pub struct Orders(PathBuf);
 
 impl Orders {
-    /// The orders of this state directory, which is made if need be.
+    /// The orders of this state directory, which is made if need be. Nobody else may give orders there, or take over.
     pub fn open(state: &Path) -> io::Result<Self> {
         let dir = state.join("offline");
-        std::fs::create_dir_all(&dir)?;
+        DirBuilder::new().recursive(true).mode(0o700).create(&dir)?;
         Ok(Orders(dir))
     }
 
--- a/gateway/tests/ops.rs
+++ b/gateway/tests/ops.rs
@@ -217,6 +217,10 @@
     run(async {
         let (reader, writer) = (StandIn::start(|_, _| read()).await, StandIn::start(|_, _| stream()).await);
         let o = operated("lost", &[&reader, &writer], 50).await;
+        let mode = std::os::unix::fs::PermissionsExt::mode(
+            &std::fs::metadata(&o.state).expect("it is there").permissions(),
+        );
+        assert_eq!(mode & 0o077, 0, "nobody else gives orders here");
         std::fs::remove_dir_all(&o.state).expect("removed");
         let answer = o.call("POST", "/control/engines/w0/offline").await;
         assert_eq!(answer.status(), 500);
