--- /dev/null
+++ b/crates/lifecycle/src/request.rs
@@ -0,0 +1,752 @@
+//! One request from its arrival until nothing of it is left: its attempts, what servers may hold for it, and its
+//! one final answer.
+//!
+//! The router orders ([`Input::Send`], [`Input::Cancel`], [`Input::Release`], ...), the world reports
+//! ([`Input::Replied`], [`Input::ClientGone`], ...), and the machine says what is to be done ([`Effect`]). It
+//! trusts neither: an order that would break a rule is answered with [`Status::NotSent`] and carried out by
+//! nobody, whatever the router or a plug-in believes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Impossible;
+
+/// A server, named by the caller.
+pub type Server = u64;
+
+/// How often a request may run at servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Repeat {
+    /// It changes nothing, or its repeats are dropped where the router sends them.
+    Freely,
+    /// At most once.
+    Never,
+}
+
+/// What an attempt asks of its server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Stage {
+    /// To read the prompt and hold its state. It has no effect.
+    Read,
+    /// To answer. It may have the request's effect.
+    Run,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Status {
+    Served,
+    /// The prompt is read; its state waits at the server.
+    Read,
+    Error,
+    /// Turned away: it never ran.
+    Declined,
+    Timeout,
+    /// Nothing of it can have run: its last byte was never written.
+    Connect,
+    /// It may have run.
+    Reset,
+    /// What came back could not be read. It may have run.
+    Spoilt,
+    /// Called back, or its client left. It may have run.
+    Cancelled,
+    /// Kept back here.
+    NotSent,
+}
+
+impl Status {
+    /// Rule 2: whether the server may have begun what was asked, by what came back.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Status::Declined | Status::Connect | Status::NotSent | Status::Read)
+    }
+}
+
+/// Where one attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Step {
+    /// Ordered; it waits until what may be held by this name has been let go.
+    Waiting,
+    /// At its server, or on the way there.
+    Out,
+    /// Called back. Its call is not dropped yet.
+    CalledBack,
+    /// The client's: its answer passes on.
+    Begun,
+    Ended(Status),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Attempt {
+    pub server: Server,
+    pub stage: Stage,
+    pub step: Step,
+}
+
+impl Attempt {
+    /// Whether its outcome is still to come.
+    pub fn open(&self) -> bool {
+        !matches!(self.step, Step::Ended(_))
+    }
+}
+
+/// What came back for an attempt before any answer of it passed on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Reply {
+    /// The prompt is read.
+    Read,
+    /// The first whole event is here.
+    Begins,
+    Declined,
+    /// The fault is the request's own; every server would find it.
+    Unfit,
+    Error,
+    Connect,
+    Reset,
+    Spoilt,
+    /// Kept back on the way: the server is to get nothing new.
+    NotSent,
+}
+
+/// How an answer that had begun ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum StreamEnd {
+    Whole,
+    /// Another process goes on with it.
+    Moved,
+    Reset,
+    Spoilt,
+    /// No event came for too long.
+    Silent,
+    /// The client takes nothing any more.
+    Untaken,
+}
+
+/// What the client was told at the end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Final {
+    Refused,
+    /// The servers tried did not answer it.
+    Failed,
+    Deadline,
+    Unfit,
+}
+
+/// How far the client's answer is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Answer {
+    /// Nothing of it is out.
+    Owed,
+    /// An attempt's stream passes on.
+    Streaming,
+    Given(Final),
+    /// The stream has ended, whole or broken.
+    Streamed,
+    /// The client went first: nobody is owed anything.
+    Abandoned,
+}
+
+/// What servers may hold under this request's name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Held {
+    Nothing,
+    /// A reader holds the prompt's state, or may.
+    State,
+    /// A writer holds a place, or may; a state may be held too.
+    Place,
+}
+
+/// The letting go of what is held.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Release {
+    None,
+    /// To begin as soon as nothing is out.
+    Due,
+    /// Under way; `again` if something came to be held since it began.
+    UnderWay {
+        again: bool,
+    },
+}
+
+/// A call for a place that is out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum PlaceCall {
+    None,
+    Out(Server),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Timer {
+    /// The request's deadline, a little later than the router's own.
+    Deadline,
+    /// Something is held and nothing is out: the router has so long to make use of it.
+    Pin,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Input {
+    /// Order: send it. `may` is false where the caller knows that this server gets nothing, or no time is left.
+    Send {
+        server: Server,
+        stage: Stage,
+        may: bool,
+    },
+    /// Order: call an attempt back.
+    Cancel {
+        attempt: usize,
+    },
+    /// Order: let go of all that is held.
+    Release,
+    /// Order: the final answer.
+    Answer(Final),
+    /// Order: ask this writer to hold a place.
+    Hold {
+        server: Server,
+    },
+    ClientGone,
+    Replied {
+        attempt: usize,
+        reply: Reply,
+    },
+    StreamEnded {
+        attempt: usize,
+        end: StreamEnd,
+    },
+    /// The caller's time for an attempt ran out before anything came back.
+    TimedOut {
+        attempt: usize,
+    },
+    /// The call of an attempt that was called back is dropped, its connection closed.
+    Dropped {
+        attempt: usize,
+    },
+    /// A writer's answer to the call for a place: held, not held, or not known.
+    Placed {
+        held: Option<bool>,
+    },
+    /// A release has come to its end, well or not.
+    Released,
+    Due(Timer),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Effect {
+    /// Sends the attempt now, once.
+    Start {
+        attempt: usize,
+    },
+    /// Drops the attempt's call; [`Input::Dropped`] tells when that is done.
+    CallBack {
+        attempt: usize,
+    },
+    /// Lets go at the servers; `after_cut`: a server may not have seen the cut of the last attempt yet.
+    Release {
+        after_cut: bool,
+    },
+    AskPlace {
+        server: Server,
+    },
+    /// Gives up the call for a place.
+    DropPlace,
+    /// The client's final answer, at once.
+    Answer(Final),
+    /// The client's answer begins with what this attempt brought.
+    PassOn {
+        attempt: usize,
+    },
+    /// To the router: the attempt's first event.
+    TellFirst {
+        attempt: usize,
+    },
+    /// To the router: the one outcome of an attempt.
+    TellOutcome {
+        attempt: usize,
+        status: Status,
+        closed: bool,
+    },
+    /// To the router: nobody waits for the request any more.
+    TellGone,
+    TellPlace {
+        server: Server,
+        held: bool,
+    },
+    Arm(Timer),
+    Disarm(Timer),
+    /// Nothing is left: forget the request, its name is free.
+    Over,
+}
+
+/// A fault planted in the machine, for the explorer to show that it finds each. The gateway's build has none.
+#[cfg(feature = "mutants")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Fault {
+    AnswersTwice,
+    AnswersAfterStream,
+    SecondAttempt,
+    RunsOrderTwice,
+    ForgetsCutRead,
+    ForgetsHeldAtEnd,
+    ReleasesWhileOut,
+    SendsBeforeRelease,
+    SendsToDrained,
+    SendsAfterEnd,
+    LosesOutcome,
+    TwoOutcomes,
+    NeverOver,
+    NoDeadline,
+    NoPinLimit,
+    KeepsCallAfterGone,
+    ForgetsPlace,
+    OverTooEarly,
+    LeavesTimer,
+}
+
+/// What a request is allowed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Terms {
+    pub repeat: Repeat,
+    /// Most attempts.
+    pub most: usize,
+    /// Whether the deployment lets an attempt be called back of which nobody wants the answer any more.
+    pub cancel: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Request {
+    terms: Terms,
+    attempts: Vec<Attempt>,
+    answer: Answer,
+    held: Held,
+    release: Release,
+    place: PlaceCall,
+    /// Rule 2: an attempt that has ended may have had the effect.
+    ran: bool,
+    /// The attempt that ended last was cut, and its server may not know yet.
+    cut: bool,
+    deadline_armed: bool,
+    pin_armed: bool,
+    over: bool,
+    #[cfg(feature = "mutants")]
+    fault: Option<Fault>,
+}
+
+type Effects = Vec<Effect>;
+
+impl Request {
+    /// A request that has come in whole.
+    pub fn new(terms: Terms, out: &mut Effects) -> Self {
+        out.push(Effect::Arm(Timer::Deadline));
+        Request {
+            terms,
+            attempts: Vec::new(),
+            answer: Answer::Owed,
+            held: Held::Nothing,
+            release: Release::None,
+            place: PlaceCall::None,
+            ran: false,
+            cut: false,
+            deadline_armed: true,
+            pin_armed: false,
+            over: false,
+            #[cfg(feature = "mutants")]
+            fault: None,
+        }
+    }
+
+    #[cfg(feature = "mutants")]
+    pub fn plant(&mut self, fault: Option<Fault>) {
+        self.fault = fault;
+    }
+
+    #[cfg(feature = "mutants")]
+    fn faulty(&self, fault: Fault) -> bool {
+        self.fault == Some(fault)
+    }
+
+    pub fn attempts(&self) -> &[Attempt] {
+        &self.attempts
+    }
+    pub fn answer(&self) -> Answer {
+        self.answer
+    }
+    pub fn held(&self) -> Held {
+        self.held
+    }
+    pub fn release(&self) -> Release {
+        self.release
+    }
+    pub fn place(&self) -> PlaceCall {
+        self.place
+    }
+
+    /// Whether the client is owed nothing more.
+    pub fn closed(&self) -> bool {
+        !matches!(self.answer, Answer::Owed | Answer::Streaming)
+    }
+
+    /// Whether an attempt's outcome is still to come.
+    pub fn out(&self) -> bool {
+        self.attempts.iter().any(Attempt::open)
+    }
+
+    /// Whether an attempt is at a server, or may be.
+    fn at_server(&self) -> bool {
+        self.attempts.iter().any(|a| matches!(a.step, Step::Out | Step::CalledBack | Step::Begun))
+    }
+
+    /// Whether nothing of it is left.
+    pub fn over(&self) -> bool {
+        self.over
+    }
+
+    pub fn armed(&self, timer: Timer) -> bool {
+        match timer {
+            Timer::Deadline => self.deadline_armed,
+            Timer::Pin => self.pin_armed,
+        }
+    }
+
+    /// Takes in one input and appends what is to be done, in order.
+    pub fn step(&mut self, input: Input, out: &mut Effects) -> Result<(), Impossible> {
+        if self.over {
+            return Err(self.impossible(&input));
+        }
+        // The transition table. What follows from the state reached, whichever way, is in `settle`.
+        match input {
+            Input::Send { server, stage, may } => self.send(server, stage, may, out),
+            Input::Cancel { attempt } => self.call_back(attempt, out),
+            Input::Release => {
+                // Only what is held is let go of: a needless call costs a server work, and could hit another's.
+                if self.held != Held::Nothing {
+                    self.release_due();
+                }
+            }
+            Input::Answer(last) => self.give(last, out),
+            Input::Hold { server } => {
+                // Beside an attempt only: a place that no attempt is to take pins the writer's memory.
+                if self.place == PlaceCall::None && !self.closed() && self.at_server() {
+                    self.place = PlaceCall::Out(server);
+                    out.push(Effect::AskPlace { server });
+                }
+            }
+            Input::ClientGone => {
+                if !self.closed() {
+                    self.answer = Answer::Abandoned;
+                    out.push(Effect::TellGone);
+                    self.call_back_all(out);
+                }
+            }
+            Input::Replied { attempt, reply } => match self.step_of(attempt) {
+                Some(Step::Out) => self.replied(attempt, reply, out),
+                // It came just as it was called back: dropped unread, so what it left is not known.
+                Some(Step::CalledBack) => self.ended(attempt, Status::Cancelled, out),
+                _ => return Err(self.impossible(&input)),
+            },
+            Input::StreamEnded { attempt, end } => match self.step_of(attempt) {
+                Some(Step::Begun) => {
+                    if !self.closed() {
+                        self.answer = Answer::Streamed;
+                    }
+                    self.ended(attempt, end.status(), out);
+                }
+                _ => return Err(self.impossible(&input)),
+            },
+            Input::TimedOut { attempt } => match self.step_of(attempt) {
+                Some(Step::Waiting) => self.ended(attempt, Status::NotSent, out),
+                Some(Step::Out) => self.ended(attempt, Status::Timeout, out),
+                Some(Step::CalledBack) => self.ended(attempt, Status::Cancelled, out),
+                _ => return Err(self.impossible(&input)),
+            },
+            Input::Dropped { attempt } => match self.step_of(attempt) {
+                Some(Step::CalledBack) => self.ended(attempt, Status::Cancelled, out),
+                _ => return Err(self.impossible(&input)),
+            },
+            Input::Placed { held } => match self.place {
+                PlaceCall::Out(server) => self.placed(server, held, out),
+                PlaceCall::None => return Err(self.impossible(&input)),
+            },
+            Input::Released => match self.release {
+                Release::UnderWay { again } => {
+                    self.release = if again { Release::Due } else { Release::None };
+                    if !again {
+                        self.held = Held::Nothing;
+                    }
+                }
+                _ => return Err(self.impossible(&input)),
+            },
+            Input::Due(timer) => {
+                if !self.armed(timer) {
+                    return Err(self.impossible(&input));
+                }
+                self.due(timer, out);
+            }
+        }
+        self.settle(out);
+        Ok(())
+    }
+
+    fn impossible(&self, input: &Input) -> Impossible {
+        Impossible::new("request", input, self)
+    }
+
+    fn step_of(&self, attempt: usize) -> Option<Step> {
+        self.attempts.get(attempt).map(|a| a.step)
+    }
+
+    fn send(&mut self, server: Server, stage: Stage, may: bool, out: &mut Effects) {
+        let attempt = self.attempts.len();
+        // Rules: one attempt at a time, none beyond the cap, none for what has ended, no second run.
+        let second = self.out();
+        let ended = self.closed();
+        let runs_again = self.terms.repeat == Repeat::Never && stage == Stage::Run && self.ran;
+        #[cfg(feature = "mutants")]
+        let (second, ended, runs_again, may) = (
+            second && !self.faulty(Fault::SecondAttempt),
+            ended && !self.faulty(Fault::SendsAfterEnd),
+            runs_again && !self.faulty(Fault::RunsOrderTwice),
+            may || self.faulty(Fault::SendsToDrained),
+        );
+        let go = may && !second && !ended && !runs_again && attempt < self.terms.most;
+        self.attempts.push(Attempt { server, stage, step: Step::Waiting });
+        if !go {
+            self.ended(attempt, Status::NotSent, out);
+        }
+    }
+
+    fn call_back(&mut self, attempt: usize, out: &mut Effects) {
+        match self.step_of(attempt) {
+            // Nothing of it is out.
+            Some(Step::Waiting) => self.ended(attempt, Status::NotSent, out),
+            Some(Step::Out) => {
+                self.attempts[attempt].step = Step::CalledBack;
+                out.push(Effect::CallBack { attempt });
+            }
+            // Too late, or twice: what has begun is the client's.
+            _ => {}
+        }
+    }
+
+    /// Nobody wants an answer any more.
+    fn call_back_all(&mut self, out: &mut Effects) {
+        if !self.terms.cancel {
+            return;
+        }
+        #[cfg(feature = "mutants")]
+        if self.faulty(Fault::KeepsCallAfterGone) {
+            return;
+        }
+        for attempt in 0..self.attempts.len() {
+            self.call_back(attempt, out);
+        }
+    }
+
+    /// The final answer, unless one was given or has begun; then what is out is of no use to anybody.
+    fn give(&mut self, last: Final, out: &mut Effects) {
+        let free = self.answer == Answer::Owed;
+        #[cfg(feature = "mutants")]
+        let free = free
+            || self.faulty(Fault::AnswersTwice) && matches!(self.answer, Answer::Given(_))
+            || self.faulty(Fault::AnswersAfterStream) && self.answer == Answer::Streaming;
+        if free {
+            self.answer = Answer::Given(last);
+            out.push(Effect::Answer(last));
+            self.call_back_all(out);
+        }
+    }
+
+    fn replied(&mut self, attempt: usize, reply: Reply, out: &mut Effects) {
+        let status = match reply {
+            Reply::Begins => return self.begins(attempt, out),
+            // Final. It never ran, so nothing came to be held by it.
+            Reply::Unfit if self.answer == Answer::Owed => {
+                self.answer = Answer::Given(Final::Unfit);
+                out.push(Effect::Answer(Final::Unfit));
+                Status::NotSent
+            }
+            Reply::Unfit => Status::NotSent,
+            Reply::Read => Status::Read,
+            Reply::Declined => Status::Declined,
+            Reply::Error => Status::Error,
+            Reply::Connect => Status::Connect,
+            Reply::Reset => Status::Reset,
+            Reply::Spoilt => Status::Spoilt,
+            Reply::NotSent => Status::NotSent,
+        };
+        self.ended(attempt, status, out);
+    }
+
+    /// The attempt's first event is here: it is the client's from now on.
+    fn begins(&mut self, attempt: usize, out: &mut Effects) {
+        if self.answer != Answer::Owed {
+            return self.ended(attempt, Status::Cancelled, out);
+        }
+        self.attempts[attempt].step = Step::Begun;
+        self.answer = Answer::Streaming;
+        self.ran = true;
+        // The writer has fetched the state, and its own place is the stream's.
+        self.held = Held::Nothing;
+        out.push(Effect::TellFirst { attempt });
+        out.push(Effect::PassOn { attempt });
+    }
+
+    /// The one outcome of an attempt.
+    fn ended(&mut self, attempt: usize, status: Status, out: &mut Effects) {
+        let Attempt { stage, step, .. } = self.attempts[attempt];
+        self.attempts[attempt].step = Step::Ended(status);
+        if step != Step::Waiting {
+            let lost = matches!(status, Status::Cancelled | Status::Reset | Status::Spoilt | Status::Timeout);
+            self.cut = lost && step != Step::Begun;
+            // A read may have ended well just as its connection was cut: what it left is let go, and before
+            // the request is sent again, whose state it would be.
+            let left = self.cut && stage == Stage::Read;
+            #[cfg(feature = "mutants")]
+            let left = left && !self.faulty(Fault::ForgetsCutRead);
+            if left {
+                self.hold(Held::State);
+                self.release_due();
+            }
+            if status == Status::Read {
+                self.hold(Held::State);
+            }
+            self.ran |= stage == Stage::Run && status.may_have_run();
+        }
+        #[cfg(feature = "mutants")]
+        if self.faulty(Fault::LosesOutcome) && status == Status::Cancelled {
+            return;
+        }
+        out.push(Effect::TellOutcome { attempt, status, closed: self.closed() });
+        #[cfg(feature = "mutants")]
+        if self.faulty(Fault::TwoOutcomes) && status == Status::Timeout {
+            out.push(Effect::TellOutcome { attempt, status, closed: self.closed() });
+        }
+    }
+
+    fn placed(&mut self, server: Server, held: Option<bool>, out: &mut Effects) {
+        self.place = PlaceCall::None;
+        // Where the writer does not know, a place may be held all the same. A stream that has begun has taken it,
+        // whichever came first.
+        let left = held != Some(false) && self.answer != Answer::Streaming;
+        #[cfg(feature = "mutants")]
+        let left = left && !self.faulty(Fault::ForgetsPlace);
+        if left {
+            self.hold(Held::Place);
+        }
+        if let Some(held) = held {
+            out.push(Effect::TellPlace { server, held });
+        }
+    }
+
+    /// Something may be held from now on.
+    fn hold(&mut self, what: Held) {
+        if self.held != Held::Place {
+            self.held = what;
+        }
+        if let Release::UnderWay { again } = &mut self.release {
+            *again = true;
+        }
+    }
+
+    fn release_due(&mut self) {
+        match &mut self.release {
+            Release::UnderWay { again } => *again = true,
+            release => *release = Release::Due,
+        }
+    }
+
+    fn due(&mut self, timer: Timer, out: &mut Effects) {
+        match timer {
+            Timer::Deadline => {
+                self.deadline_armed = false;
+                if self.answer == Answer::Owed {
+                    // The router is told as if the client had gone, which it is about to.
+                    self.give(Final::Deadline, out);
+                    out.push(Effect::TellGone);
+                }
+            }
+            Timer::Pin => {
+                self.pin_armed = false;
+                self.release_due();
+            }
+        }
+    }
+
+    /// What follows from where the request stands.
+    fn settle(&mut self, out: &mut Effects) {
+        let closed = self.closed();
+        if closed {
+            // Nobody will take a place: its call is given up, and what it may have left is let go.
+            if let PlaceCall::Out(_) = self.place {
+                self.place = PlaceCall::None;
+                self.cut = true;
+                self.hold(Held::Place);
+                out.push(Effect::DropPlace);
+            }
+            let lets_go = self.held != Held::Nothing && self.release == Release::None;
+            #[cfg(feature = "mutants")]
+            let lets_go = lets_go && !self.faulty(Fault::ForgetsHeldAtEnd);
+            if lets_go {
+                self.release = Release::Due;
+            }
+        }
+        let free = !self.at_server();
+        #[cfg(feature = "mutants")]
+        let free = free || self.faulty(Fault::ReleasesWhileOut);
+        if self.release == Release::Due && free {
+            self.release = Release::UnderWay { again: false };
+            out.push(Effect::Release { after_cut: std::mem::take(&mut self.cut) });
+        }
+        let clear = self.release == Release::None;
+        #[cfg(feature = "mutants")]
+        let clear = clear || self.faulty(Fault::SendsBeforeRelease);
+        if clear {
+            if let Some(attempt) = self.attempts.iter().position(|a| a.step == Step::Waiting) {
+                self.attempts[attempt].step = Step::Out;
+                out.push(Effect::Start { attempt });
+            }
+        }
+        self.timers(out);
+        let left = self.out() || self.release != Release::None || self.place != PlaceCall::None;
+        #[cfg(feature = "mutants")]
+        let (closed, left) = (
+            closed && !self.faulty(Fault::NeverOver),
+            left && !(self.faulty(Fault::OverTooEarly) && self.release != Release::None),
+        );
+        if closed && !left {
+            self.over = true;
+            out.push(Effect::Over);
+        }
+    }
+
+    /// Arms what must be armed where the request stands, and nothing else.
+    fn timers(&mut self, out: &mut Effects) {
+        let deadline = self.deadline_armed && self.answer == Answer::Owed;
+        let pin =
+            self.held != Held::Nothing && !self.out() && self.release == Release::None && !self.closed();
+        #[cfg(feature = "mutants")]
+        let (deadline, pin) = (
+            (deadline || self.deadline_armed && self.faulty(Fault::LeavesTimer))
+                && !self.faulty(Fault::NoDeadline),
+            pin && !self.faulty(Fault::NoPinLimit),
+        );
+        for (timer, wanted) in [(Timer::Deadline, deadline), (Timer::Pin, pin)] {
+            let armed = match timer {
+                Timer::Deadline => &mut self.deadline_armed,
+                Timer::Pin => &mut self.pin_armed,
+            };
+            if *armed != wanted {
+                *armed = wanted;
+                out.push(if wanted { Effect::Arm(timer) } else { Effect::Disarm(timer) });
+            }
+        }
+    }
+}
+
+impl StreamEnd {
+    pub fn status(self) -> Status {
+        match self {
+            StreamEnd::Whole | StreamEnd::Moved => Status::Served,
+            StreamEnd::Reset => Status::Reset,
+            StreamEnd::Spoilt => Status::Spoilt,
+            StreamEnd::Silent => Status::Timeout,
+            StreamEnd::Untaken => Status::Cancelled,
+        }
+    }
+}
--- /dev/null
+++ b/crates/lifecycle/src/server.rs
@@ -0,0 +1,211 @@
+//! A connection to a server: whether a request may be written to it, and what its end says of the request.
+//!
+//! One request at a time. The one thing that this machine may never get wrong is whether a request's last byte can
+//! have reached its server: before it, the request never ran, after it, it may have.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Impossible;
+
+/// Where a connection stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Stage {
+    /// Being opened.
+    Dialling,
+    /// Up, with no request on it.
+    Idle,
+    /// A request is being written; not all of it is out.
+    Writing,
+    /// Its last byte is out; the head of its answer is not here.
+    Awaiting,
+    /// The answer's body comes in.
+    Streaming,
+    /// The server has closed it, or said what nobody asked for, while it stood idle.
+    Stale,
+    Closing,
+    /// Another process reads on.
+    HandedOver,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Input {
+    /// It is up.
+    Up,
+    /// It did not come up.
+    Refused,
+    /// A request is to be written. `serving`: its server may get something new at this moment.
+    Send { serving: bool },
+    /// Some bytes of the request were handed to the machine.
+    Wrote,
+    /// So was its last one.
+    WroteAll,
+    /// The head of the answer has come whole.
+    Head,
+    /// The answer has come to its end.
+    End,
+    /// Reading has stopped between two chunks, for another process to go on.
+    Stands,
+    /// The server closed it, reset it or said what cannot be read.
+    Broke,
+    /// Whoever waited for it gave up, or it has stood idle for too long.
+    Dropped,
+    /// The server is to get nothing new.
+    Drained,
+}
+
+/// What is to be done, or what is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Effect {
+    Nothing,
+    /// Write the request.
+    Write,
+    /// Not a byte went out, and this connection was an old one: the same request on another is no second attempt.
+    Replace,
+    /// Nothing of the request can have run.
+    NeverRan,
+    /// The request may have run.
+    MayHaveRun,
+    /// The server must get nothing: nothing was written, and the connection is closed.
+    KeptBack,
+    /// Take it for the next request.
+    Keep,
+    Close,
+    /// The open answer goes on elsewhere.
+    HandOver,
+}
+
+/// A fault planted in the machine, for the explorer to show that it finds each.
+#[cfg(feature = "mutants")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Fault {
+    WritesToDrained,
+    ReplacesAfterByte,
+    CallsSentNeverRan,
+    KeepsDrained,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Connection {
+    stage: Stage,
+    /// It has carried a request before this one.
+    used: bool,
+    /// A byte of the open request is out.
+    wrote: bool,
+    /// Its server is to get nothing new.
+    drained: bool,
+    #[cfg(feature = "mutants")]
+    fault: Option<Fault>,
+}
+
+impl Default for Connection {
+    fn default() -> Self {
+        Connection {
+            stage: Stage::Dialling,
+            used: false,
+            wrote: false,
+            drained: false,
+            #[cfg(feature = "mutants")]
+            fault: None,
+        }
+    }
+}
+
+impl Connection {
+    #[cfg(feature = "mutants")]
+    pub fn plant(&mut self, fault: Option<Fault>) {
+        self.fault = fault;
+    }
+
+    pub fn stage(&self) -> Stage {
+        self.stage
+    }
+
+    /// Whether a byte of the open request is out.
+    pub fn wrote(&self) -> bool {
+        self.wrote
+    }
+
+    /// The transition table.
+    pub fn step(&mut self, input: Input) -> Result<Effect, Impossible> {
+        use Stage::*;
+        #[cfg(feature = "mutants")]
+        let planted = self.fault;
+        let (next, effect) = match (self.stage, input) {
+            (Stale | Closing | HandedOver, _) => return self.ended(input),
+            (Dialling, Input::Up) => (Idle, Effect::Nothing),
+            (Dialling, Input::Refused | Input::Broke) => (Closing, Effect::NeverRan),
+            // Connecting takes time: what was told meanwhile counts at the first byte.
+            (Idle, Input::Send { serving }) => {
+                let may = serving && !self.drained;
+                #[cfg(feature = "mutants")]
+                let may = may || planted == Some(Fault::WritesToDrained);
+                if may {
+                    self.wrote = false;
+                    (Writing, Effect::Write)
+                } else {
+                    (Closing, Effect::KeptBack)
+                }
+            }
+            (Idle, Input::Broke) => (Stale, Effect::Close),
+            (Writing, Input::Wrote) => {
+                self.wrote = true;
+                (Writing, Effect::Nothing)
+            }
+            (Writing, Input::WroteAll) => {
+                self.wrote = true;
+                (Awaiting, Effect::Nothing)
+            }
+            (Writing, Input::Broke) => {
+                let replace = self.used && !self.wrote;
+                #[cfg(feature = "mutants")]
+                let replace = replace || self.used && planted == Some(Fault::ReplacesAfterByte);
+                (Closing, if replace { Effect::Replace } else { Effect::NeverRan })
+            }
+            // Answered before its end was written: the server has made up its mind.
+            (Writing | Awaiting, Input::Head) => (Streaming, Effect::Nothing),
+            (Awaiting | Streaming, Input::Broke) => {
+                let ran = Effect::MayHaveRun;
+                #[cfg(feature = "mutants")]
+                let ran = if planted == Some(Fault::CallsSentNeverRan) { Effect::NeverRan } else { ran };
+                (Closing, ran)
+            }
+            (Streaming, Input::End) => {
+                let keep = !self.drained;
+                #[cfg(feature = "mutants")]
+                let keep = keep || planted == Some(Fault::KeepsDrained);
+                (self.used, self.wrote) = (true, false);
+                if keep {
+                    (Idle, Effect::Keep)
+                } else {
+                    (Closing, Effect::Close)
+                }
+            }
+            (Streaming, Input::Stands) => (HandedOver, Effect::HandOver),
+            (_, Input::Dropped) => (Closing, Effect::Close),
+            // What stands idle is closed; a request under way may end.
+            (stage, Input::Drained) => {
+                self.drained = true;
+                match stage {
+                    Idle => (Closing, Effect::Close),
+                    _ => (stage, Effect::Nothing),
+                }
+            }
+            _ => return Err(self.impossible(&input)),
+        };
+        self.stage = next;
+        Ok(effect)
+    }
+
+    /// After its end, what was on its way may still come, and changes nothing.
+    fn ended(&self, input: Input) -> Result<Effect, Impossible> {
+        match (self.stage, input) {
+            (Stage::Stale, Input::Send { .. }) => Ok(Effect::Replace),
+            (_, Input::Dropped | Input::Drained | Input::Broke) => Ok(Effect::Nothing),
+            _ => Err(self.impossible(&input)),
+        }
+    }
+
+    fn impossible(&self, input: &Input) -> Impossible {
+        Impossible::new("server connection", input, self)
+    }
+}
--- /dev/null
+++ b/gateway/src/core/mod.rs
@@ -0,0 +1,648 @@
+//! The core: drives one [`Router`] and a [`lifecycle`](glenrail_lifecycle) machine for each request, and knows no
+//! wire.
+//!
+//! Events go through a queue, so that carrying out an action never re-enters the router. What a request may do at
+//! each point is its machine's to say: the core starts calls, feeds what comes back, and carries out effects.
+
+mod clock;
+mod passing;
+mod timers;
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::convert::Infallible;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use deckhub::*;
+use futures_util::stream::StreamExt;
+use glenrail_lifecycle::request::{self, Effect, Final, Input, Repeat, Stage, Step, Terms};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::{sleep, timeout_at, Instant};
+use tokio_util::time::delay_queue::Key;
+use tower::{Service, ServiceExt};
+
+use crate::exchange::{self, ClientSide, Failure, Payload, Piece};
+use crate::log;
+use crate::upstream::{Call, Failed, Frame, Reply};
+
+pub use clock::{duration, Clock};
+pub use passing::resume;
+use passing::{pass, rest, Passed};
+use timers::{Due, Timers};
+
+/// Pause before letting go of what a cut read may have left, so that the server has seen the cut by then.
+const AFTER_CUT: Duration = Duration::from_millis(25);
+/// An attempt ends so much later than it was told: the router's own timer for the same moment comes first, and with
+/// it the reason.
+const SLACK: Duration = Duration::from_millis(2);
+/// The request's own deadline comes so much later than the router's, which knows why it fails.
+const GUARD: Duration = Duration::from_millis(8);
+/// Share of the pin limit after which the machine lets go of what the router has not; the router's is 0.8.
+const PIN_USED: f64 = 0.92;
+
+/// The servers as one service, which the core calls.
+pub trait Upstream:
+    Service<Call, Response = Reply, Error = Failed, Future: 'static> + Clone + 'static
+{
+}
+impl<U: Service<Call, Response = Reply, Error = Failed, Future: 'static> + Clone + 'static> Upstream for U {}
+
+/// What the core keeps of one attempt beside its machine.
+struct Sent {
+    at: Instant,
+    until: Instant,
+    /// Dropping it calls the attempt back.
+    cancel: Option<oneshot::Sender<()>>,
+    note: f64,
+    report: Option<Report>,
+}
+
+/// What the core keeps of one request beside its machine.
+struct Job {
+    machine: request::Request,
+    payload: Rc<Payload>,
+    /// Gone once the client is owed nothing more.
+    pieces: Option<mpsc::Sender<Piece>>,
+    watch: AbortHandle,
+    deadline: Instant,
+    sent: Vec<Sent>,
+    place: Option<AbortHandle>,
+    retry_after: Duration,
+    timers: Vec<(Due, Key)>,
+}
+
+struct Inner {
+    router: Router,
+    clock: Clock,
+    terms: Terms,
+    never: Vec<bool>,
+    pin: Duration,
+    roles: Vec<Role>,
+    members: BTreeMap<ServerId, (Role, ServerState)>,
+    queue: VecDeque<Event>,
+    busy: bool,
+    jobs: HashMap<u64, Job>,
+    /// The requests that have not wholly ended, by the names that servers know them by.
+    names: HashMap<String, u64>,
+    next: u64,
+    timers: Timers,
+    /// Waits for the timers.
+    clockwork: Option<AbortHandle>,
+}
+
+impl Drop for Inner {
+    fn drop(&mut self) {
+        if let Some(clockwork) = &self.clockwork {
+            clockwork.abort();
+        }
+    }
+}
+
+/// What a core holds at one time, to show that nothing is left of requests that have ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Holds {
+    pub requests: usize,
+    pub names: usize,
+    pub timers: usize,
+}
+
+pub struct Core<U> {
+    inner: Rc<RefCell<Inner>>,
+    upstream: U,
+}
+
+impl<U: Clone> Clone for Core<U> {
+    fn clone(&self) -> Self {
+        Core { inner: self.inner.clone(), upstream: self.upstream.clone() }
+    }
+}
+
+impl<U: Upstream> Core<U> {
+    pub fn new(seed: u64, settings: Settings, clock: Clock, upstream: U) -> Self {
+        let most = settings.limits.max_attempts.max(1) as usize;
+        let inner = Inner {
+            clock,
+            terms: Terms { repeat: Repeat::Freely, most, cancel: settings.limits.cancel },
+            never: settings.classes.iter().map(|c| c.effect == deckhub::Effect::Unsafe).collect(),
+            pin: duration(settings.rules.pin_limit * PIN_USED),
+            roles: settings.kinds.iter().map(|k| k.role).collect(),
+            router: Router::new(seed, settings),
+            members: BTreeMap::new(),
+            queue: VecDeque::new(),
+            busy: false,
+            jobs: HashMap::new(),
+            names: HashMap::new(),
+            next: 0,
+            timers: Timers::default(),
+            clockwork: None,
+        };
+        Core { inner: Rc::new(RefCell::new(inner)), upstream }
+    }
+
+    /// A list of servers, or changes to it.
+    pub fn members(&self, scope: Scope, members: Vec<Member>) {
+        {
+            let mut inner = self.inner.borrow_mut();
+            if matches!(scope, Scope::Full | Scope::Cached) {
+                inner.members.clear();
+            }
+            for m in &members {
+                let role = inner.roles.get(m.kind as usize).copied().unwrap_or(Role::Mixed);
+                match m.state {
+                    ServerState::Gone => inner.members.remove(&m.server),
+                    state => inner.members.insert(m.server, (role, state)),
+                };
+            }
+        }
+        self.feed(Event::Members { scope, members });
+    }
+
+    /// Whether the list has what it takes to answer a request.
+    pub fn can_serve(&self) -> bool {
+        let inner = self.inner.borrow();
+        let has = |role| inner.members.values().any(|m| *m == (role, ServerState::Ready));
+        has(Role::Mixed) || (has(Role::Reader) && has(Role::Writer))
+    }
+
+    /// What the router has learned, for another process that takes over.
+    pub fn recollect(&self) -> Vec<u8> {
+        self.inner.borrow().router.recollect()
+    }
+
+    pub fn inherit(&self, learned: &[u8]) {
+        self.inner.borrow_mut().router.inherit(learned);
+    }
+
+    /// Requests that were taken and have not ended.
+    pub fn open(&self) -> usize {
+        self.inner.borrow().jobs.values().filter(|j| !j.machine.closed()).count()
+    }
+
+    /// Listed servers that get nothing new at present, by order or by the module's choice.
+    pub fn avoided(&self) -> usize {
+        let inner = self.inner.borrow();
+        inner.members.keys().filter(|id| inner.router.avoids(**id)).count()
+    }
+
+    /// Whether nothing is under way: no request, no attempt, no release.
+    pub fn idle(&self) -> bool {
+        self.inner.borrow().jobs.is_empty()
+    }
+
+    pub fn holds(&self) -> Holds {
+        let inner = self.inner.borrow();
+        Holds { requests: inner.jobs.len(), names: inner.names.len(), timers: inner.timers.len() }
+    }
+
+    /// Takes a request; its answer comes through the exchange.
+    pub fn submit(&self, request: exchange::Request) -> ClientSide {
+        let (client, server) = exchange::pair(request);
+        let exchange::Request { mut ask, arrived, payload } = server.request;
+        let id = {
+            let mut inner = self.inner.borrow_mut();
+            // Guards an open request from a copy: servers know both by one name, so whatever is done for the copy,
+            // its releases above all, would hit the first.
+            if inner.names.contains_key(&payload.name) {
+                return ClientSide::failed(Failure::NameTaken);
+            }
+            // Small numbers in sequence: the module shifts ids left and keeps one high timer key for itself,
+            // so the wire's 64-bit names must not reach it.
+            inner.next += 1;
+            let id = inner.next;
+            inner.names.insert(payload.name.clone(), id);
+            id
+        };
+        let deadline = arrived + duration(ask.patience);
+        ask.id = RequestId(id);
+        ask.patience = deadline.saturating_duration_since(Instant::now()).as_secs_f64() * 1000.0;
+        let watch = spawn_local({
+            let (core, pieces) = (self.clone(), server.pieces.clone());
+            async move {
+                pieces.closed().await;
+                core.input(id, Input::ClientGone);
+            }
+        });
+        let mut effects = Vec::new();
+        {
+            let mut inner = self.inner.borrow_mut();
+            let never = inner.never.get(ask.class as usize).copied().unwrap_or(true);
+            let repeat = if never { Repeat::Never } else { Repeat::Freely };
+            let job = Job {
+                machine: request::Request::new(Terms { repeat, ..inner.terms }, &mut effects),
+                payload,
+                pieces: Some(server.pieces),
+                watch: watch.abort_handle(),
+                deadline,
+                sent: Vec::new(),
+                place: None,
+                retry_after: Duration::ZERO,
+                timers: Vec::new(),
+            };
+            inner.jobs.insert(id, job);
+        }
+        effects.into_iter().for_each(|effect| self.carry_out(id, effect));
+        self.feed(Event::Request(ask));
+        client
+    }
+
+    /// Hands one event to the router and carries out what it answers, in order.
+    fn feed(&self, event: Event) {
+        self.inner.borrow_mut().queue.push_back(event);
+        self.run();
+    }
+
+    /// Hands what is queued to the router, one event after the other.
+    fn run(&self) {
+        if std::mem::replace(&mut self.inner.borrow_mut().busy, true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        loop {
+            {
+                let mut inner = self.inner.borrow_mut();
+                let Some(event) = inner.queue.pop_front() else {
+                    inner.busy = false;
+                    #[cfg(debug_assertions)]
+                    inner.walk();
+                    return;
+                };
+                let now = inner.clock.now();
+                inner.router.handle(now, event, &mut actions);
+            }
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    /// Carries out one order of the router.
+    fn act(&self, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id.0, server, timeout),
+            Action::Cancel { id, attempt } => self.input(id.0, Input::Cancel { attempt: attempt as usize }),
+            Action::Release { id } => self.input(id.0, Input::Release),
+            Action::Refuse { id, retry_after } => {
+                if let Some(job) = self.inner.borrow_mut().jobs.get_mut(&id.0) {
+                    job.retry_after = duration(retry_after);
+                }
+                self.input(id.0, Input::Answer(Final::Refused));
+            }
+            Action::Fail { id } => {
+                let late = |j: &Job| Instant::now() + duration(20.0) >= j.deadline;
+                let late = self.inner.borrow().jobs.get(&id.0).is_some_and(late);
+                self.input(id.0, Input::Answer(if late { Final::Deadline } else { Final::Failed }));
+            }
+            Action::HoldPlace { id, server } => self.input(id.0, Input::Hold { server: server.0 }),
+            Action::Probe { server } => {
+                let core = self.clone();
+                spawn_local(async move { core.probe(server).await });
+            }
+            Action::CloseIdle { server } => {
+                spawn_local(self.upstream.clone().oneshot(Call::CloseIdle { server }));
+            }
+            Action::Timer { at, key, of } => {
+                let of = of.map(|id| id.0);
+                let at = self.inner.borrow().clock.instant(at);
+                self.arm(at, Due::Router { key, of }, of);
+            }
+            Action::Log(words) => log!("router: {words}"),
+            // Discovery is watched all the time, peers are never told, and streams are never moved: no
+            // deployment of this gateway allows it.
+            Action::Subscribe { .. } | Action::FetchList | Action::Tell { .. } | Action::Move { .. } => {}
+        }
+    }
+
+    fn send(&self, id: u64, server: ServerId, wait: Ms) {
+        let input = {
+            let mut inner = self.inner.borrow_mut();
+            let listed = inner.members.get(&server).copied();
+            let Some(job) = inner.jobs.get_mut(&id) else { return };
+            let now = Instant::now();
+            let until =
+                if wait > 0.0 { job.deadline.min(now + duration(wait) + SLACK) } else { job.deadline };
+            job.sent.push(Sent { at: now, until, cancel: None, note: 0.0, report: None });
+            let stage = if listed.is_some_and(|l| l.0 == Role::Reader) { Stage::Read } else { Stage::Run };
+            let ready = listed.is_some_and(|l| l.1 == ServerState::Ready);
+            Input::Send { server: server.0, stage, may: ready && until > now }
+        };
+        self.input(id, input);
+    }
+
+    /// Feeds a request's machine and carries out what it says.
+    fn input(&self, id: u64, input: Input) {
+        let mut effects = Vec::new();
+        {
+            let mut inner = self.inner.borrow_mut();
+            // The request has wholly ended.
+            let Some(job) = inner.jobs.get_mut(&id) else { return };
+            if let Err(e) = job.machine.step(input, &mut effects) {
+                return log!("{e}");
+            }
+        }
+        effects.into_iter().for_each(|effect| self.carry_out(id, effect));
+        if let Some(job) = self.inner.borrow_mut().jobs.get_mut(&id) {
+            if job.machine.closed() {
+                // Nothing more is owed: the client sees its answer's end, and nobody waits for its going.
+                job.pieces = None;
+                job.watch.abort();
+            }
+        }
+        self.run();
+    }
+
+    fn carry_out(&self, id: u64, effect: Effect) {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        let Some(job) = inner.jobs.get_mut(&id) else { return };
+        match effect {
+            Effect::Start { attempt } => {
+                let (cancel, cancelled) = oneshot::channel();
+                job.sent[attempt].cancel = Some(cancel);
+                let server = ServerId(job.machine.attempts()[attempt].server);
+                let (core, payload, until) = (self.clone(), job.payload.clone(), job.sent[attempt].until);
+                spawn_local(
+                    async move { core.attempt(id, attempt, server, payload, until, cancelled).await },
+                );
+            }
+            Effect::CallBack { attempt } => job.sent[attempt].cancel = None,
+            Effect::Release { after_cut } => {
+                let (core, call) = (self.clone(), Call::Release { payload: job.payload.clone() });
+                spawn_local(async move {
+                    if after_cut {
+                        sleep(AFTER_CUT).await;
+                    }
+                    if core.upstream.clone().oneshot(call).await.is_err() {
+                        log!("a lease could not be let go: no server took the call");
+                    }
+                    core.input(id, Input::Released);
+                });
+            }
+            Effect::AskPlace { server } => {
+                let call = Call::Hold { server: ServerId(server), payload: job.payload.clone() };
+                let (core, call) = (self.clone(), self.upstream.clone().oneshot(call));
+                let task = spawn_local(async move {
+                    let held = match call.await {
+                        Ok(Reply::Held(held)) => held,
+                        // Nothing of it reached the server.
+                        Err(Failed::Connect | Failed::NotSent) => Some(false),
+                        _ => None,
+                    };
+                    core.input(id, Input::Placed { held });
+                });
+                job.place = Some(task.abort_handle());
+            }
+            Effect::DropPlace => {
+                if let Some(place) = job.place.take() {
+                    place.abort();
+                }
+            }
+            Effect::Answer(last) => {
+                let piece = match last {
+                    Final::Refused => Piece::Refused(job.retry_after),
+                    Final::Failed => Piece::Failed(Failure::Upstream),
+                    Final::Deadline => Piece::Failed(Failure::Deadline),
+                    Final::Unfit => Piece::Failed(Failure::Unfit),
+                };
+                if let Some(pieces) = &job.pieces {
+                    // Nothing was passed on before, so there is room.
+                    let _ = pieces.try_send(piece);
+                }
+            }
+            // The task that brought it passes it on.
+            Effect::PassOn { .. } => {}
+            Effect::TellFirst { attempt } => {
+                let (server, elapsed) =
+                    (ServerId(job.machine.attempts()[attempt].server), job.elapsed(attempt));
+                let (id, attempt) = (RequestId(id), attempt as u32);
+                inner.queue.push_back(Event::FirstToken { id, attempt, server, elapsed });
+            }
+            Effect::TellOutcome { attempt, status, closed } => {
+                let outcome = Outcome {
+                    id: RequestId(id),
+                    attempt: attempt as u32,
+                    server: ServerId(job.machine.attempts()[attempt].server),
+                    status: told(status),
+                    elapsed: job.elapsed(attempt),
+                    note: job.sent[attempt].note,
+                    closed,
+                    report: job.sent[attempt].report.take(),
+                };
+                inner.queue.push_back(Event::Outcome(outcome));
+            }
+            Effect::TellGone => inner.queue.push_back(Event::ClientGone { id: RequestId(id) }),
+            Effect::TellPlace { server, held } => {
+                let attempt = job.sent.len().saturating_sub(1) as u32;
+                let (id, server) = (RequestId(id), ServerId(server));
+                inner.queue.push_back(Event::Place { id, attempt, server, held });
+            }
+            Effect::Arm(timer) => {
+                let at = match timer {
+                    request::Timer::Deadline => job.deadline + GUARD,
+                    request::Timer::Pin => Instant::now() + inner.pin,
+                };
+                let key = inner.timers.arm(at, Due::Request(id, timer));
+                job.timers.push((Due::Request(id, timer), key));
+                self.wind(inner);
+            }
+            Effect::Disarm(timer) => {
+                let due = Due::Request(id, timer);
+                if let Some(at) = job.timers.iter().position(|t| t.0 == due) {
+                    inner.timers.disarm(&job.timers.swap_remove(at).1);
+                }
+            }
+            Effect::Over => {
+                if let Some(job) = inner.jobs.remove(&id) {
+                    job.watch.abort();
+                    job.timers.iter().for_each(|(_, key)| inner.timers.disarm(key));
+                    inner.names.remove(&job.payload.name);
+                }
+            }
+        }
+    }
+
+    fn arm(&self, at: Instant, due: Due, of: Option<u64>) {
+        let mut inner = self.inner.borrow_mut();
+        let inner = &mut *inner;
+        match of.map(|id| inner.jobs.get_mut(&id)) {
+            // Of a request that has ended already.
+            Some(None) => {}
+            Some(Some(job)) => job.timers.push((due, inner.timers.arm(at, due))),
+            None => _ = inner.timers.arm(at, due),
+        }
+        self.wind(inner);
+    }
+
+    /// Has the timers waited for, for as long as the core is there.
+    fn wind(&self, inner: &mut Inner) {
+        if inner.clockwork.is_some() {
+            return;
+        }
+        let (weak, upstream) = (Rc::downgrade(&self.inner), self.upstream.clone());
+        let clockwork = spawn_local(async move {
+            loop {
+                let due = poll_fn(|cx| match weak.upgrade() {
+                    Some(inner) => inner.borrow_mut().timers.poll_due(cx).map(Some),
+                    None => Poll::Ready(None),
+                });
+                let Some((key, due)) = due.await else { return };
+                let Some(inner) = weak.upgrade() else { return };
+                Core { inner, upstream: upstream.clone() }.due(key, due);
+            }
+        });
+        inner.clockwork = Some(clockwork.abort_handle());
+    }
+
+    fn due(&self, key: Key, due: Due) {
+        let (Due::Request(id, _) | Due::Router { of: Some(id), .. }) = due else {
+            let Due::Router { key, .. } = due else { return };
+            return self.feed(Event::Timer { key });
+        };
+        if let Some(job) = self.inner.borrow_mut().jobs.get_mut(&id) {
+            job.timers.retain(|t| t.1 != key);
+        }
+        match due {
+            Due::Router { key, .. } => self.feed(Event::Timer { key }),
+            Due::Request(id, timer) => self.input(id, Input::Due(timer)),
+        }
+    }
+
+    /// Sends an attempt once and feeds the machine with what becomes of it.
+    async fn attempt(
+        &self, id: u64, attempt: usize, server: ServerId, payload: Rc<Payload>, until: Instant,
+        cancelled: oneshot::Receiver<()>,
+    ) {
+        let wait = until.saturating_duration_since(Instant::now());
+        if wait.is_zero() {
+            // What was to be let go before took all its time.
+            return self.input(id, Input::Replied { attempt, reply: request::Reply::NotSent });
+        }
+        let call = self.upstream.clone().oneshot(Call::Attempt { server, payload, wait });
+        let reply = tokio::select! {
+            biased;
+            _ = cancelled => return self.input(id, Input::Dropped { attempt }),
+            reply = timeout_at(until, call) => reply,
+        };
+        let Ok(reply) = reply else { return self.input(id, Input::TimedOut { attempt }) };
+        let (reply, note, report) = match reply {
+            Ok(Reply::Answer { head, mut frames }) => {
+                let Some(Ok(Frame::Data(first))) = frames.next().await else {
+                    return self.input(id, Input::Replied { attempt, reply: request::Reply::Reset });
+                };
+                self.input(id, Input::Replied { attempt, reply: request::Reply::Begins });
+                let Some(pieces) = self.passes(id, attempt) else { return };
+                let passed = match pass(&pieces, Piece::Begin(head, first)).await {
+                    true => rest(&pieces, frames).await,
+                    false => request::StreamEnd::Untaken.into(),
+                };
+                return self.passed(id, attempt, passed);
+            }
+            Ok(Reply::Read { kept, report }) => (request::Reply::Read, kept, report),
+            Ok(Reply::Declined { no_state, report }) => {
+                (request::Reply::Declined, f64::from(u8::from(no_state)), report)
+            }
+            Ok(Reply::Unfit { report }) => (request::Reply::Unfit, 0.0, report),
+            Ok(Reply::Error { report }) => (request::Reply::Error, 0.0, report),
+            Ok(_) => (request::Reply::Error, 0.0, None),
+            Err(Failed::Connect) => (request::Reply::Connect, 0.0, None),
+            Err(Failed::Reset) => (request::Reply::Reset, 0.0, None),
+            Err(Failed::Spoilt) => (request::Reply::Spoilt, 0.0, None),
+            Err(Failed::NotSent) => (request::Reply::NotSent, 0.0, None),
+        };
+        self.keep(id, attempt, note, report);
+        self.input(id, Input::Replied { attempt, reply });
+    }
+
+    /// Where the answer of this attempt goes, if the machine has made it the client's.
+    fn passes(&self, id: u64, attempt: usize) -> Option<mpsc::Sender<Piece>> {
+        let inner = self.inner.borrow();
+        let job = inner.jobs.get(&id)?;
+        (job.machine.attempts()[attempt].step == Step::Begun).then(|| job.pieces.clone())?
+    }
+
+    fn passed(&self, id: u64, attempt: usize, passed: Passed) {
+        let Passed { end, kept, report } = passed;
+        self.keep(id, attempt, kept, report);
+        self.input(id, Input::StreamEnded { attempt, end });
+    }
+
+    /// What a server said beside its reply, for the attempt's outcome.
+    fn keep(&self, id: u64, attempt: usize, note: f64, report: Option<Report>) {
+        if let Some(job) = self.inner.borrow_mut().jobs.get_mut(&id) {
+            (job.sent[attempt].note, job.sent[attempt].report) = (note, report);
+        }
+    }
+
+    async fn probe(&self, server: ServerId) {
+        let sent = Instant::now();
+        let (status, report) = match self.upstream.clone().oneshot(Call::Probe { server }).await {
+            Ok(Reply::Probed { well: true, report }) => (Status::Served, report),
+            Ok(Reply::Probed { report, .. }) => (Status::Error, report),
+            Ok(_) | Err(Failed::NotSent | Failed::Connect) => (Status::ConnectFailed, None),
+            Err(Failed::Reset) => (Status::Reset, None),
+            Err(Failed::Spoilt) => (Status::Spoilt, None),
+        };
+        let elapsed = sent.elapsed().as_secs_f64() * 1000.0;
+        self.feed(Event::Probed { server, status, elapsed, report });
+    }
+}
+
+impl Job {
+    fn elapsed(&self, attempt: usize) -> Ms {
+        self.sent[attempt].at.elapsed().as_secs_f64() * 1000.0
+    }
+}
+
+#[cfg(debug_assertions)]
+impl Inner {
+    /// The slow path that the machines' effects replace: what a walk over all requests would find left undone.
+    fn walk(&self) {
+        assert_eq!(self.names.len(), self.jobs.len(), "a name for each request that is left");
+        for (id, job) in &self.jobs {
+            let machine = &job.machine;
+            assert!(!machine.over(), "request {id} has ended and is kept");
+            assert_eq!(job.sent.len(), machine.attempts().len(), "request {id}: an attempt without its call");
+            for timer in [request::Timer::Deadline, request::Timer::Pin] {
+                let armed = job.timers.iter().filter(|t| t.0 == Due::Request(*id, timer)).count();
+                assert_eq!(armed, usize::from(machine.armed(timer)), "request {id}: {timer:?}");
+            }
+        }
+    }
+}
+
+/// An outcome in the router's terms.
+fn told(status: request::Status) -> Status {
+    match status {
+        request::Status::Served => Status::Served,
+        request::Status::Read => Status::Read,
+        request::Status::Error => Status::Error,
+        request::Status::Declined => Status::Full,
+        request::Status::Timeout => Status::Timeout,
+        request::Status::Connect => Status::ConnectFailed,
+        request::Status::Reset => Status::Reset,
+        request::Status::Spoilt => Status::Spoilt,
+        request::Status::Cancelled => Status::Cancelled,
+        request::Status::NotSent => Status::NotSent,
+    }
+}
+
+/// The core as a service of requests: what the layers before it wrap.
+impl<U: Upstream> Service<exchange::Request> for Core<U> {
+    type Response = ClientSide;
+    type Error = Infallible;
+    type Future = std::future::Ready<Result<ClientSide, Infallible>>;
+
+    fn poll_ready(&mut self, _: &mut Context<'_>) -> Poll<Result<(), Infallible>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn call(&mut self, request: exchange::Request) -> Self::Future {
+        std::future::ready(Ok(self.submit(request)))
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/gateway/src/core/passing.rs
@@ -0,0 +1,82 @@
+//! Passing an answer on to its client, piece by piece.
+
+use std::time::Duration;
+
+use futures_util::stream::{LocalBoxStream, StreamExt};
+use glenrail_lifecycle::request::StreamEnd;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+use tokio::time::timeout;
+
+use deckhub::Report;
+
+use crate::exchange::{self, ClientSide, Piece};
+use crate::log;
+use crate::upstream::{Failed, Frame};
+
+pub type Frames = LocalBoxStream<'static, Result<Frame, Failed>>;
+
+/// A stream without a whole event for so long is taken for dead, so that its client's connection ends within the
+/// 5 s that the platform's rules give. Its writer may have put the answer back into its queue, so no less.
+const SILENT: Duration = Duration::from_millis(4_600);
+/// A client that takes nothing of its stream for so long has lost it.
+const STALLED: Duration = Duration::from_secs(30);
+
+/// How a stream ended, and what its server said at the end.
+pub struct Passed {
+    pub end: StreamEnd,
+    pub kept: f64,
+    pub report: Option<Report>,
+}
+
+impl From<StreamEnd> for Passed {
+    fn from(end: StreamEnd) -> Self {
+        Passed { end, kept: 0.0, report: None }
+    }
+}
+
+/// Passes an answer on after its first piece, to its end.
+pub async fn rest(pieces: &mpsc::Sender<Piece>, mut frames: Frames) -> Passed {
+    loop {
+        let frame = tokio::select! {
+            biased;
+            frame = timeout(SILENT, frames.next()) => frame,
+            () = pieces.closed() => return StreamEnd::Untaken.into(),
+        };
+        match frame {
+            Ok(Some(Ok(Frame::Data(bytes)))) => {
+                if !pass(pieces, Piece::Chunk(bytes)).await {
+                    return StreamEnd::Untaken.into();
+                }
+            }
+            Ok(Some(Ok(Frame::Moved(rest)))) => {
+                pass(pieces, Piece::Moved(rest)).await;
+                return StreamEnd::Moved.into();
+            }
+            Ok(Some(Ok(Frame::End { kept, report }))) => {
+                pass(pieces, Piece::End).await;
+                return Passed { end: StreamEnd::Whole, kept, report };
+            }
+            Ok(Some(Err(Failed::Spoilt))) => return StreamEnd::Spoilt.into(),
+            Ok(Some(Err(_)) | None) => return StreamEnd::Reset.into(),
+            Err(_) => {
+                log!("a stream fell silent and is cut");
+                return StreamEnd::Silent.into();
+            }
+        }
+    }
+}
+
+/// Goes on with an answer that another process began. No request of the router belongs to it any more.
+pub fn resume(frames: Frames) -> ClientSide {
+    let (client, pieces) = exchange::answer();
+    spawn_local(async move {
+        rest(&pieces, frames).await;
+    });
+    client
+}
+
+/// Whether the client took the piece.
+pub async fn pass(pieces: &mpsc::Sender<Piece>, piece: Piece) -> bool {
+    matches!(timeout(STALLED, pieces.send(piece)).await, Ok(Ok(())))
+}
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -7,6 +7,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 use tokio::task::LocalSet;
+use tokio::time::timeout;
 
 use super::*;
 use crate::exchange::{Head, Request};
--- a/src/api.rs
+++ b/src/api.rs
@@ -268,9 +268,11 @@
         on: bool,
     },
     FetchList,
+    /// Wake the module at this time with this key. `of`: only for as long as this request is open.
     Timer {
         at: Ms,
         key: u64,
+        of: Option<RequestId>,
     },
     Log(String),
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -217,7 +217,7 @@
 
     fn set_tick(&mut self, out: &mut Vec<Action>) {
         self.tick_due = Some(self.now + TICK);
-        out.push(Action::Timer { at: self.now + TICK, key: TICK_KEY });
+        out.push(Action::Timer { at: self.now + TICK, key: TICK_KEY, of: None });
     }
 
     fn log(&mut self, kind: &'static str, words: String, out: &mut Vec<Action>) {
@@ -427,7 +427,7 @@
         let job = Job { ask, class, arrived: now, deadline, idle_since: now, over_share, ..Job::default() };
         self.jobs.insert(id, job);
         let answer_by = (deadline - 2.0 * self.settings.tick).max(self.now);
-        out.push(Action::Timer { at: answer_by, key: id.0 << 1 });
+        out.push(Action::Timer { at: answer_by, key: id.0 << 1, of: Some(id) });
         self.advance(id, out);
     }
 
@@ -505,7 +505,7 @@
             }
             Some(pick) => self.send(id, pick, out),
             None if !spent && (!state_held || self.now + LOOK_AGAIN <= pin) => {
-                out.push(Action::Timer { at: self.now + LOOK_AGAIN, key: id.0 << 1 | 1 });
+                out.push(Action::Timer { at: self.now + LOOK_AGAIN, key: id.0 << 1 | 1, of: Some(id) });
             }
             None => self.give_up(id, out),
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -165,7 +165,7 @@
 /// The keys of the timers set, in order.
 pub fn timers(actions: &[Action]) -> Vec<(Ms, u64)> {
     let timer = |a: &Action| match a {
-        Action::Timer { at, key } => Some((*at, *key)),
+        Action::Timer { at, key, .. } => Some((*at, *key)),
         _ => None,
     };
     actions.iter().filter_map(timer).collect()
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -56,7 +56,7 @@
                         k.held = k.held && k.attempts.iter().any(|a| a.1);
                     }
                 }
-                Action::Timer { at, key } => self.timers.push((at.max(now + 1.0), key)),
+                Action::Timer { at, key, .. } => self.timers.push((at.max(now + 1.0), key)),
                 Action::Cancel { id, attempt } => {
                     assert!((attempt as usize) < self.known[&id.0].attempts.len());
                 }
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -146,7 +146,7 @@
             }
             Action::Subscribe { on } => json!({"verb": "SUBSCRIBE", "want": on}),
             Action::FetchList => json!({"verb": "FETCH"}),
-            Action::Timer { at, key } => json!({"verb": "WAKE_ME", "due-at": at, "key-back": key}),
+            Action::Timer { at, key, .. } => json!({"verb": "WAKE_ME", "due-at": at, "key-back": key}),
             Action::Log(words) => json!({"verb": "JOURNAL_LINE", "words": words}),
         };
         step["i"] = json!(instance);
@@ -225,7 +225,7 @@
             (Action::Tell { to: Some(2), bytes: vec![] }, r#"{"verb":"SAY","addressee":2,"raw":""}"#),
             (Action::Subscribe { on: true }, r#"{"verb":"SUBSCRIBE","want":true}"#),
             (Action::FetchList, r#"{"verb":"FETCH"}"#),
-            (Action::Timer { at: 3.5, key: 8 }, r#"{"verb":"WAKE_ME","due-at":3.5,"key-back":8}"#),
+            (Action::Timer { at: 3.5, key: 8, of: None }, r#"{"verb":"WAKE_ME","due-at":3.5,"key-back":8}"#),
             (Action::Log("why".into()), r#"{"verb":"JOURNAL_LINE","words":"why"}"#),
         ];
         for (action, wanted) in cases {
