Explore the machines: every order of events with every set of troubles in small worlds

Change: crate explore (stateright, outside default-members) has three worlds round the real machines: a request with two servers, a router that may order anything and an adversary; a client's connection; a server's connection. Found and mended on the way, each kept as a trace: a place held while its call was out beside an attempt that timed out; a waiting attempt sent after the end where nothing may be called back; a place at one writer forgotten when another's stream began; a release beside a stream not yet dropped; a client's connection handed over with its next request open, after an answer that could have gone over.

--- a/crates/lifecycle/src/client.rs
+++ b/crates/lifecycle/src/client.rs
@@ -134,6 +134,12 @@
 }
 
 impl Connection {
+    /// A connection that stands there, for whoever lists the table's rows.
+    #[cfg(feature = "mutants")]
+    pub fn at(stage: Stage) -> Self {
+        Connection { stage, ..Connection::default() }
+    }
+
     #[cfg(feature = "mutants")]
     pub fn plant(&mut self, fault: Option<Fault>) {
         self.fault = fault;
@@ -195,7 +201,7 @@
                 return Ok(Effect::Nothing);
             }
             (Gate | Head | Idle, Input::Begun) => Head,
-            (Gate | Head | Idle, Input::Head(framing)) => {
+            (Head | Idle, Input::Head(framing)) => {
                 self.last = framing == Framing::Unknown;
                 if framing == Framing::Here {
                     Answer
@@ -203,12 +209,13 @@
                     Body
                 }
             }
-            (Gate | Head | Idle, Input::Unreadable) => Closing,
+            (Head | Idle, Input::Unreadable) => Closing,
             (Body, Input::BodyRead) => Answer,
             // Answered before its end: what still comes is read and dropped.
             (Closing, Input::BodyRead) => Closing,
             // Of a request that was answered before its body's end, none knows where the next one begins.
             (Body | Answer, Input::Answered) => {
+                self.leaving = false;
                 let ends = self.ends();
                 #[cfg(feature = "mutants")]
                 let ends = ends && self.fault != Some(Fault::KeepsAfterUnread);
@@ -218,7 +225,6 @@
                     Idle
                 }
             }
-            (_, Input::Answered) => Closing,
             (Gate, Input::Resumed) => Answer,
             (Answer, Input::Leaves) => {
                 self.leaving = true;
@@ -237,7 +243,9 @@
             (_, Input::Evicted) => {
                 return Ok(if self.gives_way() { Effect::Close } else { Effect::Nothing });
             }
-            (Gate | Head | Idle, Input::BodyRead | Input::Leaves)
+            (Gate | Head | Idle, Input::BodyRead | Input::Leaves | Input::Answered)
+            | (Gate, Input::Head(_) | Input::Unreadable)
+            | (Closing, Input::Answered)
             | (Body | Answer | Closing, Input::Begun | Input::Head(_) | Input::Unreadable)
             | (Answer, Input::BodyRead)
             | (Body | Closing, Input::Leaves)
--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -150,8 +150,8 @@
     Nothing,
     /// A reader holds the prompt's state, or may.
     State,
-    /// A writer holds a place, or may; a state may be held too.
-    Place,
+    /// This writer holds a place, or may; a state may be held too.
+    Place(Server),
 }
 
 /// The letting go of what is held.
@@ -286,7 +286,6 @@
     ForgetsHeldAtEnd,
     ReleasesWhileOut,
     SendsBeforeRelease,
-    SendsToDrained,
     SendsAfterEnd,
     LosesOutcome,
     TwoOutcomes,
@@ -361,6 +360,9 @@
         self.fault == Some(fault)
     }
 
+    pub fn terms(&self) -> Terms {
+        self.terms
+    }
     pub fn attempts(&self) -> &[Attempt] {
         &self.attempts
     }
@@ -436,7 +438,9 @@
             }
             Input::Replied { attempt, reply } => match self.step_of(attempt) {
                 Some(Step::Out) => self.replied(attempt, reply, out),
-                // It came just as it was called back: dropped unread, so what it left is not known.
+                // A first token just as it was called back: it is about to be dropped, and ends then.
+                Some(Step::CalledBack) if reply == Reply::Begins => {}
+                // Its call has ended by itself.
                 Some(Step::CalledBack) => self.ended(attempt, Status::Cancelled, out),
                 _ => return Err(self.impossible(&input)),
             },
@@ -450,9 +454,7 @@
                 _ => return Err(self.impossible(&input)),
             },
             Input::TimedOut { attempt } => match self.step_of(attempt) {
-                Some(Step::Waiting) => self.ended(attempt, Status::NotSent, out),
                 Some(Step::Out) => self.ended(attempt, Status::Timeout, out),
-                Some(Step::CalledBack) => self.ended(attempt, Status::Cancelled, out),
                 _ => return Err(self.impossible(&input)),
             },
             Input::Dropped { attempt } => match self.step_of(attempt) {
@@ -498,11 +500,10 @@
         let ended = self.closed();
         let runs_again = self.terms.repeat == Repeat::Never && stage == Stage::Run && self.ran;
         #[cfg(feature = "mutants")]
-        let (second, ended, runs_again, may) = (
+        let (second, ended, runs_again) = (
             second && !self.faulty(Fault::SecondAttempt),
             ended && !self.faulty(Fault::SendsAfterEnd),
             runs_again && !self.faulty(Fault::RunsOrderTwice),
-            may || self.faulty(Fault::SendsToDrained),
         );
         let go = may && !second && !ended && !runs_again && attempt < self.terms.most;
         self.attempts.push(Attempt { server, stage, step: Step::Waiting });
@@ -526,15 +527,15 @@
 
     /// Nobody wants an answer any more.
     fn call_back_all(&mut self, out: &mut Effects) {
-        if !self.terms.cancel {
-            return;
-        }
         #[cfg(feature = "mutants")]
         if self.faulty(Fault::KeepsCallAfterGone) {
             return;
         }
         for attempt in 0..self.attempts.len() {
-            self.call_back(attempt, out);
+            // What only waits is not out, whatever the deployment says of calling back.
+            if self.terms.cancel || self.attempts[attempt].step == Step::Waiting {
+                self.call_back(attempt, out);
+            }
         }
     }
 
@@ -576,13 +577,17 @@
     /// The attempt's first event is here: it is the client's from now on.
     fn begins(&mut self, attempt: usize, out: &mut Effects) {
         if self.answer != Answer::Owed {
-            return self.ended(attempt, Status::Cancelled, out);
+            // Nobody wants it: it ends once it is dropped, so that nothing is let go beside it.
+            self.attempts[attempt].step = Step::CalledBack;
+            return out.push(Effect::CallBack { attempt });
         }
         self.attempts[attempt].step = Step::Begun;
         self.answer = Answer::Streaming;
         self.ran = true;
-        // The writer has fetched the state, and its own place is the stream's.
-        self.held = Held::Nothing;
+        // The writer has fetched the state, and its own place is the stream's; one elsewhere is still to be let go.
+        if !matches!(self.held, Held::Place(server) if server != self.attempts[attempt].server) {
+            self.held = Held::Nothing;
+        }
         out.push(Effect::TellFirst { attempt });
         out.push(Effect::PassOn { attempt });
     }
@@ -621,13 +626,13 @@
 
     fn placed(&mut self, server: Server, held: Option<bool>, out: &mut Effects) {
         self.place = PlaceCall::None;
-        // Where the writer does not know, a place may be held all the same. A stream that has begun has taken it,
-        // whichever came first.
-        let left = held != Some(false) && self.answer != Answer::Streaming;
+        // Where the writer does not know, a place may be held all the same, and beside a stream that has begun
+        // without it.
+        let left = held != Some(false);
         #[cfg(feature = "mutants")]
         let left = left && !self.faulty(Fault::ForgetsPlace);
         if left {
-            self.hold(Held::Place);
+            self.hold(Held::Place(server));
         }
         if let Some(held) = held {
             out.push(Effect::TellPlace { server, held });
@@ -636,7 +641,7 @@
 
     /// Something may be held from now on.
     fn hold(&mut self, what: Held) {
-        if self.held != Held::Place {
+        if !matches!(self.held, Held::Place(_)) {
             self.held = what;
         }
         if let Release::UnderWay { again } = &mut self.release {
@@ -663,22 +668,27 @@
             }
             Timer::Pin => {
                 self.pin_armed = false;
+                self.drop_place(out);
                 self.release_due();
             }
         }
     }
 
+    /// Nobody will take a place: its call is given up, and what it may have left is let go.
+    fn drop_place(&mut self, out: &mut Effects) {
+        if let PlaceCall::Out(server) = self.place {
+            self.place = PlaceCall::None;
+            self.cut = true;
+            self.hold(Held::Place(server));
+            out.push(Effect::DropPlace);
+        }
+    }
+
     /// What follows from where the request stands.
     fn settle(&mut self, out: &mut Effects) {
         let closed = self.closed();
         if closed {
-            // Nobody will take a place: its call is given up, and what it may have left is let go.
-            if let PlaceCall::Out(_) = self.place {
-                self.place = PlaceCall::None;
-                self.cut = true;
-                self.hold(Held::Place);
-                out.push(Effect::DropPlace);
-            }
+            self.drop_place(out);
             let lets_go = self.held != Held::Nothing && self.release == Release::None;
             #[cfg(feature = "mutants")]
             let lets_go = lets_go && !self.faulty(Fault::ForgetsHeldAtEnd);
@@ -718,8 +728,9 @@
     /// Arms what must be armed where the request stands, and nothing else.
     fn timers(&mut self, out: &mut Effects) {
         let deadline = self.deadline_armed && self.answer == Answer::Owed;
-        let pin =
-            self.held != Held::Nothing && !self.out() && self.release == Release::None && !self.closed();
+        // A call for a place may have succeeded already.
+        let held = self.held != Held::Nothing || self.place != PlaceCall::None;
+        let pin = held && !self.out() && self.release == Release::None && !self.closed();
         #[cfg(feature = "mutants")]
         let (deadline, pin) = (
             (deadline || self.deadline_armed && self.faulty(Fault::LeavesTimer))
--- a/crates/lifecycle/src/server.rs
+++ b/crates/lifecycle/src/server.rs
@@ -111,6 +111,12 @@
 }
 
 impl Connection {
+    /// A connection that stands there, for whoever lists the table's rows.
+    #[cfg(feature = "mutants")]
+    pub fn at(stage: Stage) -> Self {
+        Connection { stage, ..Connection::default() }
+    }
+
     #[cfg(feature = "mutants")]
     pub fn plant(&mut self, fault: Option<Fault>) {
         self.fault = fault;
--- /dev/null
+++ b/explore/src/check.rs
@@ -0,0 +1,189 @@
+//! The worlds that are explored, and the faults that must be found.
+
+use std::time::{Duration, Instant};
+
+use glenrail_lifecycle::request::{Fault, Repeat};
+use glenrail_lifecycle::{client as client_machine, server as server_machine};
+use stateright::{Checker, HasDiscoveries, Model};
+
+use crate::rules::Rule;
+use crate::world::{Explored, Setting, ENDS, HOLDS};
+use crate::{client, request, server};
+
+/// What exploring one world gave.
+pub struct Explore<A> {
+    pub states: usize,
+    pub transitions: usize,
+    pub depth: usize,
+    pub took: Duration,
+    /// The acts that lead to a broken rule, and which it is.
+    pub broken: Option<(Rule, Vec<A>)>,
+}
+
+/// Explores all of a world, breadth first: with one thread, the first counterexample is a shortest one.
+pub fn explore<S: Setting>(setting: &S, threads: usize) -> Explore<S::Act> {
+    let start = Instant::now();
+    let checker = Explored(setting.clone()).checker().threads(threads).finish_when(HasDiscoveries::Any);
+    let checker = checker.spawn_bfs().join();
+    let broken = [HOLDS, ENDS].into_iter().find_map(|property| {
+        let path = checker.discovery(property)?;
+        let rule = S::violated(path.last_state()).unwrap_or(Rule::EveryRequestEnds);
+        Some((rule, path.into_actions()))
+    });
+    Explore {
+        states: checker.unique_state_count(),
+        transitions: checker.state_count(),
+        depth: checker.max_depth(),
+        took: start.elapsed(),
+        broken,
+    }
+}
+
+/// One world with a name.
+pub struct Case<S> {
+    pub name: &'static str,
+    pub setup: S,
+}
+
+const BASE: request::Setup = request::Setup {
+    readers: 1,
+    writers: 1,
+    repeat: Repeat::Never,
+    cancel: true,
+    troubles: 3,
+    sends: 2,
+    cancels: 1,
+    releases: 1,
+    holds: 0,
+    fault: None,
+    server_fault: None,
+};
+
+/// How far to go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, clap::ValueEnum)]
+pub enum Reach {
+    /// Under a minute, for CI.
+    Quick,
+    /// Minutes on four cores.
+    Whole,
+}
+
+pub fn requests(reach: Reach) -> Vec<Case<request::Setup>> {
+    let quick = vec![
+        Case {
+            name: "order, a reader and a writer, two sends, two troubles",
+            setup: request::Setup { troubles: 2, ..BASE },
+        },
+        Case {
+            name: "order, places held ahead, two sends, two troubles",
+            setup: request::Setup { troubles: 2, holds: 1, cancels: 0, releases: 0, ..BASE },
+        },
+        Case {
+            name: "query, two writers, two sends, two troubles",
+            setup: request::Setup { readers: 0, writers: 2, troubles: 2, repeat: Repeat::Freely, ..BASE },
+        },
+        Case {
+            name: "order, nothing may be called back, two troubles",
+            setup: request::Setup { troubles: 2, cancel: false, cancels: 0, ..BASE },
+        },
+    ];
+    let whole = vec![
+        Case { name: "order, a reader and a writer, two sends, three troubles", setup: BASE },
+        Case {
+            name: "order, two writers, three troubles",
+            setup: request::Setup { readers: 0, writers: 2, ..BASE },
+        },
+        Case {
+            name: "order, two readers, three troubles",
+            setup: request::Setup { readers: 2, writers: 0, ..BASE },
+        },
+        Case {
+            name: "query, a reader and a writer, three troubles",
+            setup: request::Setup { repeat: Repeat::Freely, ..BASE },
+        },
+        Case {
+            name: "order, places held ahead at one of two writers, three troubles",
+            setup: request::Setup { writers: 2, holds: 1, cancels: 0, releases: 0, ..BASE },
+        },
+        Case {
+            name: "order, three sends, two troubles",
+            setup: request::Setup { sends: 3, troubles: 2, releases: 0, ..BASE },
+        },
+        Case {
+            name: "order, two readers and two writers, two sends, two troubles",
+            setup: request::Setup { readers: 2, writers: 2, troubles: 2, ..BASE },
+        },
+        Case {
+            name: "order, nothing may be called back, three troubles",
+            setup: request::Setup { cancel: false, cancels: 0, ..BASE },
+        },
+    ];
+    match reach {
+        Reach::Quick => quick,
+        Reach::Whole => quick.into_iter().chain(whole).collect(),
+    }
+}
+
+pub fn clients() -> Case<client::Setup> {
+    Case {
+        name: "a client's connection, four requests, two stalls",
+        setup: client::Setup { requests: 4, stalls: 2, fault: None },
+    }
+}
+
+pub fn servers() -> Case<server::Setup> {
+    Case { name: "a server's connection, three requests", setup: server::Setup { requests: 3, fault: None } }
+}
+
+/// A planted fault, and the rule that it was planted to break.
+pub struct Mutant<F> {
+    pub fault: F,
+    pub rule: Rule,
+}
+
+macro_rules! mutants {
+    ($name:ident: $fault:ty { $($planted:ident => $rule:ident,)+ }) => {
+        pub const $name: &[Mutant<$fault>] = &[$(Mutant { fault: <$fault>::$planted, rule: Rule::$rule },)+];
+    };
+}
+
+mutants!(REQUEST_FAULTS: Fault {
+    AnswersTwice => OneFinalAnswer,
+    AnswersAfterStream => OneFinalAnswer,
+    SecondAttempt => NoSecondAttempt,
+    RunsOrderTwice => NeverRunsTwice,
+    ForgetsCutRead => HeldIsLetGo,
+    ForgetsHeldAtEnd => HeldIsLetGo,
+    ForgetsPlace => HeldIsLetGo,
+    NoPinLimit => HeldIsLetGo,
+    ReleasesWhileOut => NoReleaseBesideAttempt,
+    SendsBeforeRelease => NoSendBesideRelease,
+    SendsAfterEnd => NothingAfterEnd,
+    OverTooEarly => NothingAfterEnd,
+    LosesOutcome => OneOutcomePerSend,
+    TwoOutcomes => OneOutcomePerSend,
+    NeverOver => EveryRequestEnds,
+    NoDeadline => EveryRequestEnds,
+    KeepsCallAfterGone => NothingAfterEnd,
+    LeavesTimer => NothingLeftAtRest,
+});
+
+mutants!(SERVER_FAULTS: server_machine::Fault {
+    WritesToDrained => NothingToDrained,
+    ReplacesAfterByte => ReplacedUnwritten,
+    CallsSentNeverRan => NeverRanIsTrue,
+    KeepsDrained => DrainedNotKept,
+});
+
+mutants!(CLIENT_FAULTS: client_machine::Fault {
+    EvictsOpenRequest => NoCloseAcrossRequest,
+    HandsOverHalfHead => HandedOverClean,
+    HandsOverUnwritten => HandedOverClean,
+    KeepsAfterUnread => NoRequestInBody,
+});
+
+/// The world in which a request's fault is looked for: small, with places and a second writer.
+pub fn faulty(fault: Fault) -> request::Setup {
+    let holds = u8::from(fault == Fault::ForgetsPlace);
+    request::Setup { fault: Some(fault), troubles: 2, holds, ..BASE }
+}
--- /dev/null
+++ b/explore/src/lib.rs
@@ -0,0 +1,13 @@
+//! Explores the machines of `glenrail-lifecycle` exhaustively in small worlds: every order of events, with every
+//! set of so many troubles among them. What is explored is what the gateway runs; `docs/lifecycle.md` has the
+//! properties and the measured sizes.
+
+pub mod check;
+pub mod client;
+pub mod corners;
+pub mod cover;
+pub mod request;
+pub mod rules;
+pub mod server;
+pub mod trace;
+pub mod world;
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -533,7 +533,10 @@
                     return self.input(id, Input::Replied { attempt, reply: request::Reply::Reset });
                 };
                 self.input(id, Input::Replied { attempt, reply: request::Reply::Begins });
-                let Some(pieces) = self.passes(id, attempt) else { return };
+                let Some(pieces) = self.passes(id, attempt) else {
+                    drop(frames);
+                    return self.input(id, Input::Dropped { attempt });
+                };
                 let passed = match pass(&pieces, Piece::Begin(head, first)).await {
                     true => rest(&pieces, frames).await,
                     false => request::StreamEnd::Untaken.into(),
