Drive both sides' connections by their machines

Need: the state of a client's connection (gate, timers, eviction, hand-over) and of a server's (what may be written, what a break says of its request) stood in flags beside the I/O, so that what is explored was not what runs.

Change: the gate and its watch feed lifecycle::client, the engine's connections feed lifecycle::server; their flags are gone. By it, a connection chosen to give way keeps a request that came whole in between (it was closed with it before), and one that has broken idle is told from one that broke with bytes out in one place.

--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use glenrail_lifecycle::server::{self, Effect, Input, Stage};
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -20,16 +21,24 @@
 
 use super::inlet::{Inlet, Tap};
 use crate::exchange::Rest;
+use crate::log;
 use crate::wire::Wire;
 
+/// How a request that got no answer ended.
+pub enum Verdict {
+    /// Not a byte went out: another connection may carry the same attempt.
+    Replace,
+    NeverRan,
+    MayHaveRun,
+}
+
 pub struct Connection {
+    machine: server::Connection,
     pub sender: SendRequest<Full<Bytes>>,
     wire: Wire,
     awaited: Rc<Cell<bool>>,
     /// The body of the answer under way, as it is read.
     pub tap: Rc<Tap>,
-    /// The socket is another process's now.
-    released: bool,
     task: AbortHandle,
     _slot: OwnedSemaphorePermit,
 }
@@ -46,13 +55,46 @@
             // Whoever waits for the answer is told of the error.
             let _ = connection.await;
         });
-        Ok(Connection { sender, wire, awaited, tap, released: false, task: task.abort_handle(), _slot: slot })
+        let mut machine = server::Connection::default();
+        step(&mut machine, Input::Up);
+        Ok(Connection { machine, sender, wire, awaited, tap, task: task.abort_handle(), _slot: slot })
+    }
+
+    /// Whether a request may be written; `serving`: its server may get something new at this moment.
+    pub fn may_write(&mut self, serving: bool) -> bool {
+        step(&mut self.machine, Input::Send { serving }) == Effect::Write
     }
 
     /// Sends a request; its answer is the next thing that the server may say.
-    pub async fn send(&mut self, request: Request<Bytes>) -> hyper::Result<Response<Incoming>> {
+    pub async fn send(
+        &mut self, request: Request<Bytes>,
+    ) -> Result<Response<Incoming>, (Verdict, hyper::Error)> {
+        let (before, length) = (self.wire.written(), length(&request));
         self.awaited.set(true);
-        self.sender.send_request(request.map(Full::new)).await
+        let answer = self.sender.send_request(request.map(Full::new)).await;
+        let out = self.wire.written() - before;
+        if out > 0 {
+            step(&mut self.machine, if out < length { Input::Wrote } else { Input::WroteAll });
+        }
+        match answer {
+            Ok(response) => {
+                step(&mut self.machine, Input::Head);
+                Ok(response)
+            }
+            Err(e) => Err(match step(&mut self.machine, Input::Broke) {
+                Effect::Replace => (Verdict::Replace, e),
+                Effect::NeverRan => (Verdict::NeverRan, e),
+                _ => (Verdict::MayHaveRun, e),
+            }),
+        }
+    }
+
+    /// Its answer has come to its end: whether it may be kept for the next request.
+    pub fn ended(&mut self, serving: bool) -> bool {
+        if !serving {
+            step(&mut self.machine, Input::Drained);
+        }
+        step(&mut self.machine, Input::End) == Effect::Keep
     }
 
     /// Counts one when the request that is sent next has been handed to the machine whole.
@@ -63,30 +105,37 @@
     /// Gives the connection away as it stands; nothing is read of it here any more.
     pub fn release(mut self) -> io::Result<Rest> {
         let socket = self.wire.socket.as_fd().try_clone_to_owned()?;
-        self.released = true;
+        step(&mut self.machine, Input::Stands);
         Ok(Rest { socket: socket.into(), ahead: self.tap.ahead.take() })
     }
 
-    /// Bytes handed to the machine so far.
-    pub fn written(&self) -> u64 {
-        self.wire.written()
-    }
-
     /// Whether an idle connection can still be used: neither closed nor holding bytes that nobody asked for.
-    pub fn lives(&self) -> bool {
+    pub fn lives(&mut self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         let peeked = SockRef::from(&*self.wire.socket).peek(&mut byte);
         let quiet = matches!(peeked, Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-        quiet && self.sender.is_ready()
+        let lives = quiet && self.sender.is_ready();
+        if !lives {
+            step(&mut self.machine, Input::Broke);
+        }
+        lives
     }
 }
 
+/// Feeds the machine. What it says is impossible is told, and closes the connection by whoever asked.
+fn step(machine: &mut server::Connection, input: Input) -> Effect {
+    machine.step(input).unwrap_or_else(|e| {
+        log!("{e}");
+        Effect::Close
+    })
+}
+
 /// A connection that is dropped is closed at once, whatever was under way on it: so an attempt is given up.
 /// The socket itself is shut here, since its task ends only at its next turn, and the next attempt of the request
 /// must not find this one still open.
 impl Drop for Connection {
     fn drop(&mut self) {
-        if !self.released {
+        if self.machine.stage() != Stage::HandedOver {
             let _ = SockRef::from(&*self.wire.socket).shutdown(std::net::Shutdown::Both);
         }
         self.task.abort();
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -31,7 +31,7 @@
 use tokio::time::{sleep, timeout, Instant};
 use tower::Service;
 
-use self::connection::Connection;
+use self::connection::{Connection, Verdict};
 use self::events::{Events, Spoilt};
 use self::inlet::Tap;
 use self::reply::Tail;
@@ -167,7 +167,7 @@
     fn idle(&self, server: ServerId) -> Option<Connection> {
         let mut places = self.0.places.borrow_mut();
         let place = places.get_mut(&server)?;
-        while let Some((_, connection)) = place.idle.pop() {
+        while let Some((_, mut connection)) = place.idle.pop() {
             if connection.lives() {
                 return Some(connection);
             }
@@ -193,6 +193,9 @@
 
     /// Keeps a connection for the next request once its last answer has been taken in.
     fn keep(&self, server: ServerId, mut connection: Connection) {
+        if !connection.ended(self.serving(server)) {
+            return;
+        }
         let engine = self.clone();
         spawn_local(async move {
             if timeout(RELEASE_WAIT, connection.sender.ready()).await.is_ok_and(|r| r.is_ok()) {
@@ -215,18 +218,17 @@
         &self, server: ServerId, request: &Request<Bytes>, what: Ask,
     ) -> Result<(Response<Incoming>, Connection), Failed> {
         loop {
-            let (mut connection, reused) = match self.idle(server) {
-                Some(connection) => (connection, true),
-                None => (self.open(server).await?, false),
+            let mut connection = match self.idle(server) {
+                Some(connection) => connection,
+                None => self.open(server).await?,
             };
             // Connecting takes time: what was told meanwhile counts at the first byte.
-            if what != Ask::Aside && !self.serving(server) {
+            if !connection.may_write(what == Ask::Aside || self.serving(server)) {
                 return Err(Failed::NotSent);
             }
             if what == Ask::Attempt {
                 connection.count_whole(request, self.0.relayed.clone());
             }
-            let before = connection.written();
             match connection.send(request.clone()).await {
                 Ok(response) => {
                     if let Some(place) = self.0.places.borrow_mut().get_mut(&server) {
@@ -235,11 +237,9 @@
                     return Ok((response, connection));
                 }
                 // The server closed the idle connection just now, and not a byte went out.
-                Err(_) if reused && connection.written() == before => {}
-                Err(_) if connection.written() - before < connection::length(request) => {
-                    return Err(Failed::Connect)
-                }
-                Err(e) => return Err(broken(&e)),
+                Err((Verdict::Replace, _)) => {}
+                Err((Verdict::NeverRan, _)) => return Err(Failed::Connect),
+                Err((Verdict::MayHaveRun, e)) => return Err(broken(&e)),
             }
         }
     }
--- a/gateway/src/front/connection.rs
+++ b/gateway/src/front/connection.rs
@@ -9,13 +9,17 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
+use glenrail_lifecycle::client::{Connection, Effect, Framing, Input, Patience};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant};
 
+use crate::log;
 use crate::upgrade::Moved;
 use crate::wire::Wire;
 
+pub use glenrail_lifecycle::client::Stage;
+
 /// A new connection must have begun its first head by then ...
 const FIRST_HEAD: Duration = Duration::from_millis(2_500);
 /// ... and any head that has begun must be whole so much later.
@@ -32,37 +36,14 @@
 pub const HEAD: usize = 16 << 10;
 const HEADERS: usize = 100;
 
-/// Where a connection stands.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Stage {
-    /// Nothing has come yet.
-    New,
-    /// A part of a head has come.
-    Head,
-    /// A request's head is in, its body is not.
-    Body,
-    /// The request is in, its answer is not out.
-    Answer,
-    /// Kept, with no open request.
-    Idle,
-    /// Nothing more is served on it.
-    Closing,
-}
-
 /// What the gate, the service and the timers know of one connection.
 pub struct Watch {
-    stage: Cell<Stage>,
+    machine: RefCell<Connection>,
     since: Cell<Instant>,
-    /// The client does not take what is written.
-    blocked: Cell<bool>,
-    /// Bytes of a request have been read that it does not show in its stage yet.
-    ahead: Cell<bool>,
     /// The open answer's rest, if another process is to go on with it.
     moved: RefCell<Option<Moved>>,
     /// Why the open request must not be served.
     fault: Cell<Option<&'static str>>,
-    /// The open request is the last on this connection.
-    last: Cell<bool>,
     changed: Notify,
     evicted: Notify,
 }
@@ -70,13 +51,10 @@
 impl Default for Watch {
     fn default() -> Self {
         Watch {
-            stage: Cell::new(Stage::New),
+            machine: RefCell::default(),
             since: Cell::new(Instant::now()),
-            blocked: Cell::default(),
-            ahead: Cell::default(),
             moved: RefCell::default(),
             fault: Cell::default(),
-            last: Cell::default(),
             changed: Notify::new(),
             evicted: Notify::new(),
         }
@@ -85,73 +63,83 @@
 
 impl Watch {
     pub fn stage(&self) -> Stage {
-        self.stage.get()
+        self.machine.borrow().stage()
     }
 
-    fn enter(&self, stage: Stage) {
-        if self.stage.replace(stage) != stage {
+    /// Feeds the connection's machine, and starts its time where it stands anew.
+    fn feed(&self, input: Input) -> Effect {
+        let mut machine = self.machine.borrow_mut();
+        let before = machine.stage();
+        let effect = machine.step(input).unwrap_or_else(|e| {
+            log!("{e}");
+            Effect::Nothing
+        });
+        if machine.stage() != before {
             self.since.set(Instant::now());
             self.changed.notify_one();
         }
+        effect
     }
 
     pub fn fault(&self) -> Option<&'static str> {
         self.fault.get()
     }
 
-    /// Whether the connection must end after the open request; so it is when its body was not read to the end.
+    /// Whether the connection must end after the open request.
     pub fn ends(&self) -> bool {
-        self.last.get() || self.stage() != Stage::Answer
+        self.machine.borrow().ends()
     }
 
-    /// The answer is out.
+    /// The answer is out, or dropped.
     pub fn answered(&self) {
-        self.enter(if self.ends() { Stage::Closing } else { Stage::Idle });
+        // Handed over, the answer goes on elsewhere.
+        if self.stage() != Stage::HandedOver {
+            self.feed(Input::Answered);
+        }
     }
 
-    /// Whether nothing is lost by closing it now.
     fn gives_way(&self) -> bool {
-        !self.blocked.get() && !matches!(self.stage(), Stage::Body | Stage::Answer)
+        self.machine.borrow().gives_way()
     }
 
-    /// Whether nothing at all is under way on it, in either direction.
-    pub fn rests(&self) -> bool {
-        matches!(self.stage(), Stage::New | Stage::Idle) && !self.blocked.get() && !self.ahead.get()
+    /// Whether another process takes it now; then nothing more is done with it here.
+    pub fn goes(&self) -> bool {
+        matches!(self.feed(Input::Asked), Effect::HandOver { .. })
     }
 
     /// The open answer goes no further here.
     pub fn leave(&self, moved: Moved) {
+        if self.stage() == Stage::Body {
+            // Its length was not told; the front has read it to its end all the same, before it asked for an answer.
+            self.feed(Input::BodyRead);
+        }
+        self.feed(Input::Leaves);
         self.moved.replace(Some(moved));
     }
 
-    /// Whether another process can go on with the open answer: what went before is out.
-    pub fn left(&self) -> bool {
-        self.moved.borrow().is_some() && !self.blocked.get() && !self.ahead.get()
-    }
-
     pub fn moved(&self) -> Option<Moved> {
         self.moved.take()
     }
 
     /// An answer is under way, which another process began.
     pub fn resume(&self) {
-        self.enter(Stage::Answer);
+        self.feed(Input::Resumed);
     }
 
     /// When it has stood where it is for too long. Bodies and answers have timers where they are awaited.
     fn due(&self) -> Option<Instant> {
-        let wait = match self.stage() {
-            Stage::Body | Stage::Answer => return None,
-            _ if self.blocked.get() => UNTAKEN,
-            Stage::New => FIRST_HEAD,
-            Stage::Head => HALF_HEAD,
-            Stage::Idle => IDLE,
-            Stage::Closing => LINGER,
+        let wait = match self.machine.borrow().patience() {
+            Patience::Request => return None,
+            Patience::Untaken => UNTAKEN,
+            Patience::First => FIRST_HEAD,
+            Patience::HalfHead => HALF_HEAD,
+            Patience::Idle => IDLE,
+            Patience::Linger => LINGER,
         };
         Some(self.since.get() + wait)
     }
 
-    /// Until the connection has stood somewhere for too long, or has to give way to another.
+    /// Until the connection has stood somewhere for too long, or gives way to another.
     pub async fn over(&self) {
         loop {
             let due = self.due();
@@ -161,10 +149,17 @@
                     None => std::future::pending().await,
                 }
             };
-            tokio::select! {
-                () = self.evicted.notified() => return,
-                () = passed => if self.due().is_some_and(|d| d <= Instant::now()) { return },
-                () = self.changed.notified() => {}
+            let input = tokio::select! {
+                () = self.evicted.notified() => Input::Evicted,
+                () = passed => match self.due() {
+                    Some(due) if due <= Instant::now() => Input::Due,
+                    _ => continue,
+                },
+                () = self.changed.notified() => continue,
+            };
+            // A request may have come between being chosen to give way and here: then it stays.
+            if self.feed(input) == Effect::Close {
+                return;
             }
         }
     }
@@ -248,7 +243,7 @@
             // hyper has the words for it.
             _ => {
                 self.cleared = self.ahead.len();
-                self.watch.enter(Stage::Closing);
+                self.watch.feed(Input::Unreadable);
                 return true;
             }
         };
@@ -271,15 +266,13 @@
                 let here = length.min(body as u64);
                 self.cleared = size + here as usize;
                 self.rest = Rest::Length(length - here);
-                self.watch.last.set(false);
-                self.watch.enter(if length == here { Stage::Answer } else { Stage::Body });
+                self.watch.feed(Input::Head(if length == here { Framing::Here } else { Framing::Told }));
             }
             // Where a chunked body ends is hyper's to find, so nothing may follow it here.
             _ => {
                 self.cleared = self.ahead.len();
                 self.rest = Rest::Unknown;
-                self.watch.last.set(true);
-                self.watch.enter(Stage::Body);
+                self.watch.feed(Input::Head(Framing::Unknown));
             }
         }
         true
@@ -291,12 +284,12 @@
         let mut part = ReadBuf::new(&mut space);
         ready!(Pin::new(&mut self.wire).poll_read(cx, &mut part))?;
         self.ahead.extend_from_slice(part.filled());
-        self.watch.ahead.set(!self.ahead.is_empty());
+        self.watch.feed(Input::Ahead(!self.ahead.is_empty()));
         Poll::Ready(Ok(part.filled().len()))
     }
 
     fn note<T>(&self, written: Poll<T>) -> Poll<T> {
-        self.watch.blocked.set(written.is_pending());
+        self.watch.feed(Input::Blocked(written.is_pending()));
         written
     }
 }
@@ -310,18 +303,18 @@
                 buf.put_slice(&me.ahead[..n]);
                 me.ahead.drain(..n);
                 me.cleared -= n;
-                me.watch.ahead.set(!me.ahead.is_empty());
+                me.watch.feed(Input::Ahead(!me.ahead.is_empty()));
                 return Poll::Ready(Ok(()));
             }
             match me.watch.stage() {
-                Stage::New | Stage::Head | Stage::Idle => {
+                Stage::Gate | Stage::Head | Stage::Idle => {
                     if !me.ahead.is_empty() && me.examine() {
                         continue;
                     }
                     if ready!(me.fill(cx))? == 0 {
                         return Poll::Ready(Ok(()));
                     }
-                    me.watch.enter(Stage::Head);
+                    me.watch.feed(Input::Begun);
                 }
                 Stage::Answer => {
                     // Read only to see the client go; what it sends ahead of its answer is kept, up to a bound.
@@ -332,6 +325,8 @@
                         return Poll::Ready(Ok(()));
                     }
                 }
+                // Nobody reads here any more once it is handed over.
+                Stage::HandedOver => return Poll::Pending,
                 Stage::Body | Stage::Closing => {
                     let Rest::Length(left) = &mut me.rest else {
                         return Pin::new(&mut me.wire).poll_read(cx, buf);
@@ -342,7 +337,7 @@
                     let n = part.filled().len();
                     *left -= n as u64;
                     if *left == 0 && me.watch.stage() == Stage::Body {
-                        me.watch.enter(Stage::Answer);
+                        me.watch.feed(Input::BodyRead);
                     }
                     buf.advance(n);
                     return Poll::Ready(Ok(()));
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -257,7 +257,7 @@
         tokio::pin!(stop);
         let (mut stopping, mut heirs) = (false, shutdown.heirs());
         loop {
-            let rests = || shutdown.superseded() && (place.watch.rests() || place.watch.left());
+            let rests = || shutdown.superseded() && place.watch.goes();
             tokio::select! {
                 // Asked in this order: what the connection has just done decides whether it rests.
                 biased;
