--- a/gateway/benches/core.rs
+++ b/gateway/benches/core.rs
@@ -15,6 +15,7 @@
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::LocalSet;
 use tokio::time::Instant;
+use tokio_util::time::DelayQueue;
 
 fn main() {
     divan::main();
@@ -77,6 +78,43 @@
     }
 }
 
+/// Arming and giving up a timer beside so many armed ones: a task for each, as the core had it ...
+#[divan::bench(args = [10, 1_000, 10_000], sample_count = 100, sample_size = 100)]
+fn timer_as_a_task(bencher: Bencher, armed: u64) {
+    let (runtime, local) = (runtime(), LocalSet::new());
+    let wait = || tokio::task::spawn_local(tokio::time::sleep(Duration::from_secs(30))).abort_handle();
+    let tasks: Vec<_> = local.block_on(&runtime, async { (0..armed).map(|_| wait()).collect() });
+    bencher.bench_local(|| {
+        local.block_on(&runtime, async {
+            let task = wait();
+            tokio::task::yield_now().await;
+            task.abort();
+            tokio::task::yield_now().await;
+        });
+    });
+    assert_eq!(tasks.len() as u64, armed);
+}
+
+/// ... and one queue for all, as it has it now.
+#[divan::bench(args = [10, 1_000, 10_000], sample_count = 100, sample_size = 100)]
+fn timer_in_a_queue(bencher: Bencher, armed: u64) {
+    let (runtime, local) = (runtime(), LocalSet::new());
+    let mut queue = local.block_on(&runtime, async {
+        let mut queue = DelayQueue::new();
+        (0..armed).for_each(|n| _ = queue.insert(n, Duration::from_secs(30)));
+        queue
+    });
+    bencher.bench_local(|| {
+        local.block_on(&runtime, async {
+            let key = queue.insert(0, Duration::from_secs(30));
+            tokio::task::yield_now().await;
+            queue.remove(&key);
+            tokio::task::yield_now().await;
+        });
+    });
+    assert_eq!(queue.len() as u64, armed);
+}
+
 fn runtime() -> Runtime {
     Builder::new_current_thread().enable_all().build().expect("a runtime")
 }
--- a/gateway/src/engine/inlet.rs
+++ b/gateway/src/engine/inlet.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::future::Future;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll, Waker};
@@ -148,8 +149,8 @@
             return Poll::Ready(Ok(()));
         }
         if ahead.is_empty() {
-            let mut space = [0; 4096];
-            let mut part = ReadBuf::new(&mut space);
+            let mut space = [MaybeUninit::uninit(); 4096];
+            let mut part = ReadBuf::uninit(&mut space);
             ready!(Pin::new(&mut self.wire).poll_read(cx, &mut part))?;
             ahead.extend_from_slice(part.filled());
         }
@@ -176,8 +177,8 @@
                 me.ahead = Vec::new();
                 return me.poll_body(cx, buf);
             }
-            let mut space = [0; 4096];
-            let mut part = ReadBuf::new(&mut space);
+            let mut space = [MaybeUninit::uninit(); 4096];
+            let mut part = ReadBuf::uninit(&mut space);
             if Pin::new(&mut me.wire).poll_read(cx, &mut part)?.is_pending() {
                 let begun = me.begun.as_mut().filter(|_| !me.ahead.is_empty());
                 let Some(begun) = begun else { return Poll::Pending };
--- a/gateway/src/front/connection.rs
+++ b/gateway/src/front/connection.rs
@@ -4,6 +4,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -280,8 +281,8 @@
 
     /// Reads more into `ahead`; 0 at the end of what the client sends.
     fn fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let mut space = [0; 4096];
-        let mut part = ReadBuf::new(&mut space);
+        let mut space = [MaybeUninit::uninit(); 4096];
+        let mut part = ReadBuf::uninit(&mut space);
         ready!(Pin::new(&mut self.wire).poll_read(cx, &mut part))?;
         self.ahead.extend_from_slice(part.filled());
         self.watch.feed(Input::Ahead(!self.ahead.is_empty()));
--- a/gateway/src/wire.rs
+++ b/gateway/src/wire.rs
@@ -64,11 +64,9 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         loop {
             ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read(buf.initialize_unfilled()) {
-                Ok(n) => {
-                    buf.advance(n);
-                    return Poll::Ready(Ok(()));
-                }
+            // Straight into what is not initialized: clearing it cost as much as parsing what came.
+            match self.socket.try_read_buf(buf) {
+                Ok(_) => return Poll::Ready(Ok(())),
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 Err(e) => return Poll::Ready(Err(e)),
             }
