Keep the mark of a cut call until a release has waited for it

Need: with three troubles the explorer found, in 40 million states, that a release went out at once though a call for a place had just been cut: the end of a stream took the mark back.

Change: the mark stays until a release has waited for it. The trace is kept; its world is explored with one writer and three troubles, and with two writers and two, so that the whole fits in memory.

--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -318,7 +318,7 @@
     place: PlaceCall,
     /// Rule 2: an attempt that has ended may have had the effect.
     ran: bool,
-    /// The attempt that ended last was cut, and its server may not know yet.
+    /// A call was cut since the last release, and its server may not know yet.
     cut: bool,
     deadline_armed: bool,
     pin_armed: bool,
@@ -598,10 +598,12 @@
         self.attempts[attempt].step = Step::Ended(status);
         if step != Step::Waiting {
             let lost = matches!(status, Status::Cancelled | Status::Reset | Status::Spoilt | Status::Timeout);
-            self.cut = lost && step != Step::Begun;
+            let cut = lost && step != Step::Begun;
+            // Kept until a release has waited for it: a call for a place may have been cut before.
+            self.cut |= cut;
             // A read may have ended well just as its connection was cut: what it left is let go, and before
             // the request is sent again, whose state it would be.
-            let left = self.cut && stage == Stage::Read;
+            let left = cut && stage == Stage::Read;
             #[cfg(feature = "mutants")]
             let left = left && !self.faulty(Fault::ForgetsCutRead);
             if left {
--- a/explore/src/corners.rs
+++ b/explore/src/corners.rs
@@ -154,6 +154,20 @@
             ]
             .concat(),
         },
+        Corner {
+            name: "place-call-cut-before-a-stream-ends",
+            about: "Found: a release went out at once though a call for a place had just been cut",
+            setup: Setup { writers: 2, ..SETUP },
+            acts: [
+                vec![Act::Send(READER), Act::Hold(2), Act::Dial(0), Act::Up(0), Act::WroteAll(0)],
+                vec![Act::Serves(0), Act::Delivers(0)],
+                reaches(1, WRITER),
+                vec![Act::Serves(1), Act::Delivers(1), Act::ClientGoes],
+                vec![Act::StreamEnds(1, StreamEnd::Untaken), Act::PlaceServed, Act::PlaceSeesCut],
+                vec![Act::ReleaseArrives],
+            ]
+            .concat(),
+        },
         corner(
             "hand-over-between-two-chunks",
             "Another process takes over while a stream stands between two chunks",
