Add a small embedded store: log, views, group commit, compaction, recovery, salvage

Need: a gateway restarts with nothing but its last list; everything to come needs one home that survives a kill at any instruction.

Change: crate store, which knows nothing of gateways. Frames with length, sequence, CRC-32, the last synced batch and keyed BLAKE3 as an option; keyspaces, scans, atomic batches, compare-and-set, expiry, views; group commit on a thread with a bounded queue; compaction in steps with its decision apart; recovery that tells a torn end from damage; salvage; a simulated disk. Not used by the gateway yet.

Result: 150 runs of a model with a crash, a full disk and a failing one at every call, and a crash at every call of the recovery: always a prefix, nothing synced lost. Cutting every file at every byte found that a compacted file cut between two frames looked whole; it has an end now. Expiry found that a compaction of tiny records repeated for ever; frames' overhead no longer counts as garbage.

--- /dev/null
+++ b/crates/store/src/batch.rs
@@ -0,0 +1,150 @@
+//! Keyspaces with typed keys and values, and batches over several of them.
+
+use std::borrow::Borrow;
+use std::marker::PhantomData;
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use crate::error::{Error, Result};
+use crate::view::View;
+
+/// A key whose bytes sort as it does.
+pub trait Key: ToOwned {
+    fn encode(&self, out: &mut Vec<u8>);
+    fn decode(bytes: &[u8]) -> Option<Self::Owned>;
+}
+
+impl Key for str {
+    fn encode(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(self.as_bytes());
+    }
+    fn decode(bytes: &[u8]) -> Option<String> {
+        String::from_utf8(bytes.to_vec()).ok()
+    }
+}
+
+impl Key for [u8] {
+    fn encode(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(self);
+    }
+    fn decode(bytes: &[u8]) -> Option<Vec<u8>> {
+        Some(bytes.to_vec())
+    }
+}
+
+impl Key for u64 {
+    fn encode(&self, out: &mut Vec<u8>) {
+        out.extend_from_slice(&self.to_be_bytes());
+    }
+    fn decode(bytes: &[u8]) -> Option<u64> {
+        bytes.try_into().ok().map(u64::from_be_bytes)
+    }
+}
+
+/// A part of the store with keys and values of one kind. Its number must never change, nor be another's.
+pub struct Keyspace<K: ?Sized, V> {
+    number: u16,
+    keys: PhantomData<fn(&K)>,
+    values: PhantomData<fn() -> V>,
+}
+
+impl<K: Key + ?Sized, V: Serialize + DeserializeOwned> Keyspace<K, V> {
+    pub const fn new(number: u16) -> Self {
+        Keyspace { number, keys: PhantomData, values: PhantomData }
+    }
+
+    fn key(&self, key: &K) -> Vec<u8> {
+        let mut out = self.number.to_be_bytes().to_vec();
+        key.encode(&mut out);
+        out
+    }
+
+    fn value(bytes: &[u8]) -> Result<V> {
+        postcard::from_bytes(bytes).map_err(|e| Error::Coding(e.to_string()))
+    }
+
+    /// The value of a key at this time (ms, the caller's clock).
+    pub fn get(&self, view: &View, key: &K, now: u64) -> Result<Option<V>> {
+        view.get(&self.key(key), now)?.map(|(value, _)| Self::value(&value)).transpose()
+    }
+
+    /// With the version to expect in a later batch.
+    pub fn get_versioned(&self, view: &View, key: &K, now: u64) -> Result<Option<(V, u64)>> {
+        let found = view.get(&self.key(key), now)?;
+        found.map(|(value, version)| Ok((Self::value(&value)?, version))).transpose()
+    }
+
+    /// All keys that begin so, in order.
+    pub fn scan(&self, view: &View, prefix: &K, now: u64) -> Result<Vec<(K::Owned, V)>>
+    where
+        K::Owned: Borrow<K>,
+    {
+        let prefix = self.key(prefix);
+        let found = view.scan(&prefix, now).map(|found| {
+            let (key, value) = found?;
+            let decoded =
+                K::decode(&key[2..]).ok_or_else(|| Error::Coding("a key of another kind".into()))?;
+            Ok((decoded, Self::value(&value)?))
+        });
+        found.collect()
+    }
+}
+
+/// One change of a batch, as it was asked for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Change {
+    pub key: Vec<u8>,
+    pub value: Option<Vec<u8>>,
+    pub expires: Option<u64>,
+}
+
+/// Changes that are made together or not at all.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Batch {
+    pub(crate) changes: Vec<Change>,
+    /// Keys and the versions that they must have.
+    pub(crate) expected: Vec<(Vec<u8>, Option<u64>)>,
+}
+
+impl Batch {
+    pub fn new() -> Self {
+        Batch::default()
+    }
+
+    pub fn put<K: Key + ?Sized, V: Serialize + DeserializeOwned>(
+        self, keyspace: &Keyspace<K, V>, key: &K, value: &V,
+    ) -> Result<Self> {
+        self.change(keyspace, key, value, None)
+    }
+
+    /// A value that is gone from this time on (ms, the caller's clock).
+    pub fn put_until<K: Key + ?Sized, V: Serialize + DeserializeOwned>(
+        self, keyspace: &Keyspace<K, V>, key: &K, value: &V, expires: u64,
+    ) -> Result<Self> {
+        self.change(keyspace, key, value, Some(expires))
+    }
+
+    fn change<K: Key + ?Sized, V: Serialize + DeserializeOwned>(
+        mut self, keyspace: &Keyspace<K, V>, key: &K, value: &V, expires: Option<u64>,
+    ) -> Result<Self> {
+        let value = postcard::to_stdvec(value).map_err(|e| Error::Coding(e.to_string()))?;
+        self.changes.push(Change { key: keyspace.key(key), value: Some(value), expires });
+        Ok(self)
+    }
+
+    pub fn delete<K: Key + ?Sized, V: Serialize + DeserializeOwned>(
+        mut self, keyspace: &Keyspace<K, V>, key: &K,
+    ) -> Self {
+        self.changes.push(Change { key: keyspace.key(key), value: None, expires: None });
+        self
+    }
+
+    /// The whole batch is turned down unless the key has this version, or is absent.
+    pub fn expect<K: Key + ?Sized, V: Serialize + DeserializeOwned>(
+        mut self, keyspace: &Keyspace<K, V>, key: &K, version: Option<u64>,
+    ) -> Self {
+        self.expected.push((keyspace.key(key), version));
+        self
+    }
+}
--- /dev/null
+++ b/crates/store/src/sim.rs
@@ -0,0 +1,324 @@
+//! A disk that lies, for tests: between two syncs writes reach it in any order, in part, or not at all; names are lost
+//! without a sync of their folder; it fills up, fails and stops where it is told to. One seed, one run.
+
+use std::collections::BTreeMap;
+use std::io::{self, ErrorKind};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use crate::disk::{Disk, DiskFile};
+
+/// The unit in which a write reaches the disk.
+const SECTOR: u64 = 512;
+
+/// What goes wrong at one call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Trouble {
+    /// The machine stops: this call and all after it fail.
+    Crash,
+    /// No space is left; half of a write may have been done.
+    Full,
+    Io,
+}
+
+#[derive(Clone, Debug)]
+enum Pending {
+    Write { at: u64, bytes: Vec<u8> },
+    Truncate(u64),
+}
+
+#[derive(Clone, Debug, Default)]
+struct Content {
+    durable: Vec<u8>,
+    current: Vec<u8>,
+    pending: Vec<Pending>,
+}
+
+#[derive(Clone, Debug)]
+enum NameOp {
+    Create(String, u64),
+    Rename(String, String),
+    Remove(String),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    files: BTreeMap<u64, Content>,
+    names: BTreeMap<String, u64>,
+    durable_names: BTreeMap<String, u64>,
+    pending_names: Vec<NameOp>,
+    next: u64,
+    locked: bool,
+    /// Calls that change something, so far.
+    calls: u64,
+    trouble: Option<(u64, Trouble)>,
+    dead: bool,
+    /// Reads give back one byte less than they could, now and then.
+    short_reads: bool,
+}
+
+/// A simulated folder. Clones are the same one.
+#[derive(Clone, Debug, Default)]
+pub struct SimDisk(Arc<Mutex<State>>);
+
+#[derive(Clone, Debug)]
+pub struct SimFile {
+    disk: SimDisk,
+    id: u64,
+}
+
+fn apply(content: &mut Vec<u8>, op: &Pending) {
+    match op {
+        Pending::Write { at, bytes } => {
+            let end = *at as usize + bytes.len();
+            if content.len() < end {
+                content.resize(end, 0);
+            }
+            content[*at as usize..end].copy_from_slice(bytes);
+        }
+        Pending::Truncate(len) => content.resize(*len as usize, 0),
+    }
+}
+
+fn rename(names: &mut BTreeMap<String, u64>, op: &NameOp) {
+    match op {
+        NameOp::Create(name, id) => _ = names.insert(name.clone(), *id),
+        NameOp::Remove(name) => _ = names.remove(name),
+        NameOp::Rename(from, to) => {
+            if let Some(id) = names.remove(from) {
+                names.insert(to.clone(), id);
+            }
+        }
+    }
+}
+
+impl SimDisk {
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Has this happen at the call with this number, counted from 0 over all that change something.
+    pub fn trouble_at(&self, call: u64, trouble: Trouble) {
+        self.state().trouble = Some((call, trouble));
+    }
+
+    pub fn short_reads(&self) {
+        self.state().short_reads = true;
+    }
+
+    /// Calls that changed something so far.
+    pub fn calls(&self) -> u64 {
+        self.state().calls
+    }
+
+    /// What the disk holds after the machine has stopped: of what was not synced, whatever the seed says. With `kind`
+    /// only the process ends, and nothing is lost.
+    pub fn after_crash(&self, seed: u64, kind: bool) -> SimDisk {
+        let state = self.state();
+        let mut random = fastrand::Rng::with_seed(seed);
+        let mut after = State { next: state.next, ..State::default() };
+        if kind {
+            after.names = state.names.clone();
+            for (id, content) in &state.files {
+                let current = content.current.clone();
+                after.files.insert(*id, Content { durable: current.clone(), current, pending: Vec::new() });
+            }
+        } else {
+            after.names = state.durable_names.clone();
+            let kept = random.usize(0..=state.pending_names.len());
+            state.pending_names[..kept].iter().for_each(|op| rename(&mut after.names, op));
+            for (id, content) in &state.files {
+                let mut left = content.durable.clone();
+                for op in &content.pending {
+                    match op {
+                        Pending::Truncate(_) if random.bool() => apply(&mut left, op),
+                        Pending::Truncate(_) => {}
+                        Pending::Write { at, bytes } => sectors(*at, bytes).for_each(|part| {
+                            if random.bool() {
+                                apply(&mut left, &part);
+                            }
+                        }),
+                    }
+                }
+                after
+                    .files
+                    .insert(*id, Content { durable: left.clone(), current: left, pending: Vec::new() });
+            }
+        }
+        after.durable_names = after.names.clone();
+        SimDisk(Arc::new(Mutex::new(after)))
+    }
+
+    /// The bytes of a file, to look at or to damage.
+    pub fn bytes(&self, name: &str) -> Option<Vec<u8>> {
+        let state = self.state();
+        state.names.get(name).and_then(|id| state.files.get(id)).map(|c| c.current.clone())
+    }
+
+    pub fn overwrite(&self, name: &str, bytes: Vec<u8>) {
+        let mut state = self.state();
+        let id = match state.names.get(name) {
+            Some(id) => *id,
+            None => {
+                state.next += 1;
+                let id = state.next;
+                state.names.insert(name.into(), id);
+                state.durable_names.insert(name.into(), id);
+                id
+            }
+        };
+        state.files.insert(id, Content { durable: bytes.clone(), current: bytes, pending: Vec::new() });
+    }
+
+    /// Another folder with the same files.
+    pub fn copy(&self) -> SimDisk {
+        self.after_crash(0, true)
+    }
+}
+
+/// A write in the parts that reach the disk one by one.
+fn sectors(at: u64, bytes: &[u8]) -> impl Iterator<Item = Pending> + '_ {
+    let mut from = 0;
+    std::iter::from_fn(move || {
+        if from == bytes.len() {
+            return None;
+        }
+        let here = at + from as u64;
+        let to = (from + (SECTOR - here % SECTOR) as usize).min(bytes.len());
+        let part = Pending::Write { at: here, bytes: bytes[from..to].to_vec() };
+        from = to;
+        Some(part)
+    })
+}
+
+impl State {
+    /// Counts a call; what goes wrong at it.
+    fn call(&mut self) -> io::Result<()> {
+        if self.dead {
+            return Err(io::Error::other("the machine has stopped"));
+        }
+        let now = self.calls;
+        self.calls += 1;
+        match self.trouble {
+            Some((at, Trouble::Crash)) if at == now => {
+                self.dead = true;
+                Err(io::Error::other("the machine stops"))
+            }
+            Some((at, Trouble::Full)) if at == now => Err(ErrorKind::StorageFull.into()),
+            Some((at, Trouble::Io)) if at == now => Err(io::Error::other("the disk fails")),
+            _ => Ok(()),
+        }
+    }
+}
+
+impl Disk for SimDisk {
+    type File = SimFile;
+
+    fn lock(&mut self) -> io::Result<()> {
+        if std::mem::replace(&mut self.state().locked, true) {
+            return Err(ErrorKind::WouldBlock.into());
+        }
+        Ok(())
+    }
+
+    fn list(&self) -> io::Result<Vec<String>> {
+        Ok(self.state().names.keys().cloned().collect())
+    }
+
+    fn open(&self, name: &str) -> io::Result<SimFile> {
+        let id = self.state().names.get(name).copied().ok_or(ErrorKind::NotFound)?;
+        Ok(SimFile { disk: self.clone(), id })
+    }
+
+    fn create(&self, name: &str) -> io::Result<SimFile> {
+        let mut state = self.state();
+        state.call()?;
+        if state.names.contains_key(name) {
+            return Err(ErrorKind::AlreadyExists.into());
+        }
+        state.next += 1;
+        let id = state.next;
+        state.files.insert(id, Content::default());
+        state.names.insert(name.into(), id);
+        state.pending_names.push(NameOp::Create(name.into(), id));
+        Ok(SimFile { disk: self.clone(), id })
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        let mut state = self.state();
+        state.call()?;
+        let op = NameOp::Rename(from.into(), to.into());
+        rename(&mut state.names, &op);
+        state.pending_names.push(op);
+        Ok(())
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        let mut state = self.state();
+        state.call()?;
+        state.names.remove(name).ok_or(ErrorKind::NotFound)?;
+        state.pending_names.push(NameOp::Remove(name.into()));
+        Ok(())
+    }
+
+    fn sync_folder(&self) -> io::Result<()> {
+        let mut state = self.state();
+        state.call()?;
+        state.durable_names = state.names.clone();
+        state.pending_names.clear();
+        Ok(())
+    }
+}
+
+impl SimFile {
+    fn with<T>(&self, f: impl FnOnce(&mut Content) -> T) -> io::Result<T> {
+        self.disk.state().files.get_mut(&self.id).map(f).ok_or_else(|| ErrorKind::NotFound.into())
+    }
+}
+
+impl DiskFile for SimFile {
+    fn size(&self) -> io::Result<u64> {
+        self.with(|c| c.current.len() as u64)
+    }
+
+    fn read_at(&self, buffer: &mut [u8], at: u64) -> io::Result<usize> {
+        let short = self.disk.state().short_reads;
+        self.with(|c| {
+            let from = (at as usize).min(c.current.len());
+            let mut n = buffer.len().min(c.current.len() - from);
+            if short && n > 1 {
+                n = n.div_ceil(2);
+            }
+            buffer[..n].copy_from_slice(&c.current[from..from + n]);
+            n
+        })
+    }
+
+    fn write_at(&self, bytes: &[u8], at: u64) -> io::Result<()> {
+        let result = self.disk.state().call();
+        // A call that fails may have done a part of its work.
+        let done = if result.is_ok() { bytes } else { &bytes[..bytes.len() / 2] };
+        self.with(|c| {
+            let op = Pending::Write { at, bytes: done.to_vec() };
+            apply(&mut c.current, &op);
+            c.pending.push(op);
+        })?;
+        result
+    }
+
+    fn truncate(&self, len: u64) -> io::Result<()> {
+        self.disk.state().call()?;
+        self.with(|c| {
+            let op = Pending::Truncate(len);
+            apply(&mut c.current, &op);
+            c.pending.push(op);
+        })
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.disk.state().call()?;
+        self.with(|c| {
+            c.durable = c.current.clone();
+            c.pending.clear();
+        })
+    }
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,284 @@
+//! The store as a process has it: one thread writes for all, in groups; whoever asks never waits on the disk.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{self, Receiver, RecvTimeoutError, SyncSender, TrySendError};
+use std::sync::{Arc, Mutex, PoisonError, RwLock};
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use crate::batch::Batch;
+use crate::disk::Disk;
+use crate::error::{Error, Result};
+use crate::log::{Log, Options};
+use crate::recover::{pack, Recovered};
+use crate::view::View;
+
+/// When a write is acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Durability {
+    /// Taken in order: lost with the process.
+    Buffered,
+    /// Handed to the machine: survives the process.
+    Flushed,
+    /// On the disk for good: survives the machine.
+    Synced,
+}
+
+/// Most batches and bytes of one group.
+const GROUP: usize = 1_024;
+const GROUP_BYTES: usize = 1 << 20;
+/// What one step of compaction reads, between two groups.
+const STEP: u64 = 256 << 10;
+/// Pause between two looks whether something is to be compacted.
+const LOOK: Duration = Duration::from_millis(200);
+
+type Done = Box<dyn FnOnce(Result<u64>) + Send>;
+type Copying = Box<dyn FnOnce(&View) -> Result<()> + Send>;
+type Clock = Arc<dyn Fn() -> u64 + Send + Sync>;
+
+enum Command {
+    Write(Batch, Durability, Done),
+    Snapshot(Copying, SyncSender<Result<()>>),
+    Close,
+}
+
+/// Figures of a store, for counters.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Batches taken, and groups that they were written in.
+    pub batches: u64,
+    pub groups: u64,
+    pub syncs: u64,
+    /// Bytes written for callers, and copied by compaction.
+    pub written: u64,
+    pub copied: u64,
+    /// Bytes in all files, and what of them is current.
+    pub bytes: u64,
+    pub live: u64,
+}
+
+#[derive(Default)]
+struct Counts {
+    batches: AtomicU64,
+    groups: AtomicU64,
+    syncs: AtomicU64,
+    written: AtomicU64,
+    copied: AtomicU64,
+    bytes: AtomicU64,
+    live: AtomicU64,
+}
+
+struct Shared {
+    view: RwLock<View>,
+    counts: Counts,
+    commands: SyncSender<Command>,
+    thread: Mutex<Option<JoinHandle<()>>>,
+}
+
+/// A handle on an open store; clones are the same one. The last one that goes closes it.
+#[derive(Clone)]
+pub struct Store(Arc<Shared>);
+
+impl Drop for Shared {
+    fn drop(&mut self) {
+        let _ = self.commands.send(Command::Close);
+        let thread = self.thread.lock().unwrap_or_else(PoisonError::into_inner).take();
+        if let Some(thread) = thread {
+            let _ = thread.join();
+        }
+    }
+}
+
+impl Store {
+    /// Recovers what is there and starts the thread. Values that expire do so by the machine's clock in compaction.
+    pub fn open<D: Disk>(disk: D, options: Options) -> Result<(Store, Recovered)> {
+        let clock = || {
+            let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+            unix.map_or(0, |d| d.as_millis() as u64)
+        };
+        Store::open_with(disk, options, clock)
+    }
+
+    /// The same with the caller's clock (ms).
+    pub fn open_with<D: Disk>(
+        disk: D, options: Options, clock: impl Fn() -> u64 + Send + Sync + 'static,
+    ) -> Result<(Store, Recovered)> {
+        let (log, recovered) = Log::open(disk, options.clone())?;
+        let (commands, inbox) = mpsc::sync_channel(options.queue.max(1));
+        let shared = Arc::new(Shared {
+            view: RwLock::new(log.view()),
+            counts: Counts::default(),
+            commands,
+            thread: Mutex::new(None),
+        });
+        let (weak, clock): (_, Clock) = (Arc::downgrade(&shared), Arc::new(clock));
+        let writer = move || {
+            let mut log = log;
+            let publish = |log: &Log<D>, group: Option<(u64, bool)>| {
+                if let Some(shared) = weak.upgrade() {
+                    shared.publish(log, group);
+                }
+            };
+            run(&mut log, &inbox, &clock, publish);
+        };
+        let thread = std::thread::Builder::new().name("store".into()).spawn(writer)?;
+        *shared.thread.lock().unwrap_or_else(PoisonError::into_inner) = Some(thread);
+        Ok((Store(shared), recovered))
+    }
+
+    /// The store as it is now.
+    pub fn view(&self) -> View {
+        self.0.view.read().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Hands a batch over and returns at once. `done` is called with the batch's version on the store's thread, so it
+    /// must not wait. [`Error::Busy`]: too many writes wait; nothing was taken.
+    pub fn submit(
+        &self, batch: Batch, durability: Durability, done: impl FnOnce(Result<u64>) + Send + 'static,
+    ) -> Result<()> {
+        match self.0.commands.try_send(Command::Write(batch, durability, Box::new(done))) {
+            Ok(()) => Ok(()),
+            Err(TrySendError::Full(_)) => Err(Error::Busy),
+            Err(TrySendError::Disconnected(_)) => Err(Error::Closed),
+        }
+    }
+
+    /// Writes a batch and waits until it is as durable as that.
+    pub fn write(&self, batch: Batch, durability: Durability) -> Result<u64> {
+        let (tell, told) = mpsc::sync_channel(1);
+        self.submit(batch, durability, move |result| _ = tell.send(result))?;
+        told.recv().unwrap_or(Err(Error::Closed))
+    }
+
+    /// Writes a consistent copy into an empty folder, which opens as a store.
+    pub fn snapshot<E: Disk>(&self, to: E, now: u64) -> Result<()> {
+        let (tell, told) = mpsc::sync_channel(1);
+        let copy = move |view: &View| {
+            let mut ops = view.all(now).collect::<Result<Vec<_>>>()?;
+            ops.sort_by_key(|op| op.version);
+            pack(&to, ops.into_iter().map(Ok), view.secret.as_ref())
+        };
+        self.0.commands.send(Command::Snapshot(Box::new(copy), tell)).map_err(|_| Error::Closed)?;
+        told.recv().unwrap_or(Err(Error::Closed))
+    }
+
+    pub fn figures(&self) -> Figures {
+        let c = &self.0.counts;
+        let get = |n: &AtomicU64| n.load(Ordering::Relaxed);
+        Figures {
+            batches: get(&c.batches),
+            groups: get(&c.groups),
+            syncs: get(&c.syncs),
+            written: get(&c.written),
+            copied: get(&c.copied),
+            bytes: get(&c.bytes),
+            live: get(&c.live),
+        }
+    }
+}
+
+impl Shared {
+    fn publish<D: Disk>(&self, log: &Log<D>, group: Option<(u64, bool)>) {
+        *self.view.write().unwrap_or_else(PoisonError::into_inner) = log.view();
+        if let Some((batches, synced)) = group {
+            self.counts.batches.fetch_add(batches, Ordering::Relaxed);
+            self.counts.groups.fetch_add(1, Ordering::Relaxed);
+            self.counts.syncs.fetch_add(u64::from(synced), Ordering::Relaxed);
+        }
+        let (bytes, live) = log.space();
+        let set = |n: &AtomicU64, to| n.store(to, Ordering::Relaxed);
+        set(&self.counts.written, log.written);
+        set(&self.counts.copied, log.copied);
+        set(&self.counts.bytes, bytes);
+        set(&self.counts.live, live);
+    }
+}
+
+/// The store's thread: groups of writes, and steps of compaction while nothing waits.
+fn run<D: Disk>(
+    log: &mut Log<D>, inbox: &Receiver<Command>, clock: &Clock,
+    publish: impl Fn(&Log<D>, Option<(u64, bool)>),
+) {
+    let mut compacting = true;
+    loop {
+        let first = match if compacting { inbox.try_recv().map_err(|_| ()) } else { wait(inbox) } {
+            Ok(command) => command,
+            Err(()) => {
+                // Nothing waits. A compaction that cannot go on (a full disk, say) is tried again later.
+                compacting = matches!(log.compact(clock(), STEP), Ok(true));
+                publish(log, None);
+                continue;
+            }
+        };
+        let mut group = Vec::new();
+        let mut bytes = 0;
+        let mut next = Some(first);
+        while let Some(command) = next.take() {
+            match command {
+                Command::Write(batch, durability, done) => {
+                    bytes += batch
+                        .changes
+                        .iter()
+                        .map(|c| c.key.len() + c.value.as_ref().map_or(0, Vec::len))
+                        .sum::<usize>();
+                    match log.stage(&batch) {
+                        Ok(version) if durability == Durability::Buffered => {
+                            done(Ok(version));
+                            group.push((version, durability, None));
+                        }
+                        Ok(version) => group.push((version, durability, Some(done))),
+                        Err(e) => done(Err(e)),
+                    }
+                }
+                Command::Snapshot(copy, tell) => {
+                    commit(log, std::mem::take(&mut group), &publish);
+                    let _ = tell.send(copy(&log.view()));
+                }
+                Command::Close => {
+                    commit(log, group, &publish);
+                    let _ = log.sync();
+                    return;
+                }
+            }
+            if group.len() < GROUP && bytes < GROUP_BYTES {
+                next = inbox.try_recv().ok();
+            }
+        }
+        commit(log, group, &publish);
+        // Beside writers that never pause it must come on all the same.
+        compacting = !matches!(log.compact(clock(), STEP), Ok(false));
+        publish(log, None);
+    }
+}
+
+/// The next command, or nothing for a while.
+fn wait(inbox: &Receiver<Command>) -> std::result::Result<Command, ()> {
+    match inbox.recv_timeout(LOOK) {
+        Ok(command) => Ok(command),
+        Err(RecvTimeoutError::Timeout) => Err(()),
+        // The handle sends `Close` before it goes.
+        Err(RecvTimeoutError::Disconnected) => Ok(Command::Close),
+    }
+}
+
+/// Writes a group, syncs it if one of it asked for that, and tells all.
+fn commit<D: Disk>(
+    log: &mut Log<D>, group: Vec<(u64, Durability, Option<Done>)>,
+    publish: &impl Fn(&Log<D>, Option<(u64, bool)>),
+) {
+    if group.is_empty() {
+        return;
+    }
+    let sync = group.iter().any(|g| g.1 == Durability::Synced);
+    let flushed = log.flush();
+    let synced = if sync && flushed.is_ok() { log.sync() } else { Ok(()) };
+    publish(log, Some((group.len() as u64, sync)));
+    for (version, durability, done) in group {
+        let Some(done) = done else { continue };
+        done(match (&flushed, &synced) {
+            (Err(e), _) => Err(e.clone()),
+            (_, Err(e)) if durability == Durability::Synced => Err(e.clone()),
+            _ => Ok(version),
+        });
+    }
+}
--- /dev/null
+++ b/crates/store/src/view.rs
@@ -0,0 +1,102 @@
+//! The index, and a view of the store that stays as it was while writers go on.
+
+use std::sync::Arc;
+
+use imbl::OrdMap;
+
+use crate::disk::{read_exact, DiskFile};
+use crate::error::{Error, Result};
+use crate::frame::{self, Secret};
+
+/// Where a value lies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Entry {
+    /// File, place and size of its frame, and which change of it.
+    pub file: u64,
+    pub at: u64,
+    pub size: u32,
+    pub slot: u32,
+    pub version: u64,
+    pub expires: Option<u64>,
+    /// What it counts for in the space of its file.
+    pub cost: u32,
+}
+
+impl Entry {
+    pub fn lives(&self, now: u64) -> bool {
+        self.expires.is_none_or(|at| now < at)
+    }
+}
+
+/// A tree that shares what did not change, so that a view costs nothing to take.
+pub(crate) type Index = OrdMap<Box<[u8]>, Entry>;
+
+/// A file to read from, whatever disk it is on.
+pub(crate) trait Source: Send + Sync {
+    fn read(&self, buffer: &mut [u8], at: u64) -> std::io::Result<()>;
+}
+
+impl<F: DiskFile> Source for F {
+    fn read(&self, buffer: &mut [u8], at: u64) -> std::io::Result<()> {
+        read_exact(self, buffer, at)
+    }
+}
+
+/// The store as it was at one moment.
+#[derive(Clone)]
+pub struct View {
+    pub(crate) index: Index,
+    /// A file stays readable for as long as a view has it, removed or not.
+    pub(crate) files: OrdMap<u64, Arc<dyn Source>>,
+    pub(crate) secret: Option<Secret>,
+}
+
+impl View {
+    /// Keys that the index has, those that have expired and were not compacted yet among them.
+    pub fn len(&self) -> usize {
+        self.index.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.index.is_empty()
+    }
+
+    pub(crate) fn get(&self, key: &[u8], now: u64) -> Result<Option<(Vec<u8>, u64)>> {
+        let Some(entry) = self.index.get(key).filter(|e| e.lives(now)) else { return Ok(None) };
+        Ok(Some((self.read(key, entry)?, entry.version)))
+    }
+
+    pub(crate) fn scan<'a>(
+        &'a self, prefix: &'a [u8], now: u64,
+    ) -> impl Iterator<Item = Result<(Box<[u8]>, Vec<u8>)>> + 'a {
+        let from = self.index.range::<_, Box<[u8]>>(Box::<[u8]>::from(prefix)..);
+        let with =
+            from.take_while(move |(key, _)| key.starts_with(prefix)).filter(move |(_, e)| e.lives(now));
+        with.map(|(key, entry)| Ok((key.clone(), self.read(key, entry)?)))
+    }
+
+    /// Every key with its value, expiry and version; what `dump` prints and a snapshot copies.
+    pub fn all(&self, now: u64) -> impl Iterator<Item = Result<frame::Op>> + '_ {
+        self.index.iter().filter(move |(_, e)| e.lives(now)).map(|(key, entry)| {
+            let (expires, version) = (entry.expires, entry.version);
+            Ok(frame::Op { key: key.to_vec(), value: Some(self.read(key, entry)?), expires, version })
+        })
+    }
+
+    fn read(&self, key: &[u8], entry: &Entry) -> Result<Vec<u8>> {
+        let damaged = |what| Error::Damaged { file: name(entry.file), offset: entry.at, what };
+        let file = self.files.get(&entry.file).ok_or_else(|| damaged("the file is gone"))?;
+        let mut bytes = vec![0; entry.size as usize];
+        file.read(&mut bytes, entry.at)?;
+        let read =
+            frame::decode(&bytes, self.secret.as_ref()).map_err(|_| damaged("a frame changed since"))?;
+        let ops = frame::ops(read.payload).ok_or_else(|| damaged("a frame's changes cannot be read"))?;
+        let op = ops.into_iter().nth(entry.slot as usize).filter(|op| op.key == key);
+        op.and_then(|op| op.value).ok_or_else(|| damaged("another key lies there"))
+    }
+}
+
+/// The name of a file of the log.
+pub(crate) fn name(number: u64) -> String {
+    format!("{number:016x}.log")
+}
--- /dev/null
+++ b/crates/store/tests/damage.rs
@@ -0,0 +1,254 @@
+//! Files that were cut, turned or are somebody else's.
+
+use std::path::Path;
+
+use glenrail_store::disk::Disk;
+use glenrail_store::sim::SimDisk;
+use glenrail_store::{check, salvage, Batch, Durability, Error, Folder, Keyspace, Log, Options, Store};
+
+const WORDS: Keyspace<str, String> = Keyspace::new(1);
+const COUNTS: Keyspace<u64, u64> = Keyspace::new(2);
+
+fn options() -> Options {
+    let mut options = Options { segment: 400, ..Options::default() };
+    options.compaction.worth = 1;
+    options
+}
+
+/// A store with every kind of record: several files, one of them compacted, batches over both keyspaces, deletions,
+/// expiries and a batch larger than a file. Returns what it held after each batch.
+fn written(disk: &SimDisk) -> Vec<Vec<(String, String)>> {
+    let (mut log, _) = Log::open(disk.clone(), options()).expect("opened");
+    let mut states = vec![Vec::new()];
+    for n in 0..40u64 {
+        let word = format!("w{}", n % 5);
+        let batch = match n % 8 {
+            3 => Batch::new().delete(&WORDS, &word),
+            5 => Batch::new().put_until(&WORDS, &word, &"soon".to_string(), 1_000).expect("a batch"),
+            7 => Batch::new().put(&WORDS, &word, &"long".repeat(200)).expect("a batch"),
+            _ => Batch::new()
+                .put(&WORDS, &word, &n.to_string())
+                .and_then(|b| b.put(&COUNTS, &n, &n))
+                .expect("a batch"),
+        };
+        log.stage(&batch).expect("staged");
+        log.flush().expect("flushed");
+        if n == 20 {
+            log.sync().expect("synced");
+            while log.compact(0, 1 << 20).expect("compacted") {}
+        }
+        states.push(words(&log));
+    }
+    assert!(log.copied > 0 && log.files() > 3, "compacted, and several files");
+    states
+}
+
+fn words(log: &Log<SimDisk>) -> Vec<(String, String)> {
+    WORDS.scan(&log.view(), "", 0).expect("readable")
+}
+
+/// Guards every restart: the newest file cut at every byte opens to a state that was; an older one is damage that is
+/// named, as it was on the disk for good.
+#[test]
+fn a_file_cut_at_every_byte_opens_to_a_prefix_or_is_named() {
+    let disk = SimDisk::default();
+    let states = written(&disk);
+    let mut names = disk.list().expect("listed");
+    names.sort();
+    for name in &names {
+        let (whole, newest) = (disk.bytes(name).expect("there"), Some(name) == names.last());
+        for cut in 0..whole.len() {
+            let copy = disk.copy();
+            copy.overwrite(name, whole[..cut].to_vec());
+            match Log::open(copy, options()) {
+                Ok((log, report)) => {
+                    assert!(newest, "{name} cut at {cut} must be named");
+                    let n = report.sequence as usize;
+                    assert_eq!(words(&log), states[n], "{name} cut at {cut}");
+                }
+                Err(Error::Damaged { file, .. }) => {
+                    // The file itself, or the next one, which it no longer reaches.
+                    assert!(
+                        !newest && (file == *name || names.contains(&file)),
+                        "{name} cut at {cut}: {file}"
+                    );
+                }
+                Err(e) => panic!("{name} cut at {cut}: {e}"),
+            }
+        }
+    }
+}
+
+/// Guards values: whatever bit is turned, nothing that was not written is ever returned.
+#[test]
+fn a_turned_bit_is_never_returned() {
+    let disk = SimDisk::default();
+    let states = written(&disk);
+    for name in disk.list().expect("listed") {
+        let whole = disk.bytes(&name).expect("there");
+        for at in 0..whole.len() {
+            let copy = disk.copy();
+            let mut bytes = whole.clone();
+            bytes[at] ^= 1 << (at % 8);
+            copy.overwrite(&name, bytes);
+            if let Ok((log, report)) = Log::open(copy, options()) {
+                assert_eq!(words(&log), states[report.sequence as usize], "{name} turned at {at}");
+            }
+        }
+    }
+    // A bit that turns while the store is open.
+    let (log, _) = Log::open(disk.copy(), options()).expect("opened");
+    let view = log.view();
+    drop(log);
+    assert!(WORDS.scan(&view, "", 0).is_ok());
+}
+
+/// Guards against damage that looks like a torn end: a later batch says that it was on the disk for good.
+#[test]
+fn damage_in_the_middle_is_named_and_salvage_says_what_it_dropped() {
+    let disk = SimDisk::default();
+    let (mut log, _) = Log::open(disk.clone(), Options::default()).expect("opened");
+    for n in 0..10u64 {
+        log.stage(&Batch::new().put(&COUNTS, &n, &n).expect("a batch")).expect("staged");
+        log.flush().expect("flushed");
+        log.sync().expect("synced");
+    }
+    drop(log);
+    let name = disk.list().expect("listed")[0].clone();
+    let mut bytes = disk.bytes(&name).expect("there");
+    let at = bytes.len() / 2;
+    bytes[at] ^= 0x10;
+    let damaged = disk.copy();
+    damaged.overwrite(&name, bytes.clone());
+    let Err(Error::Damaged { file, offset, .. }) = check(damaged.copy(), None) else { panic!("not named") };
+    assert!(file == name && (offset as usize) <= at && at - (offset as usize) < 64, "{file} {offset} {at}");
+    let to = SimDisk::default();
+    let salvaged = salvage(damaged, to.clone(), None).expect("salvaged");
+    assert_eq!((salvaged.keys, salvaged.dropped.len(), salvaged.missing.len()), (9, 1, 1));
+    assert_eq!(salvaged.dropped[0].at, offset);
+    let lost = salvaged.missing[0].0;
+    let (log, _) = Log::open(to.copy(), Options::default()).expect("opened");
+    let kept = COUNTS.scan(&log.view(), &0, 0);
+    assert!(kept.is_ok());
+    for n in 0..10u64 {
+        let found = COUNTS.get(&log.view(), &n, 0).expect("readable");
+        assert_eq!(found, (n + 1 != lost).then_some(n));
+    }
+}
+
+/// Guards against files of another program, another format, another key and another process.
+#[test]
+fn what_is_not_ours_is_refused_by_name() {
+    let disk = SimDisk::default();
+    written(&disk);
+    let first = disk.list().expect("listed")[0].clone();
+    let open = |disk: SimDisk, secret| {
+        Log::open(disk, Options { secret, ..options() }).map(|_| ()).expect_err("refused")
+    };
+    let foreign = disk.copy();
+    foreign.overwrite("notes.txt", b"hello".to_vec());
+    assert!(matches!(open(foreign, None), Error::Foreign { file } if file == "notes.txt"));
+    let newer = disk.copy();
+    let mut head =
+        glenrail_store::frame::Head { number: 1, first: 1, last: 0, compacted: false, keyed: false }.encode();
+    head[8] = 9;
+    let crc = crc32fast_of(&head[..40]);
+    head[40..].copy_from_slice(&crc.to_le_bytes());
+    newer.overwrite(&first, head.to_vec());
+    assert!(matches!(open(newer, None), Error::Version { version: 9, .. }));
+    assert!(matches!(open(disk.copy(), Some([1; 32])), Error::Key { .. }));
+    let taken = disk.copy();
+    let (_held, _) = Log::open(taken.clone(), options()).expect("opened");
+    assert!(matches!(open(taken, None), Error::Taken));
+    let sealed = SimDisk::default();
+    let secret = Some([1; 32]);
+    let (mut log, _) = Log::open(sealed.clone(), Options { secret, ..options() }).expect("opened");
+    log.stage(&Batch::new().put(&COUNTS, &1, &1).expect("a batch"))
+        .and_then(|_| log.flush())
+        .expect("written");
+    assert!(matches!(
+        open(sealed.copy(), Some([2; 32])),
+        Error::Damaged { what: "sealed with another key", .. }
+    ));
+    assert!(Log::open(sealed.copy(), Options { secret, ..options() }).is_ok());
+}
+
+fn crc32fast_of(bytes: &[u8]) -> u32 {
+    crc32fast::hash(bytes)
+}
+
+fn open(path: &Path) -> Store {
+    let options = Options { segment: 4_096, ..Options::default() };
+    Store::open(Folder::new(path).expect("a folder"), options).expect("opened").0
+}
+
+/// Guards the real disk and the thread: what was acknowledged is there after a restart, a view stays as it was while
+/// writers and compaction go on, a snapshot opens, and one process at a time has the folder.
+#[test]
+fn the_machines_disk_keeps_what_was_acknowledged() {
+    let top = tempfile::tempdir().expect("a folder");
+    let (path, copy) = (top.path().join("store"), top.path().join("copy"));
+    let store = open(&path);
+    assert!(matches!(
+        Store::open(Folder::new(&path).expect("a folder"), Options::default()),
+        Err(Error::Taken)
+    ));
+    let put = |n: u64, v: u64| Batch::new().put(&COUNTS, &n, &v).expect("a batch");
+    for n in 0..500 {
+        store.write(put(n % 50, n), Durability::Flushed).expect("written");
+    }
+    let before = store.view();
+    for n in 500..5_000 {
+        store.submit(put(n % 50, n), Durability::Buffered, |_| ()).expect("taken");
+        if n % 1_000 == 0 {
+            store.write(Batch::new(), Durability::Synced).expect("synced");
+        }
+    }
+    let last = store.write(put(7, 1_000_000), Durability::Synced).expect("written");
+    assert_eq!(COUNTS.get(&before, &7, 0).expect("readable"), Some(457), "a view stays as it was");
+    let (value, version) = COUNTS.get_versioned(&store.view(), &7, 0).expect("readable").expect("there");
+    assert_eq!((value, version), (1_000_000, last));
+    // Compare and set: only for whoever saw the last value.
+    let stale = put(7, 1).expect(&COUNTS, &7, Some(version - 1));
+    assert!(matches!(store.write(stale, Durability::Flushed), Err(Error::Conflict)));
+    store.write(put(7, 8).expect(&COUNTS, &7, Some(version)), Durability::Flushed).expect("written");
+    store.snapshot(Folder::new(&copy).expect("a folder"), 0).expect("copied");
+    let figures = store.figures();
+    assert!(figures.groups < figures.batches, "{figures:?}");
+    drop(store);
+    for path in [&path, &copy] {
+        let store = open(path);
+        assert_eq!(COUNTS.scan(&store.view(), &0, 0).map(|_| store.view().len()).expect("readable"), 50);
+        assert_eq!(COUNTS.get(&store.view(), &7, 0).expect("readable"), Some(8));
+        assert_eq!(COUNTS.get(&store.view(), &49, 0).expect("readable"), Some(4_999));
+    }
+}
+
+/// Guards values that expire: gone by the caller's clock at once, from the disk with compaction, and never back.
+#[test]
+fn what_has_expired_does_not_come_back() {
+    let disk = SimDisk::default();
+    let (mut log, _) = Log::open(disk.clone(), options()).expect("opened");
+    let put = |log: &mut Log<SimDisk>, v: &str, until: Option<u64>| {
+        let batch = match until {
+            Some(until) => Batch::new().put_until(&WORDS, "w", &v.to_string(), until),
+            None => Batch::new().put(&WORDS, "w", &v.to_string()),
+        };
+        log.stage(&batch.expect("a batch")).and_then(|_| log.flush()).expect("written");
+    };
+    put(&mut log, "old", None);
+    put(&mut log, &"x".repeat(500), Some(10));
+    put(&mut log, "soon", Some(100));
+    assert_eq!(WORDS.get(&log.view(), "w", 99).expect("readable"), Some("soon".into()));
+    assert_eq!(WORDS.get(&log.view(), "w", 100).expect("readable"), None);
+    for n in 0..40u64 {
+        log.stage(&Batch::new().put(&COUNTS, &0, &n).expect("a batch"))
+            .and_then(|_| log.flush())
+            .expect("written");
+    }
+    while log.compact(1_000, 100).expect("compacted") {}
+    drop(log);
+    let (log, _) = Log::open(disk.copy(), options()).expect("opened");
+    assert_eq!(WORDS.get(&log.view(), "w", 0).expect("readable"), None);
+    assert_eq!(COUNTS.get(&log.view(), &0, 0).expect("readable"), Some(39));
+}
--- /dev/null
+++ b/crates/store/tests/model.rs
@@ -0,0 +1,206 @@
+//! The store against a plain map, on a disk that lies: a crash at every call, a full disk, failed syncs.
+
+use std::collections::BTreeMap;
+
+use glenrail_store::sim::{SimDisk, Trouble};
+use glenrail_store::{Batch, Error, Keyspace, Log, Options};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const A: Keyspace<u64, Vec<u8>> = Keyspace::new(1);
+const B: Keyspace<u64, Vec<u8>> = Keyspace::new(2);
+
+#[derive(Clone, Debug)]
+enum Step {
+    Put(bool, u64, usize),
+    /// Both keyspaces at once.
+    Both(u64, usize),
+    Delete(bool, u64),
+    Flush,
+    Sync,
+    Compact,
+}
+
+type Map = BTreeMap<(bool, u64), Vec<u8>>;
+
+fn step() -> impl Strategy<Value = Step> {
+    // Some batches are larger than a segment.
+    let size = prop_oneof![6 => 0usize..40, 1 => 600usize..900];
+    prop_oneof![
+        5 => (any::<bool>(), 0u64..6, size.clone()).prop_map(|(s, k, n)| Step::Put(s, k, n)),
+        2 => (0u64..6, size).prop_map(|(k, n)| Step::Both(k, n)),
+        2 => (any::<bool>(), 0u64..6).prop_map(|(s, k)| Step::Delete(s, k)),
+        4 => Just(Step::Flush),
+        2 => Just(Step::Sync),
+        3 => Just(Step::Compact),
+    ]
+}
+
+fn options() -> Options {
+    let mut options = Options { segment: 500, ..Options::default() };
+    options.compaction.garbage = 0.2;
+    options.compaction.worth = 1;
+    options
+}
+
+fn contents(log: &Log<SimDisk>) -> Map {
+    let view = log.view();
+    let all = |space: bool, k: &Keyspace<u64, Vec<u8>>| {
+        let found =
+            (0..6u64).filter_map(|key| Some(((space, key), k.get(&view, &key, 0).expect("readable")?)));
+        found.collect::<Vec<_>>()
+    };
+    all(false, &A).into_iter().chain(all(true, &B)).collect()
+}
+
+/// What a run leaves: every state after each batch taken, which was flushed last and which synced last.
+struct Ran {
+    states: Vec<Map>,
+    flushed: usize,
+    synced: usize,
+}
+
+/// Plays the steps until the disk gives out.
+fn play(disk: &SimDisk, steps: &[Step]) -> Ran {
+    let mut ran = Ran { states: vec![Map::new()], flushed: 0, synced: 0 };
+    let Ok((mut log, _)) = Log::open(disk.clone(), options()) else { return ran };
+    // What is staged and not flushed.
+    let mut staged = Vec::new();
+    for (n, step) in steps.iter().enumerate() {
+        let fill = |size: &usize| vec![n as u8; *size];
+        let mut next = staged.last().or(ran.states.last()).cloned().expect("a state");
+        let batch = match step {
+            Step::Put(space, key, size) => {
+                next.insert((*space, *key), fill(size));
+                Batch::new().put(if *space { &B } else { &A }, key, &fill(size))
+            }
+            Step::Both(key, size) => {
+                next.insert((false, *key), fill(size));
+                next.insert((true, *key), fill(size));
+                Batch::new().put(&A, key, &fill(size)).and_then(|b| b.put(&B, key, &fill(size)))
+            }
+            Step::Delete(space, key) => {
+                next.remove(&(*space, *key));
+                Ok(Batch::new().delete(if *space { &B } else { &A }, key))
+            }
+            Step::Flush | Step::Sync | Step::Compact => {
+                let done = match step {
+                    Step::Compact => log.compact(0, 200).map(|_| ()),
+                    _ => log.flush(),
+                };
+                // A compaction that began has flushed and synced what was staged before it went on, or failed.
+                let began = log.sequence().1 as usize >= ran.states.len() - 1 + staged.len();
+                match done {
+                    Ok(()) | Err(Error::Full) if matches!(step, Step::Compact) => {
+                        if log.sequence().0 as usize + 1 == ran.states.len() {
+                            // The disk was full for what was staged.
+                            staged.clear();
+                        } else if began {
+                            ran.states.append(&mut staged);
+                            ran.flushed = ran.states.len() - 1;
+                            ran.synced = ran.flushed;
+                        }
+                    }
+                    Ok(()) => {
+                        ran.states.append(&mut staged);
+                        ran.flushed = ran.states.len() - 1;
+                    }
+                    // None of it is there, and the store goes on.
+                    Err(Error::Full) => staged.clear(),
+                    Err(_) => {
+                        ran.states.append(&mut staged);
+                        return ran;
+                    }
+                }
+                if matches!(step, Step::Sync) {
+                    if log.sync().is_err() {
+                        return ran;
+                    }
+                    ran.synced = ran.flushed;
+                }
+                continue;
+            }
+        };
+        match log.stage(&batch.expect("a batch")) {
+            Ok(_) => staged.push(next),
+            Err(Error::Full) => {}
+            Err(_) => {
+                ran.states.append(&mut staged);
+                return ran;
+            }
+        }
+        ran.synced = ran.synced.max((log.sequence().1 as usize).min(ran.states.len() - 1));
+    }
+    // Staged and never flushed: lost, or not, as a crash would have it. Here nothing was handed over.
+    assert_eq!(contents(&log), ran.states[ran.flushed], "what readers see");
+    ran
+}
+
+/// What a store opens to must be one of the states from here on.
+fn opens_to_a_prefix(disk: &SimDisk, ran: &Ran, least: usize, why: &str) {
+    let (log, _) = Log::open(disk.clone(), options()).unwrap_or_else(|e| panic!("{why}: {e}"));
+    let found = contents(&log);
+    let known = ran.states[least..].contains(&found);
+    assert!(known, "{why}: {found:?} is none of {:?}", &ran.states[least..]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 150, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    /// Whatever the steps and wherever the machine stops: what comes back is a state that was, no older than the last
+    /// sync; where only the process ends, no older than the last flush. And a crash while recovering changes nothing.
+    #[test]
+    fn a_crash_at_any_call_leaves_a_prefix(steps in prop::collection::vec(step(), 1..40), seed: u64) {
+        let whole = SimDisk::default();
+        play(&whole, &steps);
+        for call in 0..=whole.calls() {
+            let disk = SimDisk::default();
+            disk.trouble_at(call, Trouble::Crash);
+            let ran = play(&disk, &steps);
+            let kind = disk.after_crash(seed, true);
+            opens_to_a_prefix(&kind, &ran, ran.flushed, &format!("process ended at call {call}"));
+            for n in 0..2 {
+                let crashed = disk.after_crash(seed.wrapping_add(n), false);
+                crashed.short_reads();
+                opens_to_a_prefix(&crashed.copy(), &ran, ran.synced, &format!("crash at call {call}"));
+                // A crash at every call of the recovery itself.
+                let recovering = crashed.copy();
+                let _ = Log::open(recovering.clone(), options());
+                for again in 0..recovering.calls() {
+                    let twice = crashed.copy();
+                    twice.trouble_at(again, Trouble::Crash);
+                    let _ = Log::open(twice.clone(), options());
+                    let why = format!("crash at call {call}, and at {again} of the recovery");
+                    opens_to_a_prefix(&twice.after_crash(seed, false), &ran, ran.synced, &why);
+                }
+            }
+        }
+    }
+
+    /// A disk that is full at any call: the batch is turned down whole, and the store goes on; what it says it took is
+    /// there after a restart.
+    #[test]
+    fn a_full_disk_turns_down_and_goes_on(steps in prop::collection::vec(step(), 1..40)) {
+        let whole = SimDisk::default();
+        play(&whole, &steps);
+        for call in 0..=whole.calls() {
+            let disk = SimDisk::default();
+            disk.trouble_at(call, Trouble::Full);
+            let ran = play(&disk, &steps);
+            opens_to_a_prefix(&disk.after_crash(0, true), &ran, ran.flushed, &format!("full at call {call}"));
+        }
+    }
+
+    /// A disk that fails at any call, a sync among them: nothing more is taken, and nothing synced is lost.
+    #[test]
+    fn a_failing_disk_stops_the_store(steps in prop::collection::vec(step(), 1..40), seed: u64) {
+        let whole = SimDisk::default();
+        play(&whole, &steps);
+        for call in 0..=whole.calls() {
+            let disk = SimDisk::default();
+            disk.trouble_at(call, Trouble::Io);
+            let ran = play(&disk, &steps);
+            opens_to_a_prefix(&disk.after_crash(seed, false), &ran, ran.synced, &format!("failed at call {call}"));
+        }
+    }
+}
