--- a/crates/store/src/log.rs
+++ b/crates/store/src/log.rs
@@ -40,6 +40,8 @@
 /// A compaction under way: a run of sealed files is read and what is current of it written into one new file.
 struct Run<F> {
     files: Vec<u64>,
+    /// Of these, the ones of which nothing was current when the run began: they need not be read.
+    dead: HashSet<u64>,
     /// Where it reads next: which of the files, and the place in it.
     file: usize,
     at: u64,
@@ -331,6 +333,10 @@
         };
         let next = self.segments.range(sealed[last] + 1..).next().map_or(self.next, |(_, s)| s.head.first);
         let end = if to.head.compacted { to.head.last } else { next - 1 };
+        let oldest = first == 0;
+        let nothing =
+            |n: &u64| self.segments.get(n).is_some_and(|s| s.size.live == 0 && (oldest || s.size.tombs == 0));
+        let dead = files.iter().copied().filter(nothing).collect();
         let keyed = self.options.secret.is_some();
         let head = Head { number: sealed[first], first: from.head.first, last: end, compacted: true, keyed };
         if self.disk.list()?.iter().any(|n| n == COMPACTED) {
@@ -343,7 +349,8 @@
             at: HEAD as u64,
             index: self.index.clone(),
             now,
-            oldest: first == 0,
+            dead,
+            oldest,
             gone: HashSet::new(),
             packed,
             moved: Vec::new(),
@@ -355,7 +362,7 @@
         let mut left = budget.max(1);
         while let Some(number) = run.files.get(run.file).copied() {
             let Some(segment) = self.segments.get(&number) else { return Err(Error::Closed) };
-            if run.at >= segment.bytes {
+            if run.at >= segment.bytes || run.dead.contains(&number) {
                 (run.file, run.at) = (run.file + 1, HEAD as u64);
                 continue;
             }
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -29,6 +29,8 @@
 const GROUP_BYTES: usize = 1 << 20;
 /// What one step of compaction reads, between two groups.
 const STEP: u64 = 256 << 10;
+/// So many times the bytes of a group are read by compaction after it, where there is something to compact.
+const AHEAD: u64 = 4;
 /// Pause between two looks whether something is to be compacted.
 const LOOK: Duration = Duration::from_millis(200);
 
@@ -245,8 +247,8 @@
             }
         }
         commit(log, group, &publish);
-        // Beside writers that never pause it must come on all the same.
-        compacting = !matches!(log.compact(clock(), STEP), Ok(false));
+        // Beside writers that never pause it must come on faster than they do, or the space would have no bound.
+        compacting = !matches!(log.compact(clock(), STEP.max(AHEAD * bytes as u64)), Ok(false));
         publish(log, None);
     }
 }
