--- a/explore/src/cover.rs
+++ b/explore/src/cover.rs
@@ -172,17 +172,24 @@
     pub missing: Vec<String>,
 }
 
-/// Rows of a table that its world cannot bring about: states after which the machine is gone.
+/// The rows that a table has: where a machine that stands there takes the input.
+fn rows<S: Copy, I>(
+    stages: &[S], inputs: impl Fn() -> Vec<I>, takes: impl Fn(S, I) -> bool,
+) -> BTreeSet<Row> {
+    let of = |(s, stage): (usize, &S)| {
+        let stage = *stage;
+        let takes = &takes;
+        let inputs = inputs().into_iter().enumerate();
+        inputs
+            .filter_map(move |(n, input)| takes(stage, input).then_some((s as u8, n as u8)))
+            .collect::<Vec<_>>()
+    };
+    stages.iter().enumerate().flat_map(of).collect()
+}
+
 fn of_client() -> Coverage {
-    let rows: BTreeSet<Row> = CLIENT_STAGES
-        .iter()
-        .flat_map(|stage| {
-            client_inputs().into_iter().enumerate().filter_map(|(n, input)| {
-                let mut machine = client::Connection::at(*stage);
-                machine.step(input).is_ok().then_some((*stage as u8, n as u8))
-            })
-        })
-        .collect();
+    let rows =
+        rows(&CLIENT_STAGES, client_inputs, |stage, input| client::Connection::at(stage).step(input).is_ok());
     let name = |(s, i): &Row| {
         format!("{:?} with {:?}", CLIENT_STAGES[usize::from(*s)], client_inputs()[usize::from(*i)])
     };
@@ -190,15 +197,8 @@
 }
 
 fn of_server() -> Coverage {
-    let rows: BTreeSet<Row> = SERVER_STAGES
-        .iter()
-        .flat_map(|stage| {
-            server_inputs().into_iter().enumerate().filter_map(|(n, input)| {
-                let mut machine = server::Connection::at(*stage);
-                machine.step(input).is_ok().then_some((*stage as u8, n as u8))
-            })
-        })
-        .collect();
+    let rows =
+        rows(&SERVER_STAGES, server_inputs, |stage, input| server::Connection::at(stage).step(input).is_ok());
     let name = |(s, i): &Row| {
         format!("{:?} with {:?}", SERVER_STAGES[usize::from(*s)], server_inputs()[usize::from(*i)])
     };
