Kill a writing store at any moment; let its thread hold no handle

Need: what was acknowledged as flushed must survive SIGKILL; no test killed a process.

Change: a test kills a process of its own while it writes and compacts, and looks at what it finds. It found that the store's thread could become the owner of the last handle for the moment of publishing, and then waited for itself: what it shows is now held apart from the handles.

--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -70,9 +70,15 @@
     live: AtomicU64,
 }
 
-struct Shared {
+/// What the thread shows to all handles. The thread holds this and no handle: the last handle joins the thread, which
+/// must not be the thread itself.
+struct Shown {
     view: RwLock<View>,
     counts: Counts,
+}
+
+struct Shared {
+    shown: Arc<Shown>,
     commands: SyncSender<Command>,
     thread: Mutex<Option<JoinHandle<()>>>,
 }
@@ -107,30 +113,23 @@
     ) -> Result<(Store, Recovered)> {
         let (log, recovered) = Log::open(disk, options.clone())?;
         let (commands, inbox) = mpsc::sync_channel(options.queue.max(1));
-        let shared = Arc::new(Shared {
-            view: RwLock::new(log.view()),
-            counts: Counts::default(),
-            commands,
-            thread: Mutex::new(None),
-        });
-        let (weak, clock): (_, Clock) = (Arc::downgrade(&shared), Arc::new(clock));
-        let writer = move || {
-            let mut log = log;
-            let publish = |log: &Log<D>, group: Option<(u64, bool)>| {
-                if let Some(shared) = weak.upgrade() {
-                    shared.publish(log, group);
-                }
-            };
-            run(&mut log, &inbox, &clock, publish);
+        let shown = Arc::new(Shown { view: RwLock::new(log.view()), counts: Counts::default() });
+        let clock: Clock = Arc::new(clock);
+        let writer = {
+            let shown = shown.clone();
+            move || {
+                let mut log = log;
+                run(&mut log, &inbox, &clock, |log, group| shown.publish(log, group));
+            }
         };
         let thread = std::thread::Builder::new().name("store".into()).spawn(writer)?;
-        *shared.thread.lock().unwrap_or_else(PoisonError::into_inner) = Some(thread);
-        Ok((Store(shared), recovered))
+        let shared = Shared { shown, commands, thread: Mutex::new(Some(thread)) };
+        Ok((Store(Arc::new(shared)), recovered))
     }
 
     /// The store as it is now.
     pub fn view(&self) -> View {
-        self.0.view.read().unwrap_or_else(PoisonError::into_inner).clone()
+        self.0.shown.view.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
     /// Hands a batch over and returns at once. `done` is called with the batch's version on the store's thread, so it
@@ -165,7 +164,7 @@
     }
 
     pub fn figures(&self) -> Figures {
-        let c = &self.0.counts;
+        let c = &self.0.shown.counts;
         let get = |n: &AtomicU64| n.load(Ordering::Relaxed);
         Figures {
             batches: get(&c.batches),
@@ -179,7 +178,7 @@
     }
 }
 
-impl Shared {
+impl Shown {
     fn publish<D: Disk>(&self, log: &Log<D>, group: Option<(u64, bool)>) {
         *self.view.write().unwrap_or_else(PoisonError::into_inner) = log.view();
         if let Some((batches, synced)) = group {
--- /dev/null
+++ b/crates/store/tests/kill.rs
@@ -0,0 +1,75 @@
+//! A process that is killed while it writes keeps what it was told was there.
+
+use std::io::{BufRead, BufReader};
+use std::path::Path;
+use std::process::{Command, Stdio};
+
+use glenrail_store::{Batch, Durability, Folder, Keyspace, Options, Store};
+
+const COUNTS: Keyspace<u64, u64> = Keyspace::new(1);
+const FOLDER: &str = "GLENRAIL_STORE_FOLDER";
+const KEYS: u64 = 16;
+
+fn open(path: &Path) -> Store {
+    let mut options = Options { segment: 16 << 10, ..Options::default() };
+    // Compaction all the time, so that kills fall into it too.
+    options.compaction.worth = 1 << 10;
+    Store::open(Folder::new(path).expect("a folder"), options).expect("opened").0
+}
+
+fn newest(store: &Store) -> u64 {
+    let view = store.view();
+    (0..KEYS).filter_map(|key| COUNTS.get(&view, &key, 0).expect("readable")).max().unwrap_or(0)
+}
+
+/// The process that is killed: counts on from what it finds and tells each count once it is acknowledged.
+#[test]
+#[ignore = "the other test runs it, in a process of its own"]
+fn child() {
+    let store = open(Path::new(&std::env::var_os(FOLDER).expect("a folder")));
+    let mut n = newest(&store);
+    loop {
+        n += 1;
+        store
+            .write(Batch::new().put(&COUNTS, &(n % KEYS), &n).expect("a batch"), Durability::Flushed)
+            .expect("written");
+        println!("\nacknowledged {n}");
+    }
+}
+
+/// Guards what operators are owed: SIGKILL at any moment, in the middle of a write or of a compaction, takes back
+/// nothing that was acknowledged as flushed, and the store opens. `GLENRAIL_KILLS` has it killed more often.
+#[test]
+fn a_killed_process_keeps_what_it_acknowledged() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let kills = std::env::var("GLENRAIL_KILLS").ok().and_then(|n| n.parse().ok()).unwrap_or(12u64);
+    let mut last = 0;
+    for kill in 0..kills {
+        let mut child = Command::new(std::env::current_exe().expect("this test"))
+            .args(["--ignored", "--exact", "child", "--nocapture"])
+            .env(FOLDER, folder.path())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .expect("a process");
+        let lines = BufReader::new(child.stdout.take().expect("its output")).lines();
+        let counts =
+            lines.map_while(Result::ok).filter_map(|l| l.strip_prefix("acknowledged ")?.parse::<u64>().ok());
+        // What it still said between the kill being sent and being felt counts too.
+        let mut told = Vec::new();
+        for count in counts {
+            told.push(count);
+            if told.len() as u64 == 50 + 37 * (kill % 7) {
+                child.kill().expect("killed");
+            }
+        }
+        child.wait().expect("ended");
+        assert_eq!(told.first().copied(), Some(last + 1), "kill {kill}: it went on from what was there");
+        let acknowledged = *told.last().expect("a count");
+        let store = open(folder.path());
+        last = newest(&store);
+        // The one that was being written may be there as well.
+        assert!((acknowledged..=acknowledged + 1).contains(&last), "kill {kill}: {acknowledged} and {last}");
+        assert_eq!(store.view().len() as u64, KEYS);
+    }
+}
