Log one line on each request's whole way, and account for the worth lost by cause

Change: the core keeps what each attempt was sent to, when its first event came, how it ended and what its server said of itself, and logs it as one JSON line when nothing of the request is left, within the log's rate limit (crates/story). 'glenrail-lab account LOGS' reads such lines, puts a client's tries for one turn together, and lays each turn's worth to one cause, so that the parts add up to the whole.

--- a/gateway/src/core/clock.rs
+++ b/gateway/src/core/clock.rs
@@ -26,6 +26,10 @@
     pub fn of_unix(&self, ms: f64) -> Ms {
         ms - self.unix_ms
     }
+    /// What the machine's clock shows at this time.
+    pub(super) fn unix(&self, at: Ms) -> Ms {
+        at + self.unix_ms
+    }
     pub(super) fn instant(&self, at: Ms) -> Instant {
         self.start + duration(at)
     }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod passing;
 mod timers;
+mod trace;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -33,6 +34,7 @@
 pub use passing::resume;
 use passing::{pass, rest, Passed};
 use timers::{Due, Timers};
+use trace::Told;
 
 /// Pause before letting go of what a cut read may have left, so that the server has seen the cut by then.
 const AFTER_CUT: Duration = Duration::from_millis(25);
@@ -84,11 +86,13 @@
     place: Option<AbortHandle>,
     retry_after: Duration,
     timers: Vec<(Due, Key)>,
+    told: Told,
 }
 
 struct Inner<R> {
     router: R,
     clock: Clock,
+    settings: Settings,
     terms: Terms,
     never: Vec<bool>,
     pin: Duration,
@@ -164,6 +168,7 @@
             pin: duration(settings.rules.pin_limit * PIN_USED),
             roles: settings.kinds.iter().map(|k| k.role).collect(),
             router,
+            settings,
             members: BTreeMap::new(),
             queue: VecDeque::new(),
             busy: false,
@@ -249,6 +254,8 @@
             let mut inner = self.inner.borrow_mut();
             let never = inner.never.get(ask.class as usize).copied().unwrap_or(true);
             let repeat = if never { Repeat::Never } else { Repeat::Freely };
+            let came = inner.clock.at(arrived);
+            let told = Told::new(&ask, &payload.name, &inner.settings, came, inner.clock.unix(came));
             let job = Job {
                 machine: request::Request::new(Terms { repeat, ..inner.terms }, &mut effects),
                 payload,
@@ -259,6 +266,7 @@
                 place: None,
                 retry_after: Duration::ZERO,
                 timers: Vec::new(),
+                told,
             };
             inner.jobs.insert(id, job);
         }
@@ -337,6 +345,7 @@
     fn send(&self, id: u64, server: ServerId, wait: Ms) {
         let input = {
             let mut inner = self.inner.borrow_mut();
+            let inner = &mut *inner;
             let listed = inner.members.get(&server).copied();
             let Some(job) = inner.jobs.get_mut(&id) else { return };
             let now = Instant::now();
@@ -344,6 +353,7 @@
                 if wait > 0.0 { job.deadline.min(now + duration(wait) + SLACK) } else { job.deadline };
             job.sent.push(Sent { at: now, until, cancel: None, note: 0.0, report: None });
             let stage = if listed.is_some_and(|l| l.0 == Role::Reader) { Stage::Read } else { Stage::Run };
+            job.told.sent(server.0, stage, inner.clock.at(now));
             let ready = listed.is_some_and(|l| l.1 == ServerState::Ready);
             Input::Send { server: server.0, stage, may: ready && until > now }
         };
@@ -362,13 +372,17 @@
             }
         }
         effects.into_iter().for_each(|effect| self.carry_out(id, effect));
-        if let Some(job) = self.inner.borrow_mut().jobs.get_mut(&id) {
+        let mut inner = self.inner.borrow_mut();
+        let now = inner.clock.now();
+        if let Some(job) = inner.jobs.get_mut(&id) {
             if job.machine.closed() {
+                job.told.closed(now);
                 // Nothing more is owed: the client sees its answer's end, and nobody waits for its going.
                 job.pieces = None;
                 job.watch.abort();
             }
         }
+        drop(inner);
         self.run();
     }
 
@@ -435,6 +449,7 @@
             Effect::TellFirst { attempt } => {
                 let (server, elapsed) =
                     (ServerId(job.machine.attempts()[attempt].server), job.elapsed(attempt));
+                job.told.first(attempt, inner.clock.now());
                 let (id, attempt) = (RequestId(id), attempt as u32);
                 inner.queue.push_back(Event::FirstToken { id, attempt, server, elapsed });
             }
@@ -449,6 +464,8 @@
                     closed,
                     report: job.sent[attempt].report.take(),
                 };
+                let Outcome { status, note, report, .. } = outcome;
+                job.told.ended(attempt, status, note, report, inner.clock.now());
                 inner.queue.push_back(Event::Outcome(outcome));
             }
             Effect::TellGone => inner.queue.push_back(Event::ClientGone { id: RequestId(id) }),
@@ -477,6 +494,8 @@
                     job.watch.abort();
                     job.timers.iter().for_each(|(_, key)| inner.timers.disarm(key));
                     inner.names.remove(&job.payload.name);
+                    let story = job.told.end(&job.machine, inner.clock.now());
+                    log!("{}{story}", glenrail_story::WORD);
                 }
             }
         }
--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,60 @@
+//! `glenrail-lab account LOGS`: what of the worth asked for was lost, and by what cause.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use anyhow::{Context, Result};
+use clap::{Parser, Subcommand};
+use glenrail_story::account::Account;
+use glenrail_story::Story;
+
+#[derive(Parser)]
+#[command(version, about)]
+struct Cli {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// An account of the worth lost, by cause, from the logs of all gateways in a folder.
+    Account {
+        logs: PathBuf,
+        /// Also tell this many of the costliest turns of each cause, request by request.
+        #[arg(long, default_value_t = 0)]
+        tell: usize,
+        /// Only turns that began so many seconds after the first request, or later.
+        #[arg(long, default_value_t = 0.0)]
+        from: f64,
+        /// Only turns that began before so many seconds after the first request.
+        #[arg(long, default_value_t = f64::MAX)]
+        to: f64,
+    },
+}
+
+/// Every story in the files of a folder, in order of arrival.
+fn stories(folder: &Path) -> Result<Vec<Story>> {
+    let mut stories = Vec::new();
+    for entry in fs::read_dir(folder).with_context(|| folder.display().to_string())? {
+        let path = entry?.path();
+        let text = fs::read(&path).with_context(|| path.display().to_string())?;
+        let gateway = path.file_stem().map(|s| s.to_string_lossy().into_owned()).unwrap_or_default();
+        for line in String::from_utf8_lossy(&text).lines() {
+            if let Some(mut story) = Story::of_line(line) {
+                story.id = format!("{gateway}/{}", story.id);
+                stories.push(story);
+            }
+        }
+    }
+    stories.sort_by(|a, b| a.came.total_cmp(&b.came));
+    Ok(stories)
+}
+
+fn main() -> Result<()> {
+    match Cli::parse().what {
+        What::Account { logs, tell, from, to } => {
+            print!("{}", Account::of(&stories(&logs)?, from, to).table(tell));
+        }
+    }
+    Ok(())
+}
