Look at a reader before a request goes there, where routers are too many to count alone

At fault: homes() and escape() in src/logic.rs, and probe(), which spent the probe that each request earns on whichever server was longest unheard of.

Change: among more routers than own counts can stand for (src/crowd.rs, no I/O, property-tested), a request's candidates stand in the order that all routers derive alike (session among its beginning's homes, then further homes), and the first whose fresh word is not crowded (twice the median, median plus 4) gets it; one without a fresh word is probed first, three at most, 120 ms each. Who does not answer in time is passed over. A count of one or two is weighed against the fleet. Small fleets decide as before.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 //! ```
 
 mod api;
+mod crowd;
 mod logic;
 mod memory;
 mod state;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -10,6 +10,7 @@
 use lru::LruCache;
 
 use crate::api::*;
+use crate::crowd::{self, Next, Sight};
 use crate::state::*;
 
 /// Prefix table: most entries kept; a session and a beginning take one each.
@@ -49,6 +50,9 @@
 /// Servers not heard from for this long are probed (ms), from so many probes earned by a request.
 const PROBE_AFTER: Ms = 1_000.0;
 const PROBE_EARN: f64 = 1.0;
+/// Among many routers: looks earned by a request, and how many are saved up for requests.
+const LOOKS_EARN: f64 = 3.0;
+const LOOKS_KEPT: f64 = 12.0;
 /// Housekeeping period, and the pause before a request that found no server looks again (ms).
 const TICK: Ms = 100.0;
 const LOOK_AGAIN: Ms = 20.0;
@@ -186,7 +190,7 @@
             Event::ClientGone { id } => self.settle(id, out),
             Event::FirstToken { id, attempt, elapsed, .. } => self.on_first(id, attempt, elapsed),
             Event::Outcome(outcome) => self.on_outcome(outcome, out),
-            Event::Probed { server, status, report, .. } => self.on_probed(server, status, report),
+            Event::Probed { server, status, report, .. } => self.on_probed(server, status, report, out),
             Event::Place { .. } | Event::Peer { .. } => {}
         }
     }
@@ -417,7 +421,9 @@
         let id = ask.id;
         let deadline = self.now + ask.patience;
         self.retries = (self.retries + RETRY_EARN).min((RETRY_SAVED / self.routers()).max(1.0));
-        self.probes = (self.probes + PROBE_EARN).min(2.0);
+        let (earn, most) =
+            if crowd::thin(self.routers()) { (LOOKS_EARN, LOOKS_KEPT + 1.0) } else { (PROBE_EARN, 2.0) };
+        self.probes = (self.probes + earn).min(most);
         let now = self.now;
         for key in [None, ask.prefix.or(Some(ask.session))] {
             let e = self.asked.get_or_insert_mut(key, || (0.0, now));
@@ -479,7 +485,7 @@
 
     /// Takes the next step for a request that no attempt is out for.
     fn advance(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        let Some(job) = self.jobs.remove(&id) else { return };
+        let Some(mut job) = self.jobs.remove(&id) else { return };
         let done = job.closed || job.begun() || job.any_out();
         let spent = job.attempts.len() as u32 >= self.settings.limits.max_attempts;
         let target = if done || spent {
@@ -487,7 +493,7 @@
         } else if job.state_at.is_some() {
             self.choose_writer(&job, out).map(|w| (w, Stage::Write, 0.0))
         } else {
-            self.choose_reader(&job, out)
+            self.choose_reader(&mut job, out)
         };
         let shed = match target {
             Some((reader, _, kept)) if job.attempts.is_empty() => self.shed(&job, reader, kept),
@@ -496,6 +502,10 @@
         };
         let state_held = job.state_at.is_some();
         let pin = job.idle_since + PIN_USED * self.settings.rules.pin_limit;
+        let waits = job.again > self.now;
+        if target.is_none() && !waits {
+            job.again = self.now + LOOK_AGAIN;
+        }
         self.jobs.insert(id, job);
         match target {
             _ if done => {}
@@ -505,14 +515,16 @@
             }
             Some(pick) => self.send(id, pick, out),
             None if !spent && (!state_held || self.now + LOOK_AGAIN <= pin) => {
-                out.push(Action::Timer { at: self.now + LOOK_AGAIN, key: id.0 << 1 | 1, of: Some(id) });
+                if !waits {
+                    out.push(Action::Timer { at: self.now + LOOK_AGAIN, key: id.0 << 1 | 1, of: Some(id) });
+                }
             }
             None => self.give_up(id, out),
         }
     }
 
     /// Session, else shared beginning, else consistent hash; then the twice-the-median escape.
-    fn choose_reader(&mut self, job: &Job, out: &mut Vec<Action>) -> Option<Pick> {
+    fn choose_reader(&mut self, job: &mut Job, out: &mut Vec<Action>) -> Option<Pick> {
         let usable = self.usable(&[Role::Reader, Role::Mixed], job, Stage::Read, out);
         let homes = self.homes(job, &usable);
         let by_prefix = job.ask.prefix.filter(|_| homes == 1);
@@ -523,9 +535,15 @@
             let fits = matches!(key, Key::Session(_)) || !self.pressed(home, &usable);
             (now < at + TABLE_EXPIRY && usable.contains(&home) && fits).then_some((home, Some(key)))
         });
-        let (home, key) = matched.or_else(|| self.hashed(&usable, job, homes).map(|s| (s, None)))?;
+        let order = self.hashed(&usable, job, homes);
+        let first =
+            || order.iter().copied().find(|id| !self.pressed(*id, &usable)).or(order.first().copied());
+        let (home, key) = matched.or_else(|| first().map(|s| (s, None)))?;
+        let chosen = match crowd::thin(self.routers()) && self.settings.limits.probes {
+            true => self.look(matched.map(|m| m.0), &order, job, out)?,
+            false => self.escape(home, &usable),
+        };
         let kept = job.kept(key);
-        let chosen = self.escape(home, &usable);
         let stage = match self.servers.get(&chosen)?.role {
             Role::Reader => Stage::Read,
             _ => Stage::Write,
@@ -538,15 +556,14 @@
     /// Harm: each further home reads the beginning once.
     fn homes(&self, job: &Job, usable: &[ServerId]) -> usize {
         let asked = |key| self.asked.peek(&key).map_or(0.0, |e| e.0);
-        // The request itself is counted already and tells nothing of how often its like come.
-        let share = (asked(job.ask.prefix.or(Some(job.ask.session))) - 1.0) / asked(None).max(1.0);
-        ((share * usable.len() as f64 / HOT_PARTS).round() as usize).clamp(1, usable.len().max(1))
+        let key = job.ask.prefix.or(Some(job.ask.session));
+        crowd::homes(asked(key), asked(None), usable.len(), self.routers(), HOT_PARTS)
     }
 
     /// Rendezvous hashing; among several homes the session is hashed again: every router sends it to one.
     /// A mixed server weighs as much as makes its share of all requests its share of all servers: a reader
     /// reads for the writers too, a mixed one only for itself.
-    fn hashed(&self, usable: &[ServerId], job: &Job, homes: usize) -> Option<ServerId> {
+    fn hashed(&self, usable: &[ServerId], job: &Job, homes: usize) -> Vec<ServerId> {
         let count = |role| self.servers.values().filter(|s| s.role == role).count() as f64;
         let (readers, writers) = (count(Role::Reader), count(Role::Writer));
         let mixed = if readers > 0.0 { readers / (readers + writers) } else { 1.0 };
@@ -560,10 +577,10 @@
         let key = job.ask.prefix.unwrap_or(job.ask.session);
         let mut ranked: Vec<(f64, ServerId)> = usable.iter().map(|id| (score(*id, key), *id)).collect();
         ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let of_session = |r: &&(f64, ServerId)| score(r.1, job.ask.session);
-        let home = ranked.iter().take(homes).max_by(|a, b| of_session(a).total_cmp(&of_session(b)));
-        let fits = |r: &&(f64, ServerId)| !self.pressed(r.1, usable);
-        home.filter(fits).or_else(|| ranked.iter().find(fits)).or(home).map(|r| r.1)
+        let of_session = |r: &(f64, ServerId)| score(r.1, job.ask.session);
+        let homes = ranked.len().min(homes);
+        ranked[..homes].sort_by(|a, b| of_session(b).total_cmp(&of_session(a)));
+        ranked.into_iter().map(|r| r.1).collect()
     }
 
     /// Whether this router has lately sent a reader over twice the mean: where requests in flight are too few
@@ -577,6 +594,47 @@
         sends(&id) > ESCAPE_TIMES * mean + 1.0
     }
 
+    /// The escape among many routers: the first in order that is not crowded by its own word, asked for if need be.
+    fn look(
+        &mut self, matched: Option<ServerId>, order: &[ServerId], job: &mut Job, out: &mut Vec<Action>,
+    ) -> Option<ServerId> {
+        let now = self.now;
+        let rest = order.iter().copied().filter(|id| matched != Some(*id));
+        let candidates: Vec<ServerId> = matched.into_iter().chain(rest).take(crowd::LOOKS + 1).collect();
+        let readers = self.servers.values().filter(|s| s.role != Role::Writer);
+        let heard: Vec<f64> = readers.filter_map(|s| s.load(now, REPORT_FADES)).collect();
+        let sight = |id: &ServerId| {
+            let load = self.servers.get(id).and_then(|s| s.load(now, crowd::SEEN));
+            match job.looks.iter().find(|l| l.0 == *id) {
+                _ if load.is_some() => {
+                    let load = load.unwrap_or(0.0);
+                    Sight::Seen(load, crowd::crowded(load, heard.clone()))
+                }
+                None => Sight::Unseen,
+                Some((_, at)) if now < at + crowd::LOOK_WAIT => Sight::Asked,
+                Some(_) => Sight::Deaf,
+            }
+        };
+        let sights: Vec<Sight> = candidates.iter().map(sight).collect();
+        match crowd::next(&sights, self.probes >= 1.0) {
+            Next::Send(n) => candidates.get(n).copied(),
+            Next::Look(n) => {
+                let id = *candidates.get(n)?;
+                job.looks.push((id, now));
+                self.look_at(id, out);
+                None
+            }
+            Next::Wait => None,
+        }
+    }
+
+    fn look_at(&mut self, id: ServerId, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        s.probed = self.now;
+        self.probes -= 1.0;
+        out.push(Action::Probe { server: id });
+    }
+
     fn escape(&self, home: ServerId, usable: &[ServerId]) -> ServerId {
         let role = |id: &ServerId| self.servers.get(id).map(|s| s.role);
         let load = |id: &ServerId| self.servers.get(id).map_or(0.0, |s| f64::from(s.out));
@@ -640,6 +698,7 @@
         let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
         let own = job.work(if stage == Stage::Read { kept } else { 0.0 });
         s.out += 1;
+        s.sent_since += 1.0;
         s.sends = (1.0 + decayed(s.sends, now, ASKED_MEMORY), now);
         s.waiting.insert(id, (now, 0));
         (s.credit, s.credit_at) = (credit - 1.0, now);
@@ -762,6 +821,9 @@
         let now = self.now;
         let (Some(s), Some(report)) = (self.servers.get_mut(&id), report) else { return };
         s.heard = now;
+        if let Some(load) = report.in_flight {
+            (s.seen, s.sent_since) = (Some((sane(load), now)), 0.0);
+        }
         // What waits for memory counts as if it held it: a full writer's share alone stops at the top.
         let waits =
             report.backlog_k.map(|k| sane(k) * 1000.0).or(report.queue.map(|q| sane(q) * self.prompt));
@@ -872,23 +934,35 @@
         self.advance(id, out);
     }
 
-    fn on_probed(&mut self, server: ServerId, status: Status, report: Option<Report>) {
+    fn on_probed(&mut self, server: ServerId, status: Status, report: Option<Report>, out: &mut Vec<Action>) {
         self.learn_report(server, report);
-        let Some(s) = self.servers.get_mut(&server) else { return };
-        if status != Status::Served && s.health.unreachable() {
-            s.health.until = s.health.until.max(self.now + EJECT);
+        let now = self.now;
+        if let Some(s) = self.servers.get_mut(&server) {
+            if status != Status::Served && s.health.unreachable() {
+                s.health.until = s.health.until.max(now + EJECT);
+            }
+        }
+        let mut waiting = Vec::new();
+        for (id, job) in self.jobs.iter_mut().filter(|(_, j)| !j.closed && !j.any_out()) {
+            let Some(look) = job.looks.iter_mut().find(|l| l.0 == server) else { continue };
+            if status != Status::Served {
+                look.1 = now - crowd::LOOK_WAIT;
+            }
+            waiting.push(*id);
         }
+        waiting.into_iter().for_each(|id| self.advance(id, out));
     }
 
     /// Spends the probes earned where an answer would change most: where work waits, then longest unheard of.
     fn probe(&mut self, out: &mut Vec<Action>) {
-        while self.settings.limits.probes && self.probes >= 1.0 {
+        // Among many routers, probes are kept for the servers that a request is to go to.
+        let kept = if crowd::thin(self.routers()) { LOOKS_KEPT } else { 0.0 };
+        while self.settings.limits.probes && self.probes >= 1.0 + kept {
             let due = self.servers.values_mut().filter(|s| self.now >= s.heard.max(s.probed) + PROBE_AFTER);
             let urgency = |s: &Server| s.heard.max(s.probed) - if s.waiting.is_empty() { 0.0 } else { 1e12 };
             let Some(s) = due.min_by(|a, b| urgency(a).total_cmp(&urgency(b))) else { return };
-            s.probed = self.now;
-            self.probes -= 1.0;
-            out.push(Action::Probe { server: s.info.server });
+            let id = s.info.server;
+            self.look_at(id, out);
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -93,6 +93,9 @@
     /// Last sign of life of any kind, and last time that an attempt moved on there.
     pub heard: Ms,
     pub probed: Ms,
+    /// Requests in flight there as it last said, and when; what this router sent there since counts on top.
+    pub seen: Option<(f64, Ms)>,
+    pub sent_since: f64,
     pub answered: Ms,
 }
 
@@ -101,6 +104,11 @@
     pub fn trust(&self, now: Ms, fades: Ms) -> f64 {
         self.memory.map_or(0.0, |_| ((self.memory_seen - now) / fades).exp())
     }
+    /// Requests in flight there: what it said within this time, and what this router has sent there since.
+    pub fn load(&self, now: Ms, within: Ms) -> Option<f64> {
+        let (load, _) = self.seen.filter(|(_, at)| now <= at + within)?;
+        Some(load + self.sent_since)
+    }
     /// How many attempts that were sent here later than this request's have moved on before it.
     pub fn overtaken(&self, id: RequestId) -> u32 {
         self.waiting.get(&id).map_or(0, |w| w.1)
@@ -112,6 +120,7 @@
     /// A new process runs there: cold, empty, and not to blame for what the old one did.
     pub fn renew(&mut self, since: Option<Ms>, now: Ms, credit: f64) {
         (self.health, self.memory, self.sends) = (Health::default(), None, (0.0, now));
+        self.seen = None;
         self.recent.clear();
         self.unlearn();
         self.cool(since, now, credit);
@@ -146,6 +155,9 @@
     /// The first attempt that may have had an effect: its zone, cell and time.
     pub ran: Option<(u32, u32, Ms)>,
     pub closed: bool,
+    /// Servers looked at on its behalf, and when; a look back at the request is due then.
+    pub looks: Vec<(ServerId, Ms)>,
+    pub again: Ms,
 }
 
 impl Job {
