Overflow to a reader elsewhere and to cold ones with credit; look at near writers in time

A log of each choice told why: of 1,200 sends to the hot three, 840 went there because all three candidates were crowded and the least loaded of them was taken, and some at loads of 26 to 35 because the few loads heard were all hot ones, so that the hot reader was its own median. Ruled out: too few probes (never short in that log), a session's old home (under 1%), writers (1%). At fault: next() and crowded() in src/crowd.rs, look() in src/logic.rs.

While a prompt is read, two writers of the reader's cell are asked, and one of them with room is near enough.

--- a/src/crowd.rs
+++ b/src/crowd.rs
@@ -1,8 +1,8 @@
 //! What is decided about many routers that cannot see each other: how many homes a beginning has when nobody's own
 //! counts show how hot it is, and whom to look at before a request is sent. No clock, no state, no I/O.
 
-use crate::api::Ms;
-use crate::state::median;
+use crate::api::{Ms, ServerId};
+use crate::state::{median, Random, Server};
 
 /// Own counts stand for the whole while the escape's floor, divided among the routers, is a request or more.
 const FEW_ROUTERS: f64 = 4.0;
@@ -14,13 +14,20 @@
 const TIMES: f64 = 2.0;
 const FLOOR: f64 = 4.0;
 /// Loads of so many servers make a median; those not yet heard from are taken to have this much in flight.
-const HEARD: usize = 5;
+const HEARD: usize = 12;
 const USUAL: f64 = 1.0;
-/// Looks for one request; an answer is waited for so long (ms). Who is slower than that is taken for busy.
-pub const LOOKS: usize = 3;
+/// Candidates in order that a request looks at before one elsewhere; an answer is waited for so long (ms). Who is
+/// slower than that is taken for busy.
+pub const HOMES_SEEN: usize = 3;
 pub const LOOK_WAIT: Ms = 120.0;
+/// Writers near a read that are looked at while it lasts.
+pub const WRITERS_SEEN: usize = 2;
 /// A load seen so long ago needs no second look (ms): a report is refreshed about as seldom.
 pub const SEEN: Ms = 500.0;
+/// Loads that lie so near to each other are alike.
+const ALIKE_LOAD: f64 = 0.5;
+/// What a server said of its load fades in this time (ms).
+const SEEN_FADES: Ms = 3_000.0;
 
 /// Whether each router's own counts are too few to tell what all together do.
 pub fn thin(routers: f64) -> bool {
@@ -41,12 +48,41 @@
     ((share * readers as f64 / parts).ceil() as usize).max(HOMES).clamp(1, most)
 }
 
-/// Whether a server with so much in flight is clearly above the others, whose loads were heard of late. Of too few
-/// the hot one would be the median itself.
-pub fn crowded(load: f64, mut heard: Vec<f64>) -> bool {
+/// The usual load of a server, from those that were heard of late. Of too few, the hot one would be the median itself.
+pub fn usual(mut heard: Vec<f64>) -> f64 {
     heard.resize(heard.len().max(HEARD), USUAL);
-    let middle = median(heard);
-    load > (TIMES * middle).max(middle + FLOOR)
+    median(heard)
+}
+
+/// Whether a server with so much in flight is clearly above the usual.
+pub fn crowded(load: f64, usual: f64) -> bool {
+    load > (TIMES * usual).max(usual + FLOOR)
+}
+
+/// The load to be reckoned with at a server that is not looked at: what it said fades into the usual. A cold one that
+/// may get something now is taken for empty: each router may send it little, and few requests would find their way
+/// there on their own.
+pub fn reckon(s: &Server, now: Ms, usual: f64, cold: bool) -> f64 {
+    let Some((load, at)) = s.seen else { return if cold { 0.0 } else { usual.max(USUAL) } };
+    let trust = ((at - now) / SEEN_FADES).exp();
+    (load + s.sent_since) * trust + usual.max(USUAL) * (1.0 - trust)
+}
+
+/// One of those with the least, drawn by chance: routers that know the same must not all pick the same.
+pub fn least(reckoned: &[(f64, ServerId)], random: &mut Random) -> Option<ServerId> {
+    let lowest = reckoned.iter().map(|r| r.0).fold(f64::MAX, f64::min);
+    let near: Vec<ServerId> = reckoned.iter().filter(|r| r.0 <= lowest + ALIKE_LOAD).map(|r| r.1).collect();
+    near.get((random.unit() * near.len() as f64) as usize).copied()
+}
+
+/// What a request knows of a server, on whose behalf it was last looked at then.
+pub fn sight(s: &Server, looked: Option<Ms>, now: Ms, usual: f64) -> Sight {
+    match (s.load(now, SEEN), looked) {
+        (Some(load), _) => Sight::Seen(load, crowded(load, usual)),
+        (None, None) => Sight::Unseen,
+        (None, Some(at)) if now < at + LOOK_WAIT => Sight::Asked,
+        (None, Some(_)) => Sight::Deaf,
+    }
 }
 
 /// What is known of a server that a request may go to.
@@ -62,34 +98,35 @@
     Deaf,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
     /// To the candidate of this number.
     Send(usize),
-    /// First look at this one.
-    Look(usize),
+    /// First look at these.
+    Look(Vec<usize>),
     Wait,
 }
 
 /// The next step for a request whose candidates stand in the order in which all routers would try them: the first
 /// that is not crowded gets it. So a hot home overflows to the same next home from every router, and its load is
-/// told by the server, not guessed from a router's own few requests. When none of the first few will do, the least
-/// loaded of them; when none of them answers, the next in order, unseen.
+/// told by the server, not guessed from a router's own few requests. The first is looked at alone, then all others at
+/// once. When none will do, the least loaded of them; when none answers, the last, which is the one elsewhere.
 pub fn next(candidates: &[Sight], may_look: bool) -> Next {
-    let first = candidates.get(..LOOKS).unwrap_or(candidates);
-    for (n, sight) in first.iter().enumerate() {
+    for (n, sight) in candidates.iter().enumerate() {
         match sight {
             Sight::Seen(_, false) => return Next::Send(n),
             Sight::Seen(_, true) | Sight::Deaf => {}
             Sight::Asked => return Next::Wait,
-            Sight::Unseen if may_look => return Next::Look(n),
+            Sight::Unseen if may_look => {
+                let all = if n == 0 { 1 } else { candidates.len() };
+                return Next::Look((n..all).filter(|n| candidates[*n] == Sight::Unseen).collect());
+            }
             Sight::Unseen => return Next::Send(n),
         }
     }
     let load = |s: &Sight| if let Sight::Seen(load, _) = s { Some(*load) } else { None };
-    let seen = first.iter().enumerate().filter_map(|(n, s)| Some((n, load(s)?)));
-    let least = seen.min_by(|a, b| a.1.total_cmp(&b.1)).map(|s| s.0);
-    Next::Send(least.unwrap_or(if candidates.len() > LOOKS { LOOKS } else { 0 }))
+    let seen = candidates.iter().enumerate().filter_map(|(n, s)| Some((n, load(s)?)));
+    Next::Send(seen.min_by(|a, b| a.1.total_cmp(&b.1)).map_or(candidates.len().saturating_sub(1), |s| s.0))
 }
 
 #[cfg(test)]
@@ -110,37 +147,40 @@
         /// Whatever is seen, a request goes to one of its candidates, never past one that would do, and what was
         /// asked is never asked again.
         #[test]
-        fn the_first_that_will_do_gets_it(sights in prop::collection::vec(sight(), 1..8), may_look: bool) {
+        fn the_first_that_will_do_gets_it(sights in prop::collection::vec(sight(), 1..6), may_look: bool) {
             match next(&sights, may_look) {
                 Next::Send(n) => {
-                    prop_assert!(n < sights.len() && n <= LOOKS);
+                    prop_assert!(n < sights.len());
                     let will_do = |s: &Sight| matches!(s, Sight::Seen(_, false) | Sight::Asked);
-                    prop_assert!(!sights[..n.min(LOOKS)].iter().any(will_do));
+                    prop_assert!(!sights[..n].iter().any(will_do));
                     if let Sight::Seen(load, true) = sights[n] {
                         let less = |s: &Sight| matches!(s, Sight::Seen(other, _) if *other < load);
-                        prop_assert!(!sights.iter().take(LOOKS).any(less));
+                        prop_assert!(!sights.iter().any(less));
                     }
                 }
-                Next::Look(n) => prop_assert!(may_look && sights[n] == Sight::Unseen),
+                Next::Look(which) => {
+                    prop_assert!(may_look && !which.is_empty());
+                    prop_assert!(which.iter().all(|n| sights[*n] == Sight::Unseen));
+                }
                 Next::Wait => prop_assert!(sights.contains(&Sight::Asked)),
             }
         }
 
-        /// Asking on behalf of a request comes to an end: each answer or silence brings it a step on.
+        /// Asking on behalf of a request comes to an end: two rounds of looks at the most.
         #[test]
-        fn looks_come_to_an_end(answers in prop::collection::vec(sight(), 1..8)) {
+        fn looks_come_to_an_end(answers in prop::collection::vec(sight(), 1..6)) {
             let mut sights = vec![Sight::Unseen; answers.len()];
-            for _ in 0..=LOOKS {
+            for _ in 0..=2 {
                 match next(&sights, true) {
                     Next::Send(_) => return Ok(()),
-                    Next::Look(n) => {
+                    Next::Look(which) => for n in which {
                         let heard = matches!(answers[n], Sight::Seen(..));
                         sights[n] = if heard { answers[n] } else { Sight::Deaf };
                     }
                     Next::Wait => prop_assert!(false, "nothing is out"),
                 }
             }
-            prop_assert!(false, "still looking: {sights:?}");
+            prop_assert!(false, "still looking: {:?}", sights);
         }
 
         /// More requests for a beginning never take a home away, and there are never more homes than readers.
@@ -152,13 +192,23 @@
             prop_assert!(1 <= few && few <= many && many <= readers);
         }
 
-        /// A server is not crowded for having what the others have, give or take the floor.
+        /// A server is not crowded for having what the others have, give or take the floor; one hot server among few
+        /// that were heard of does not make its own load the usual one.
+        #[test]
+        fn the_usual_load_is_not_crowded(loads in prop::collection::vec(0.0..60.0, 0..40), hot in 10.0..80.0) {
+            let middle = usual(loads.clone());
+            prop_assert!(!crowded(middle, middle) && !crowded(middle + FLOOR, middle));
+            prop_assert!(crowded(hot, usual(vec![hot])));
+        }
+
+        /// What a server said long ago is worth nothing, and what it says now everything.
         #[test]
-        fn the_usual_load_is_not_crowded(loads in prop::collection::vec(0.0..60.0, 1..40)) {
-            let middle = median(loads.clone());
-            let few = loads.len() < HEARD;
-            prop_assert!(few || !crowded(middle, loads.clone()) && !crowded(middle + FLOOR, loads.clone()));
-            prop_assert!(crowded(TIMES * middle.max(USUAL) + FLOOR + 0.1, loads));
+        fn what_was_seen_fades_into_the_usual(load in 0.0..60.0, usual in 1.0..20.0, age in 0.0..60_000.0) {
+            let s = Server { seen: Some((load, 0.0)), ..Server::default() };
+            prop_assert_eq!(reckon(&s, 0.0, usual, false), load);
+            let late = reckon(&s, age, usual, false);
+            prop_assert!(late >= load.min(usual) - 1e-9 && late <= load.max(usual) + 1e-9);
+            prop_assert!((reckon(&s, 1e6, usual, false) - usual).abs() < 1e-6);
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -46,6 +46,7 @@
 mod crowd;
 mod logic;
 mod memory;
+mod order;
 mod state;
 
 pub use api::*;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -4,13 +4,14 @@
 //! flight sends a request elsewhere; the read state goes to the writer with the lowest projected memory.
 
 use std::collections::{hash_map::DefaultHasher, BTreeMap};
-use std::hash::{BuildHasherDefault, Hash, Hasher};
+use std::hash::BuildHasherDefault;
 use std::num::NonZeroUsize;
 
 use lru::LruCache;
 
 use crate::api::*;
 use crate::crowd::{self, Next, Sight};
+use crate::order;
 use crate::state::*;
 
 /// Prefix table: most entries kept; a session and a beginning take one each.
@@ -51,7 +52,7 @@
 const PROBE_AFTER: Ms = 1_000.0;
 const PROBE_EARN: f64 = 1.0;
 /// Among many routers: looks earned by a request, and how many are saved up for requests.
-const LOOKS_EARN: f64 = 3.0;
+const LOOKS_EARN: f64 = 4.0;
 const LOOKS_KEPT: f64 = 12.0;
 /// Housekeeping period, and the pause before a request that found no server looks again (ms).
 const TICK: Ms = 100.0;
@@ -99,6 +100,10 @@
             None => 0.0,
         }
     }
+    /// Share of this server's memory that its answer will hold.
+    fn share(&self, at: &Server) -> f64 {
+        (self.ask.prompt_tokens + self.expected_out()) / at.memory_tokens
+    }
     /// Work of taking in the prompt where so much of it is kept.
     fn work(&self, kept: f64) -> f64 {
         (self.ask.prompt_tokens - kept).max(0.0) + FIXED_WORK
@@ -560,27 +565,15 @@
         crowd::homes(asked(key), asked(None), usable.len(), self.routers(), HOT_PARTS)
     }
 
-    /// Rendezvous hashing; among several homes the session is hashed again: every router sends it to one.
     /// A mixed server weighs as much as makes its share of all requests its share of all servers: a reader
     /// reads for the writers too, a mixed one only for itself.
     fn hashed(&self, usable: &[ServerId], job: &Job, homes: usize) -> Vec<ServerId> {
         let count = |role| self.servers.values().filter(|s| s.role == role).count() as f64;
         let (readers, writers) = (count(Role::Reader), count(Role::Writer));
         let mixed = if readers > 0.0 { readers / (readers + writers) } else { 1.0 };
-        let score = |id: ServerId, key: u64| {
-            let mut h = DefaultHasher::new();
-            (id.0, key).hash(&mut h);
-            let unit = ((h.finish() >> 11) as f64 + 1.0) / ((1u64 << 53) as f64 + 1.0);
-            let is_mixed = self.servers.get(&id).is_some_and(|s| s.role == Role::Mixed);
-            -(if is_mixed { mixed } else { 1.0 }) / unit.ln()
-        };
-        let key = job.ask.prefix.unwrap_or(job.ask.session);
-        let mut ranked: Vec<(f64, ServerId)> = usable.iter().map(|id| (score(*id, key), *id)).collect();
-        ranked.sort_by(|a, b| b.0.total_cmp(&a.0));
-        let of_session = |r: &(f64, ServerId)| score(r.1, job.ask.session);
-        let homes = ranked.len().min(homes);
-        ranked[..homes].sort_by(|a, b| of_session(b).total_cmp(&of_session(a)));
-        ranked.into_iter().map(|r| r.1).collect()
+        let is_mixed = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.role == Role::Mixed);
+        let weighed = usable.iter().map(|id| (*id, if is_mixed(id) { mixed } else { 1.0 })).collect();
+        order::order(weighed, job.ask.prefix.unwrap_or(job.ask.session), job.ask.session, homes)
     }
 
     /// Whether this router has lately sent a reader over twice the mean: where requests in flight are too few
@@ -594,38 +587,39 @@
         sends(&id) > ESCAPE_TIMES * mean + 1.0
     }
 
-    /// The escape among many routers: the first in order that is not crowded by its own word, asked for if need be.
+    /// The escape among many routers: the first in order that is not crowded by its own word, asked for it.
     fn look(
         &mut self, matched: Option<ServerId>, order: &[ServerId], job: &mut Job, out: &mut Vec<Action>,
     ) -> Option<ServerId> {
         let now = self.now;
         let rest = order.iter().copied().filter(|id| matched != Some(*id));
-        let candidates: Vec<ServerId> = matched.into_iter().chain(rest).take(crowd::LOOKS + 1).collect();
-        let readers = self.servers.values().filter(|s| s.role != Role::Writer);
-        let heard: Vec<f64> = readers.filter_map(|s| s.load(now, REPORT_FADES)).collect();
-        let sight = |id: &ServerId| {
-            let load = self.servers.get(id).and_then(|s| s.load(now, crowd::SEEN));
-            match job.looks.iter().find(|l| l.0 == *id) {
-                _ if load.is_some() => {
-                    let load = load.unwrap_or(0.0);
-                    Sight::Seen(load, crowd::crowded(load, heard.clone()))
-                }
-                None => Sight::Unseen,
-                Some((_, at)) if now < at + crowd::LOOK_WAIT => Sight::Asked,
-                Some(_) => Sight::Deaf,
-            }
-        };
+        let mut candidates: Vec<ServerId> = matched.into_iter().chain(rest).collect();
+        let server = |id: &ServerId| self.servers.get(id);
+        let heard = candidates.iter().filter_map(|id| server(id)?.load(now, REPORT_FADES)).collect();
+        let usual = crowd::usual(heard);
+        // Of the others, one that was looked at or has the fewest in flight as far as is known stands last.
+        let others = candidates.split_off(candidates.len().min(crowd::HOMES_SEEN));
+        let seen = others.iter().find(|id| job.looks.iter().any(|l| l.0 == **id)).copied();
+        let cold = |s: &Server| self.warmth(s) < 1.0;
+        let reckoned = |id: &ServerId| server(id).map_or(f64::MAX, |s| crowd::reckon(s, now, usual, cold(s)));
+        let reckoned: Vec<(f64, ServerId)> = others.iter().map(|id| (reckoned(id), *id)).collect();
+        let drawn = crowd::least(&reckoned, &mut self.random);
+        candidates.extend(seen.or(drawn));
+        let server = |id: &ServerId| self.servers.get(id);
+        let look = |id: &ServerId| job.looks.iter().find(|l| l.0 == *id).map(|l| l.1);
+        let sight = |id: &ServerId| server(id).map_or(Sight::Deaf, |s| crowd::sight(s, look(id), now, usual));
         let sights: Vec<Sight> = candidates.iter().map(sight).collect();
         match crowd::next(&sights, self.probes >= 1.0) {
-            Next::Send(n) => candidates.get(n).copied(),
-            Next::Look(n) => {
-                let id = *candidates.get(n)?;
-                job.looks.push((id, now));
-                self.look_at(id, out);
-                None
+            Next::Send(n) => return candidates.get(n).copied(),
+            Next::Wait => {}
+            Next::Look(which) => {
+                for id in which.into_iter().filter_map(|n| candidates.get(n)) {
+                    job.looks.push((*id, now));
+                    self.look_at(*id, out);
+                }
             }
-            Next::Wait => None,
         }
+        None
     }
 
     fn look_at(&mut self, id: ServerId, out: &mut Vec<Action>) {
@@ -687,7 +681,15 @@
         };
         let best = lowest(&|_| true)?;
         // What is not known does not speak against a near writer.
-        let fits = |c: &(ServerId, f64)| c.1 <= best.1 + NEAR_MARGIN * (2.0 - self.sure(c.0));
+        let share = |id: &ServerId| self.servers.get(id).map_or(1.0, |s| job.share(s));
+        let room = |c: &(ServerId, f64)| {
+            let known =
+                crowd::thin(self.routers()) && self.now <= self.servers.get(&c.0)?.memory_seen + crowd::SEEN;
+            Some(known && c.1 + share(&c.0) <= WRITERS_FULL)
+        };
+        let fits = |c: &(ServerId, f64)| {
+            c.1 <= best.1 + NEAR_MARGIN * (2.0 - self.sure(c.0)) || room(c).unwrap_or(false)
+        };
         let near = |c: Option<(ServerId, f64)>| c.filter(fits).map(|c| c.0);
         near(lowest(&|p| p == home)).or(near(lowest(&|p| p.0 == home.0))).or(Some(best.0))
     }
@@ -707,8 +709,7 @@
             s.health.until = now + EJECT;
         }
         if stage == Stage::Write {
-            let share = (job.ask.prompt_tokens + job.expected_out()) / s.memory_tokens;
-            s.recent.insert(id, (now, share));
+            s.recent.insert(id, (now, job.share(s)));
             if job.ran.is_none() {
                 job.ran = Some((s.info.zone, s.info.cell, now));
             }
@@ -718,6 +719,27 @@
         let attempt = Attempt { server: to, stage, sent: now, out: true, work: own, ..Attempt::default() };
         job.attempts.push(attempt);
         out.push(Action::Send { id, server: to, timeout });
+        let place = (s.info.zone, s.info.cell);
+        if stage == Stage::Read && crowd::thin(self.routers()) && self.settings.limits.probes {
+            self.look_ahead(place, out);
+        }
+    }
+
+    /// While the prompt is read, some writers near it are asked for their memory: a state need not leave
+    /// its cell for a writer of which no more is known.
+    fn look_ahead(&mut self, place: (u32, u32), out: &mut Vec<Action>) {
+        let near =
+            self.servers.values().filter(|s| s.role == Role::Writer && (s.info.zone, s.info.cell) == place);
+        let well = near.filter(|s| s.info.state == ServerState::Ready && !s.health.suspect(self.now));
+        let old = well.filter(|s| self.now > s.memory_seen.max(s.probed) + crowd::SEEN);
+        let mut old: Vec<ServerId> = old.map(|s| s.info.server).collect();
+        for _ in 0..crowd::WRITERS_SEEN {
+            if old.is_empty() || self.probes < 1.0 {
+                return;
+            }
+            let n = (self.random.unit() * old.len() as f64) as usize;
+            self.look_at(old.swap_remove(n.min(old.len() - 1)), out);
+        }
     }
 
     /// Silence: work waits at a server that gave no sign for far longer than such work takes: it is dead, cut
