--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -27,6 +27,7 @@
     ReadDone { id: u64, attempt: u32, server: u64 },
     Begun { id: u64, attempt: u32, server: u64 },
     Probed { server: u64 },
+    TimedOut { id: u64, attempt: u32, server: u64 },
 }
 
 #[derive(Default)]
@@ -58,6 +59,15 @@
     beginning: fn(u64) -> u64,
 }
 
+/// Five cells of four readers and four writers.
+fn listed() -> Vec<Member> {
+    let servers = (0..SERVERS).flat_map(|n| {
+        let at = |id, kind| Member { cell: (n / 4) as u32, ..member(id, kind, 0) };
+        [at(100 + n, 0), at(200 + n, 1)]
+    });
+    servers.collect()
+}
+
 impl Fleet {
     /// Every request arrives at a router of its own turn, with the beginning that this function names.
     fn new(probes: bool, beginning: fn(u64) -> u64) -> Fleet {
@@ -80,32 +90,40 @@
             ejections: 0,
             beginning,
         };
-        let place = |n: u64| (n / 4) as u32;
-        let servers = (0..SERVERS).flat_map(|n| {
-            let at = |id, kind| Member { cell: place(n), ..member(id, kind, 0) };
-            [at(100 + n, 0), at(200 + n, 1)]
-        });
-        let members: Vec<Member> = servers.collect();
         for router in 0..ROUTERS {
-            fleet.give(router, Event::Members { scope: Scope::Full, members: members.clone() });
+            fleet.give(router, Event::Members { scope: Scope::Full, members: listed() });
         }
         fleet
     }
 
+    /// The router begins anew with nothing but its list.
+    fn restart(&mut self, router: u64) {
+        let settings = Settings { routers: ROUTERS as u32, ..settings() };
+        self.routers[router as usize] = Router::new(router + 1_000, settings);
+        self.give(router, Event::Members { scope: Scope::Full, members: listed() });
+    }
+
     fn at(&mut self, when: u64, router: u64, what: What) {
         self.events += 1;
         self.heap.push(Reverse((when, self.events, router, what)));
     }
 
-    /// Plays so many requests, one every so many milliseconds.
+    /// Plays so many requests, one every so many milliseconds, until nothing of them is left.
     fn play(&mut self, requests: u64, every: u64) {
-        for n in 0..requests {
+        self.arrive(0..requests, every);
+        self.run(requests * every + 10_000);
+    }
+
+    fn arrive(&mut self, requests: std::ops::Range<u64>, every: u64) {
+        for n in requests {
             self.at(n * every, n * 7 % ROUTERS, What::Arrives { request: n });
         }
-        let end = requests * every + 10_000;
+    }
+
+    fn run(&mut self, end: u64) {
         while let Some(Reverse((when, _, router, what))) = self.heap.pop() {
             if when > end {
-                break;
+                return self.at(when, router, what);
             }
             self.now = when;
             self.happen(router, what);
@@ -126,11 +144,16 @@
                 self.outcome(router, id, attempt, server, Status::Read);
             }
             What::Begun { id, attempt, server } => {
-                self.firsts.push(self.now - self.came[&id]);
+                if let Some(came) = self.came.get(&id) {
+                    self.firsts.push(self.now - came);
+                }
                 let (id, server) = (RequestId(id), ServerId(server));
                 self.give(router, Event::FirstToken { id, attempt, server, elapsed: 20.0 });
                 self.outcome(router, id.0, attempt, server.0, Status::Served);
             }
+            What::TimedOut { id, attempt, server } => {
+                self.outcome(router, id, attempt, server, Status::Timeout);
+            }
             What::Probed { server } => {
                 let report = self.report(server);
                 let server = ServerId(server);
@@ -167,7 +190,7 @@
         self.routers[router as usize].handle(self.now as f64, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { id, server, .. } => self.send(router, id.0, server.0),
+                Action::Send { id, server, timeout } => self.send(router, id.0, server.0, timeout),
                 Action::Cancel { id, attempt } => {
                     self.outcome(router, id.0, attempt, 0, Status::Cancelled);
                 }
@@ -185,9 +208,10 @@
         }
     }
 
-    fn send(&mut self, router: u64, id: u64, server: u64) {
+    fn send(&mut self, router: u64, id: u64, server: u64, timeout: Ms) {
         let next = self.tries.entry(id).or_default();
         let attempt = std::mem::replace(next, *next + 1);
+        self.at(self.now + timeout.ceil() as u64, router, What::TimedOut { id, attempt, server });
         let Some(reader) = self.readers.get_mut(&server) else {
             return self.at(self.now + 20, router, What::Begun { id, attempt, server });
         };
@@ -201,6 +225,12 @@
         }
     }
 
+    /// Share of all requests from now on whose first token comes within the time wanted: what came before is forgotten.
+    fn count_anew(&mut self) {
+        self.came.clear();
+        self.firsts.clear();
+    }
+
     /// Share of all requests whose first token came within the time wanted.
     fn in_time(&self) -> f64 {
         let aim = settings().classes[0].aim as u64 + PROMPT * 60 / 1_000;
@@ -281,3 +311,37 @@
     assert!(sum >= 8 && cold.iter().all(|n| *n <= 60), "reads at cold readers: {cold:?}");
     assert!(fleet.in_time() > 0.9, "in time {:.3}", fleet.in_time());
 }
+
+/// Seven in ten routers begin anew at once, with empty tables: the order of readers is theirs at once, so is the load.
+#[test]
+fn routers_that_begin_anew_do_as_the_others_do() {
+    let mut fleet = Fleet::new(true, one_hot);
+    fleet.arrive(0..2_500, 8);
+    fleet.run(10_000);
+    (0..ROUTERS).filter(|n| n % 10 < 7).for_each(|n| fleet.restart(n));
+    fleet.count_anew();
+    fleet.run(30_000);
+    assert!(fleet.in_time() > 0.97, "in time after the restart {:.3}", fleet.in_time());
+}
+
+/// A cell falls silent for five seconds and comes back cold, with nothing kept; the list never says a word of it.
+#[test]
+fn a_cell_that_is_cut_off_costs_what_was_under_way_there() {
+    let mut fleet = Fleet::new(true, |request| request % 40);
+    fleet.arrive(0..2_500, 8);
+    fleet.run(5_000);
+    let cell = |fleet: &mut Fleet, deaf: bool| {
+        for (_, reader) in fleet.readers.iter_mut().filter(|r| *r.0 < 104) {
+            (reader.deaf, reader.ends, reader.reads) = (deaf, Vec::new(), 0);
+            reader.kept.clear();
+        }
+    };
+    cell(&mut fleet, true);
+    fleet.count_anew();
+    fleet.run(10_000);
+    let lost: usize = fleet.readers.iter().filter(|r| *r.0 < 104).map(|r| r.1.reads).sum();
+    assert!(lost < 40, "{lost} of 625 requests went to readers that say nothing");
+    cell(&mut fleet, false);
+    fleet.run(30_000);
+    assert!(fleet.in_time() > 0.95, "in time {:.3}", fleet.in_time());
+}
