Take a pace from its first sample where routers are few, as before

Change all the same: few routers decide as before to the letter, since nothing was measured for them that speaks for another rule.

--- a/src/crowd.rs
+++ b/src/crowd.rs
@@ -20,6 +20,7 @@
 /// slower than that is taken for busy.
 pub const HOMES_SEEN: usize = 3;
 pub const LOOK_WAIT: Ms = 120.0;
+const ENOUGH: u32 = 5;
 /// Writers near a read that are looked at while it lasts.
 pub const WRITERS_SEEN: usize = 2;
 /// A load seen so long ago needs no second look (ms): a report is refreshed about as seldom.
@@ -34,6 +35,16 @@
     routers > FEW_ROUTERS
 }
 
+/// Samples of a pace that tell a server's own speed whatever its queue. A router that sees much of the traffic has more
+/// the next moment.
+pub fn enough(routers: f64) -> u32 {
+    if thin(routers) {
+        ENOUGH
+    } else {
+        1
+    }
+}
+
 /// How many of `readers` a beginning is read at: its share of all requests, in reader's parts. `asked` of `all`
 /// own requests were for it, this one included. Among many routers a count of one or two says little, so it is
 /// weighed against what one of many alike would show; the more a router has seen, the more its own count tells.
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -466,7 +466,7 @@
         // A writer's wait fades into its role's: one of many routers meets it too seldom to have its own.
         let like =
             if s.role == Role::Reader { 0.0 } else { like * ((at - self.now) / ROLE_WAIT_FADES).exp() };
-        let pace = s.pace(self.pace[Stage::Read as usize]);
+        let pace = s.pace(self.pace[Stage::Read as usize], crowd::enough(self.routers()));
         let wait = (s.wait * trust + like * (1.0 - trust)).max(self.now - oldest);
         let told = crowd::told_wait(s, self.routers(), self.now, pace, 0.5 * self.prompt + FIXED_WORK);
         let wait = if s.role == Role::Reader { wait.max(told) } else { wait };
--- a/src/state.rs
+++ b/src/state.rs
@@ -30,9 +30,6 @@
     NoConnection,
 }
 
-/// Samples of a server's pace that tell its own speed whatever its queue.
-const ENOUGH: u32 = 5;
-
 /// The time that a unit of work takes.
 #[derive(Clone, Copy, Default)]
 pub struct Pace {
@@ -118,9 +115,9 @@
     }
     /// The time that a unit of work takes here. Of few samples all may have waited in a queue, which is no reason to
     /// refuse what an idle server could read: until there are enough its role's speak, and before those nobody.
-    pub fn pace(&self, role: Pace) -> f64 {
-        let enough = [self.start, role].into_iter().find(|p| p.samples >= ENOUGH);
-        enough.map_or(0.0, |p| p.low)
+    pub fn pace(&self, role: Pace, enough: u32) -> f64 {
+        let known = [self.start, role].into_iter().find(|p| p.samples >= enough);
+        known.map_or(0.0, |p| p.low)
     }
     /// Forgets what was measured of its speed.
     pub fn unlearn(&mut self) {
