Draw each gateway's moment to call discovery; after a refusal, from twice the time

Attempts by engine and second from the `request` lines: 1,527 of 4,200 ended in "could not connect" within 1 ms, all at engines that the release had replaced up to 10 s before; 5 such attempts end a request in 3 ms. New engines got next to nothing. The gateways did not know of the release: their logs have `discovery: status 503` 9.8 times a second each from the start on, and one of 100 was ever told of a change.

Checked: the settings say that discovery must be asked there ("subscribe"); one call each at once, then one every 100 ms, is 1,000 calls a second. Doubling pauses alone (100 ms to 2.5 s) leave 28 calls a second and no gateway told after the first 2 s. A longer hold of the watch (10, 20 s) changes nothing: calls fail after 2.0 s in turn or at once. First calls drawn from 2 s: 46 refusals; from 5 s and from 10 s: none, all 100 told, and the 70 that restart.

At fault: discovery.rs, `AGAIN` after any failure, and the first call in the moment of the start.

Change: crates/lifecycle/src/watch.rs decides when discovery is called (no I/O, seeded): a gateway that has a list draws its first call from a round, 50 ms for each gateway the settings tell of; turned away (503, 429, with Retry-After if told), from twice that, up to what the settings allow before it counts as told. A lost call is repeated as before, with doubling pauses. Where discovery tells by itself, nothing waits.

--- a/crates/lifecycle/src/lib.rs
+++ b/crates/lifecycle/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod client;
 pub mod request;
 pub mod server;
+pub mod watch;
 
 /// An input that cannot come where the machine stands. The machine is as it was before.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -130,6 +130,7 @@
         let classes = p.classes.iter().cloned().zip(p.settings.classes.iter().map(|c| c.deadline));
         let names = platform::Names { classes: classes.collect(), tenants: p.tenants };
         let classes = p.settings.classes.clone();
+        let calls = discovery::calls(&p.settings, p.seed);
         let pool = Pool::new(p.seed, p.settings, limits, slots.clone(), budget.clone());
         pools.push(pool.clone());
         let (from, to) = (pool.core.clone(), pool.core.clone());
@@ -159,7 +160,7 @@
         let told = Rc::new(Cell::new(false));
         spawn_local({
             let (rotation, told) = (rotation.clone(), told.clone());
-            discovery::watch(watched, from, move |list, scope| {
+            discovery::watch(watched, from, calls, move |list, scope| {
                 rotation.take(list, scope);
                 told.set(true);
             })
--- a/gateway/tests/platform.rs
+++ b/gateway/tests/platform.rs
@@ -220,6 +220,11 @@
     });
 }
 
+/// The calls of a gateway alone.
+fn calls() -> glenrail_lifecycle::watch::Watch {
+    discovery::calls(&glenrail_settings::settings(&json!({"balancers": 1})), 1)
+}
+
 /// Guards the watch: it begins at the version known, the next call follows at once, a whole list removes, and a
 /// call that ends in silence is made anew.
 #[test]
@@ -244,6 +249,7 @@
         let watching = discovery::watch(
             tokio::sync::watch::Sender::new(agent.address.to_string()).subscribe(),
             Some(4),
+            calls(),
             move |list, scope| {
                 discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
                 seen.borrow_mut().push((scope, pool.core.can_serve()));
@@ -278,7 +284,7 @@
         });
         let g = gateway(&[&server], &[&server], None, 50).await;
         let (pool, address) = (g.pool.clone(), tokio::sync::watch::Sender::new(old.address.to_string()));
-        let watching = discovery::watch(address.subscribe(), Some(70), move |list, scope| {
+        let watching = discovery::watch(address.subscribe(), Some(70), calls(), move |list, scope| {
             assert_eq!(scope, deckhub::Scope::Full);
             discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
         });
