Give cold engines their part by their own fresh word where routers are many

Ruled out: engines that cannot take more (the new writers have no queue), the beginnings' number (44).

At fault: logic.rs, `usable`: a cold engine counts only where this router holds a whole send of credit, which one of a hundred earns in 20 to 50 s; so credit lies with routers that have no request for it, and differs from router to router.

Change: src/warm.rs (no I/O; slow start moves there from the policy) decides what a cold engine may be sent. Without a fresh word, and where routers are few or may not probe, credit guards as before.

--- a/src/crowd.rs
+++ b/src/crowd.rs
@@ -3,6 +3,7 @@
 
 use crate::api::{Ms, ServerId};
 use crate::state::{median, Random, Server};
+use crate::warm;
 
 /// Own counts stand for the whole while the escape's floor, divided among the routers, is a request or more.
 const FEW_ROUTERS: f64 = 4.0;
@@ -92,9 +93,9 @@
     s.load(now, SEEN).filter(|_| thin(routers)).map_or(0.0, |load| load * work * pace)
 }
 
-/// What a request knows of a server, on whose behalf it was last looked at then.
-pub fn sight(s: &Server, looked: Option<Ms>, now: Ms, usual: f64) -> Sight {
-    match (s.load(now, SEEN), looked) {
+/// What a request knows of a server of this warmth, on whose behalf it was last looked at then.
+pub fn sight(s: &Server, looked: Option<Ms>, now: Ms, usual: f64, warmth: f64) -> Sight {
+    match (s.load(now, SEEN).map(|load| warm::as_warm(load, warmth)), looked) {
         (Some(load), _) => Sight::Seen(load, crowded(load, usual)),
         (None, None) => Sight::Unseen,
         (None, Some(at)) if now < at + LOOK_WAIT => Sight::Asked,
@@ -105,7 +106,7 @@
 /// What is known of a server that a request may go to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Sight {
-    /// In flight there, as far as known, and whether that is crowded.
+    /// In flight there in terms of a warm one, as far as known, and whether that is crowded.
     Seen(f64, bool),
     /// Nothing fresh, and nobody has asked.
     Unseen,
@@ -115,6 +116,13 @@
     Deaf,
 }
 
+impl Sight {
+    /// Whether its own word is here or can still come.
+    pub fn may_tell(self, may_look: bool) -> bool {
+        matches!(self, Sight::Seen(..) | Sight::Asked) || (may_look && self == Sight::Unseen)
+    }
+}
+
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
     /// To the candidate of this number.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 mod memory;
 mod order;
 mod state;
+mod warm;
 
 pub use api::*;
 pub use logic::Router;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -13,6 +13,7 @@
 use crate::crowd::{self, Next, Sight};
 use crate::order;
 use crate::state::*;
+use crate::warm;
 
 /// Prefix table: most entries kept; a session and a beginning take one each.
 const TABLE_CAP: usize = 50_000;
@@ -67,11 +68,6 @@
 const LOST_OF_AIM: f64 = 0.3;
 /// Share of the pin limit after which a held state is let go.
 const PIN_USED: f64 = 0.8;
-/// Memory of the rate carried (ms).
-const RATE_MEMORY: Ms = 10_000.0;
-const PEAK_MEMORY: Ms = 60_000.0;
-/// Slow start: a cold server gets at least this many sends a second from all routers together.
-const TRICKLE: f64 = 0.5;
 /// Load shedding: share of the aim after which a first token must be expected; for a tenant over its share,
 /// who may save up at least so many requests at a router.
 const SHED: f64 = 0.7;
@@ -283,42 +279,32 @@
 
     /// Slow start: the share of its capacity that a server can be trusted with at present.
     fn warmth(&self, s: &Server) -> f64 {
-        let rules = &self.settings.rules;
-        match s.cold_since {
-            Some(at) if self.now < at + rules.cold => {
-                let from = rules.cold_from.clamp(0.05, 1.0);
-                from + (1.0 - from) * ((self.now - at) / rules.cold.max(1.0)).clamp(0.0, 1.0)
-            }
-            _ => 1.0,
-        }
+        warm::warmth(&self.settings.rules, s.cold_since, self.now)
     }
 
-    /// Slow start: sends that a cold server has left, growing at its present share of this router's traffic.
-    /// Guards rule 4 without knowing capacities; each router uses its own share and starts anywhere below one
-    /// send, so the sum fits.
+    /// Slow start: sends that a cold server has left from this router.
     fn credit(&self, s: &Server) -> f64 {
-        let share = self.settings.rules.fall_multiple / 2.0 * self.units(s);
-        let rate = (share * self.carried[s.role as usize].peak).max(TRICKLE / self.routers());
-        (s.credit + rate * (self.now - s.credit_at) / 1000.0).min(1.0)
+        let units = warm::units(s, self.warmth(s));
+        warm::credit(s, units, &self.carried[s.role as usize], &self.settings.rules, self.routers(), self.now)
     }
 
     /// The most that this role has carried a second for this router, by unit of warm weight.
     fn note_success(&mut self, id: ServerId) {
         let Some(role) = self.servers.get(&id).map(|s| s.role) else { return };
-        let units: f64 = self.servers.values().filter(|s| s.role == role).map(|s| self.units(s)).sum();
-        let age = (self.now - self.started.unwrap_or(self.now)).max(RATE_MEMORY / 2.0);
-        let carried = &mut self.carried[role as usize];
-        let gap = self.now - carried.at;
-        carried.count = 1.0 + carried.count * (-gap / RATE_MEMORY).exp();
-        // Units that have just left the list still count: they carried part of what is counted.
-        carried.units = units.max(carried.units * (-gap / RATE_MEMORY).exp()).max(0.01);
-        let rate = 1000.0 * carried.count / (RATE_MEMORY * (1.0 - (-age / RATE_MEMORY).exp()));
-        carried.peak = (rate / carried.units).max(carried.peak * (-gap / PEAK_MEMORY).exp());
-        carried.at = self.now;
+        let like = self.servers.values().filter(|s| s.role == role);
+        let units = like.map(|s| warm::units(s, self.warmth(s))).sum();
+        let age = self.now - self.started.unwrap_or(self.now);
+        warm::note_success(&mut self.carried[role as usize], units, age, self.now);
+    }
+
+    /// Whether requests go by what servers say when they are asked: routers are too many for own counts.
+    fn looks(&self) -> bool {
+        crowd::thin(self.routers()) && self.settings.limits.probes
     }
 
-    fn units(&self, s: &Server) -> f64 {
-        s.info.weight.max(0.01) * self.warmth(s)
+    /// Slow start: whether this server may be sent something now.
+    fn may_get(&self, s: &Server) -> bool {
+        warm::may_get(s, self.warmth(s), self.credit(s), self.looks(), self.now)
     }
 
     /// One judgement for every kind of symptom: enough of them eject a server for a while, ever longer.
@@ -381,7 +367,7 @@
         }
     }
 
-    /// Servers of these roles that may get work now: ready, not suspect, and with slow-start credit.
+    /// Servers of these roles that may get work now: ready, not suspect, and not too cold.
     fn usable(&mut self, roles: &[Role], job: &Job, stage: Stage, out: &mut Vec<Action>) -> Vec<ServerId> {
         let ready: Vec<ServerId> = self
             .servers
@@ -401,8 +387,9 @@
             }
             self.log("panic threshold", format!("using {} of {}", good.len(), ready.len()), out);
         }
-        let warm = |s: &Server| self.warmth(s) >= 1.0 || self.credit(s) >= 1.0;
-        good.retain(|id| self.servers.get(id).is_some_and(warm));
+        // A reader that is cold is looked at first.
+        let later = stage == Stage::Read && self.looks();
+        good.retain(|id| later || self.servers.get(id).is_some_and(|s| self.may_get(s)));
         let fresh: Vec<ServerId> = good.iter().copied().filter(|id| !job.tried(*id, stage)).collect();
         // All tried already: not again at once, or a refused connection burns every attempt in a moment.
         match fresh.is_empty() && self.now >= job.idle_since + TICK {
@@ -547,7 +534,7 @@
         let first =
             || order.iter().copied().find(|id| !self.pressed(*id, &usable)).or(order.first().copied());
         let (home, key) = matched.or_else(|| first().map(|s| (s, None)))?;
-        let chosen = match crowd::thin(self.routers()) && self.settings.limits.probes {
+        let chosen = match self.looks() {
             true => self.look(matched.map(|m| m.0), &order, job, out)?,
             false => self.escape(home, &usable),
         };
@@ -575,7 +562,10 @@
         let (readers, writers) = (count(Role::Reader), count(Role::Writer));
         let mixed = if readers > 0.0 { readers / (readers + writers) } else { 1.0 };
         let is_mixed = |id: &ServerId| self.servers.get(id).is_some_and(|s| s.role == Role::Mixed);
-        let weighed = usable.iter().map(|id| (*id, if is_mixed(id) { mixed } else { 1.0 })).collect();
+        // Among many routers a cold reader is home to as much as it can be trusted with, at all of them alike.
+        let warmth = |id| self.servers.get(id).filter(|_| self.looks()).map_or(1.0, |s| self.warmth(s));
+        let weighed = usable.iter().map(|id| (*id, warmth(id) * if is_mixed(id) { mixed } else { 1.0 }));
+        let weighed = weighed.collect();
         order::order(weighed, job.ask.prefix.unwrap_or(job.ask.session), job.ask.session, homes)
     }
 
@@ -601,7 +591,8 @@
         let heard = candidates.iter().filter_map(|id| server(id)?.load(now, REPORT_FADES)).collect();
         let usual = crowd::usual(heard);
         // Of the others, one that was looked at or has the fewest in flight as far as is known stands last.
-        let others = candidates.split_off(candidates.len().min(crowd::HOMES_SEEN));
+        let mut others = candidates.split_off(candidates.len().min(crowd::HOMES_SEEN));
+        others.retain(|id| server(id).is_some_and(|s| self.may_get(s)));
         let seen = others.iter().find(|id| job.looks.iter().any(|l| l.0 == **id)).copied();
         let cold = |s: &Server| self.warmth(s) < 1.0;
         let reckoned = |id: &ServerId| server(id).map_or(f64::MAX, |s| crowd::reckon(s, now, usual, cold(s)));
@@ -610,9 +601,15 @@
         candidates.extend(seen.or(drawn));
         let server = |id: &ServerId| self.servers.get(id);
         let look = |id: &ServerId| job.looks.iter().find(|l| l.0 == *id).map(|l| l.1);
-        let sight = |id: &ServerId| server(id).map_or(Sight::Deaf, |s| crowd::sight(s, look(id), now, usual));
-        let sights: Vec<Sight> = candidates.iter().map(sight).collect();
-        match crowd::next(&sights, self.probes >= 1.0) {
+        let sight = |s: &Server, look| crowd::sight(s, look, now, usual, self.warmth(s));
+        let sights = |id: &ServerId| server(id).map_or(Sight::Deaf, |s| sight(s, look(id)));
+        // A cold one that says nothing gets nothing.
+        let may_look = self.probes >= 1.0;
+        let open =
+            |id: &ServerId| server(id).is_some_and(|s| self.may_get(s)) || sights(id).may_tell(may_look);
+        candidates.retain(open);
+        let sights: Vec<Sight> = candidates.iter().map(sights).collect();
+        match crowd::next(&sights, may_look) {
             Next::Send(n) => return candidates.get(n).copied(),
             Next::Wait => {}
             Next::Look(which) => {
@@ -654,14 +651,16 @@
         let own = servers.iter().map(|s| s.recent.len()).sum::<usize>() as f64;
         let routers = self.routers();
         let times = 1.0 + (routers - 1.0) * (own / routers).min(1.0);
+        let (looks, rules) = (self.looks(), &self.settings.rules);
+        let warmth = |s: &Server| warm::warmth(rules, s.cold_since, self.now);
         let random = &mut self.random;
-        let mut project = |s: &&Server| {
+        let mut project = |s: &Server, warmth: f64| {
             let unsure = 1.0 - s.trust(self.now, REPORT_FADES);
             let seen = s.memory.unwrap_or(0.0) * (1.0 - unsure) + unsure * (sum / weight);
             let sent: f64 = s.recent.values().map(|r| r.1).sum();
-            (s.info.server, seen + sent * times + unsure * UNSURE * random.unit())
+            (s.info.server, warm::as_warm(seen + sent * times, warmth) + unsure * UNSURE * random.unit())
         };
-        servers.iter().map(&mut project).collect()
+        servers.iter().map(|s| project(s, if looks { warmth(s) } else { 1.0 })).collect()
     }
 
     fn sure(&self, id: ServerId) -> f64 {
@@ -684,8 +683,8 @@
         };
         let best = lowest(&|_| true)?;
         // What is not known does not speak against a near writer.
-        let thin = crowd::thin(self.routers());
-        let known = |s: &Server| thin && self.now <= s.memory_seen + crowd::SEEN;
+        let looks = self.looks();
+        let known = |s: &Server| looks && self.now <= s.memory_seen + crowd::SEEN;
         let room = |c: &(ServerId, f64)| {
             self.servers.get(&c.0).is_some_and(|s| known(s) && c.1 + job.share(s) <= WRITERS_FULL)
         };
@@ -720,7 +719,7 @@
         job.attempts.push(attempt);
         out.push(Action::Send { id, server: to, timeout });
         let place = (s.info.zone, s.info.cell);
-        if stage == Stage::Read && crowd::thin(self.routers()) && self.settings.limits.probes {
+        if stage == Stage::Read && self.looks() {
             self.look_ahead(place, out);
         }
     }
