Count and price what all gateways ask for; let one bad line of a list cost no other

Need: the account showed what was lost, not what probes, connections and calls of discovery add up to over a fleet, nor attempts at cold engines; so a change that buys worth with probes looked free.

Change: every gateway logs one `counts` line (JSON, every 2 s if more has come): probes, connections opened by what for, those that did not come up, those used again, calls of discovery and their lines, and the settings' prices (crates/story/src/counts.rs). `glenrail-lab account` sums the last line of each start of each gateway and prices them, and tells attempts at cold engines. Lines of a list are read one by one; one left out, or an engine listed twice (the later line holds), is named in the log.

--- a/crates/story/src/account.rs
+++ b/crates/story/src/account.rs
@@ -137,8 +137,8 @@
     pub asked: f64,
     /// Turns and worth by fate.
     pub fates: BTreeMap<Fate, (usize, f64)>,
-    /// Attempts by stage and outcome.
-    pub attempts: BTreeMap<(bool, String), usize>,
+    /// Attempts by stage and outcome, and those of them at servers that were cold.
+    pub attempts: BTreeMap<(bool, String), (usize, usize)>,
     /// The costliest turns of each fate, told at length.
     told: BTreeMap<Fate, Vec<(f64, String)>>,
     /// By server: attempts, those that brought nothing, time waited.
@@ -170,7 +170,8 @@
             account.told.entry(fate).or_default().push((worth, told));
             for (_, t) in turn.attempts() {
                 let reads = t.stage == Stage::Read;
-                *account.attempts.entry((reads, t.how.clone())).or_default() += 1;
+                let alike = account.attempts.entry((reads, t.how.clone())).or_default();
+                *alike = (alike.0 + 1, alike.1 + usize::from(t.cold));
                 let server = account.servers.entry((reads, t.to.clone())).or_default();
                 let lost = t.first.is_none() && t.how != "Read";
                 server.0 += 1;
@@ -194,8 +195,9 @@
             let _ =
                 writeln!(text, "{name:<38}{turns:>7} turns {:>7.2}% of the worth", 100.0 * self.share(fate));
         }
-        for ((reads, how), count) in &self.attempts {
-            let _ = writeln!(text, "{} {how:<14}{count:>7}", if *reads { "read" } else { "run " });
+        for ((reads, how), (count, cold)) in &self.attempts {
+            let stage = if *reads { "read" } else { "run " };
+            let _ = writeln!(text, "{stage} {how:<14}{count:>7}   {cold:>6} at cold servers");
         }
         for reads in [true, false] {
             let mut servers: Vec<_> = self.servers.iter().filter(|s| s.0 .0 == reads).collect();
--- a/crates/story/src/lib.rs
+++ b/crates/story/src/lib.rs
@@ -2,6 +2,7 @@
 //! gateways' lines say was lost, by cause. No I/O.
 
 pub mod account;
+pub mod counts;
 
 use serde::{Deserialize, Serialize};
 
@@ -44,6 +45,9 @@
     pub ended: f64,
     /// The outcome in the router's words.
     pub how: String,
+    /// Its server had started so shortly before that it counted as cold.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub cold: bool,
     /// Prompt tokens found kept there.
     #[serde(default)]
     pub kept: f64,
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use deckhub::*;
+use glenrail_story::counts::Prices;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -108,6 +109,8 @@
     /// Names of the classes, in the order of the settings.
     pub classes: Vec<String>,
     pub conn_idle: Duration,
+    /// What probes, connections and lists take off the deployment's result.
+    pub prices: Prices,
 }
 
 /// Reads the platform's part from the environment; `None` where there is none.
@@ -177,6 +180,7 @@
     if let Some(i) = settings.classes.iter().position(|c| c.deadline <= 0.0) {
         return error(format!("settings.services[{i}].deadline"), "milliseconds above 0 wanted");
     }
+    let price = |key: &str| raw["prices"][key].as_f64().unwrap_or(0.0);
     let idle = raw["policy-limits"]["conn-idle"].as_f64().filter(|ms| *ms > 0.0).unwrap_or(30_000.0);
     Ok(Platform {
         listen,
@@ -191,6 +195,11 @@
         tenants: names("tenants"),
         classes: names("services"),
         conn_idle: crate::core::duration(idle),
+        prices: Prices {
+            probe: price("probe"),
+            handshake: price("handshake"),
+            discovery: price("discovery"),
+        },
         settings,
     })
 }
--- a/gateway/src/core/clock.rs
+++ b/gateway/src/core/clock.rs
@@ -27,7 +27,7 @@
         ms - self.unix_ms
     }
     /// What the machine's clock shows at this time.
-    pub(super) fn unix(&self, at: Ms) -> Ms {
+    pub fn unix(&self, at: Ms) -> Ms {
         at + self.unix_ms
     }
     pub(super) fn instant(&self, at: Ms) -> Instant {
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -89,6 +89,14 @@
     told: Told,
 }
 
+/// What the list says of a server.
+#[derive(Clone, Copy)]
+struct Listed {
+    role: Role,
+    state: ServerState,
+    started: Option<Ms>,
+}
+
 struct Inner<R> {
     router: R,
     clock: Clock,
@@ -97,7 +105,7 @@
     never: Vec<bool>,
     pin: Duration,
     roles: Vec<Role>,
-    members: BTreeMap<ServerId, (Role, ServerState)>,
+    members: BTreeMap<ServerId, Listed>,
     queue: VecDeque<Event>,
     busy: bool,
     jobs: HashMap<u64, Job>,
@@ -192,7 +200,7 @@
                 let role = inner.roles.get(m.kind as usize).copied().unwrap_or(Role::Mixed);
                 match m.state {
                     ServerState::Gone => inner.members.remove(&m.server),
-                    state => inner.members.insert(m.server, (role, state)),
+                    state => inner.members.insert(m.server, Listed { role, state, started: m.started }),
                 };
             }
         }
@@ -202,7 +210,7 @@
     /// Whether the list has what it takes to answer a request.
     pub fn can_serve(&self) -> bool {
         let inner = self.inner.borrow();
-        let has = |role| inner.members.values().any(|m| *m == (role, ServerState::Ready));
+        let has = |role| inner.members.values().any(|m| m.role == role && m.state == ServerState::Ready);
         has(Role::Mixed) || (has(Role::Reader) && has(Role::Writer))
     }
 
@@ -352,9 +360,11 @@
             let until =
                 if wait > 0.0 { job.deadline.min(now + duration(wait) + SLACK) } else { job.deadline };
             job.sent.push(Sent { at: now, until, cancel: None, note: 0.0, report: None });
-            let stage = if listed.is_some_and(|l| l.0 == Role::Reader) { Stage::Read } else { Stage::Run };
-            job.told.sent(server.0, stage, inner.clock.at(now));
-            let ready = listed.is_some_and(|l| l.1 == ServerState::Ready);
+            let stage = if listed.is_some_and(|l| l.role == Role::Reader) { Stage::Read } else { Stage::Run };
+            let sent = inner.clock.at(now);
+            let cold = listed.and_then(|l| l.started).is_some_and(|s| sent < s + inner.settings.rules.cold);
+            job.told.sent(server.0, stage, cold, sent);
+            let ready = listed.is_some_and(|l| l.state == ServerState::Ready);
             Input::Send { server: server.0, stage, may: ready && until > now }
         };
         self.input(id, input);
--- a/gateway/src/core/trace.rs
+++ b/gateway/src/core/trace.rs
@@ -30,10 +30,10 @@
         Told { story, arrived: now }
     }
 
-    pub fn sent(&mut self, server: u64, asked: Asked, now: Ms) {
+    pub fn sent(&mut self, server: u64, asked: Asked, cold: bool, now: Ms) {
         let stage = if asked == Asked::Read { Stage::Read } else { Stage::Run };
         let sent = now - self.arrived;
-        self.story.tries.push(Try { to: format!("{server:x}"), stage, sent, ..Try::default() });
+        self.story.tries.push(Try { to: format!("{server:x}"), stage, sent, cold, ..Try::default() });
     }
 
     pub fn first(&mut self, attempt: usize, now: Ms) {
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use deckhub::Scope;
+use glenrail_story::counts::{self, Counts, Prices};
 use serde::Deserialize;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
@@ -20,7 +21,7 @@
 use crate::config::{self, Bounds};
 use crate::core::duration;
 use crate::counters::Counters;
-use crate::discovery::{self, List, Names};
+use crate::discovery::{self, List, Names, Tally};
 use crate::engine::Limits;
 use crate::front::server::{self, Door};
 use crate::front::{inference, platform};
@@ -41,6 +42,8 @@
 const LAST_WORDS: Duration = Duration::from_millis(2_000);
 /// A second process waits no longer than this to hear of the list; then it trusts the one it was started with.
 const SILENT_DISCOVERY: Duration = Duration::from_millis(1_000);
+/// What was asked of servers and of discovery is told this often, if more has come.
+const TELL_COUNTS: Duration = Duration::from_millis(2_000);
 /// Releases under way are waited for in steps of this length.
 const SETTLE: Duration = Duration::from_millis(20);
 
@@ -158,9 +161,11 @@
         // A second process asks for the whole list, which is answered at once: what it was started with may be old.
         let from = known.map(|k| k.seq).filter(|_| after.is_none());
         let told = Rc::new(Cell::new(false));
+        let tally = Rc::new(Tally::default());
+        spawn_local(tell_counts(pool.clone(), tally.clone(), p.prices));
         spawn_local({
             let (rotation, told) = (rotation.clone(), told.clone());
-            discovery::watch(watched, from, calls, move |list, scope| {
+            discovery::watch(watched, from, calls, tally, move |list, scope| {
                 rotation.take(list, scope);
                 told.set(true);
             })
@@ -256,6 +261,21 @@
     Ok(())
 }
 
+/// Logs what this process has asked of servers and of discovery, whenever more has come.
+async fn tell_counts(pool: Pool, tally: Rc<Tally>, prices: Prices) {
+    let since = pool.clock.unix(pool.clock.now()).round();
+    let mut told = Counts::default();
+    loop {
+        sleep(TELL_COUNTS).await;
+        let (lists, list_lines, lists_failed) = (tally.answered.get(), tally.lines.get(), tally.failed.get());
+        let now = Counts { since, lists, list_lines, lists_failed, prices, ..pool.engine.counts() };
+        if now != told {
+            log!("{}{now}", counts::WORD);
+            told = now;
+        }
+    }
+}
+
 /// Of a new configuration, discovery's address takes effect at once; the rest holds from the next start on.
 fn move_discovery(address: &watch::Sender<String>, to: String) {
     address.send_if_modified(|at| std::mem::replace(at, to.clone()) != to);
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -1,5 +1,7 @@
 //! The list of servers: first the one known, then a watch of discovery that never pauses for long.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,7 +11,7 @@
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 use serde_json::Value;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -47,9 +49,36 @@
 pub struct List {
     pub seq: u64,
     pub whole: bool,
+    #[serde(deserialize_with = "readable")]
     pub hosts: Vec<Host>,
 }
 
+/// The lines of a list that can be used, in order. One that cannot be read must not cost the others, and of two lines for
+/// one engine the later holds; both are named in the log.
+fn readable<'de, D: Deserializer<'de>>(lines: D) -> Result<Vec<Host>, D::Error> {
+    let mut hosts: Vec<Host> = Vec::new();
+    for line in Vec::<Value>::deserialize(lines)? {
+        let name = line.get("host").map_or("no name".into(), Value::to_string);
+        let host = match Host::deserialize(line) {
+            Ok(host) if host.host.is_empty() => Err("no name".to_string()),
+            Ok(host) if host.dial.is_empty() && !host.gone() => Err("no address to dial".into()),
+            Ok(host) => Ok(host),
+            Err(e) => Err(e.to_string()),
+        };
+        match host {
+            Err(e) => log!("discovery: a line is left out: {name}: {e}"),
+            Ok(host) => {
+                if let Some(at) = hosts.iter().position(|h| h.host == host.host) {
+                    log!("discovery: {name} is listed twice, the later line holds");
+                    hosts.remove(at);
+                }
+                hosts.push(host);
+            }
+        }
+    }
+    Ok(hosts)
+}
+
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(default)]
 pub struct Host {
@@ -132,6 +161,14 @@
     core.members(scope, members);
 }
 
+/// What the watch has cost: calls answered, the lines that came with them, calls that failed.
+#[derive(Debug, Default)]
+pub struct Tally {
+    pub answered: Cell<u64>,
+    pub lines: Cell<u64>,
+    pub failed: Cell<u64>,
+}
+
 struct Watch {
     sender: SendRequest<Empty<Bytes>>,
     task: AbortHandle,
@@ -202,7 +239,7 @@
 /// Watches for as long as the process runs, from the version of the list that it began with. Where the address
 /// changes, the call under way is given up at once, and the new place's whole list is the truth about what is gone.
 pub async fn watch(
-    mut address: watch::Receiver<String>, mut from: Option<u64>, mut calls: Calls,
+    mut address: watch::Receiver<String>, mut from: Option<u64>, mut calls: Calls, tally: Rc<Tally>,
     take: impl Fn(&List, Scope),
 ) {
     let mut open: Option<Watch> = None;
@@ -239,6 +276,8 @@
                     log!("discovery: answers again, after {} calls that failed", calls.failures());
                 }
                 calls.answered();
+                tally.answered.set(tally.answered.get() + 1);
+                tally.lines.set(tally.lines.get() + list.hosts.len() as u64);
                 let whole = list.whole || from.is_none();
                 if whole || !list.hosts.is_empty() {
                     let (kind, lines) = (if whole { "whole" } else { "changes" }, list.hosts.len());
@@ -249,6 +288,7 @@
             }
             Err(Failed(e, why)) => {
                 let pause = calls.failed(why);
+                tally.failed.set(tally.failed.get() + 1);
                 log!("discovery: {e}; asked again in {} ms", pause.as_millis());
                 sleep(pause).await;
             }
@@ -260,17 +300,73 @@
 mod tests {
     use super::*;
 
+    /// Guards the other lines of a list against one that cannot be read, and a server against standing in it twice.
+    #[test]
+    fn a_line_that_cannot_be_read_costs_no_other() {
+        let text = r#"{"seq": 7, "whole": true, "hosts": [
+            {"host": "s-1", "dial": "127.0.0.1:1", "health": "SERVING"},
+            {"host": "s-2", "dial": "127.0.0.1:2", "health": "SERVING", "share": "much"},
+            {"host": "s-3", "health": "SERVING"},
+            {"host": 4, "dial": "127.0.0.1:4"},
+            "s-5",
+            {"dial": "127.0.0.1:6", "health": "SERVING"},
+            {"host": "s-7", "health": "DELETED"},
+            {"host": "s-1", "dial": "127.0.0.1:8", "health": "DRAINING"}]}"#;
+        let list: List = serde_json::from_str(text).expect("a list");
+        let lines: Vec<(&str, &str)> = list.hosts.iter().map(|h| (&*h.host, &*h.dial)).collect();
+        assert_eq!((list.seq, lines), (7, vec![("s-7", ""), ("s-1", "127.0.0.1:8")]));
+        assert!(list.hosts[0].gone() && list.hosts[1].state() == ServerState::Draining);
+    }
+
+    /// Guards discovery against a hundred gateways that start together: each draws its moment, whoever is turned away comes
+    /// back later, and a gateway alone, or where the list is pushed, waits for nothing.
+    #[test]
+    fn calls_are_spread_where_discovery_has_to_be_asked() {
+        let settings = |v: serde_json::Value| glenrail_settings::settings(&v);
+        let asked = |n: u32| {
+            settings(serde_json::json!({"balancers": n, "discovery": "subscribe",
+            "rules": {"ask-within": 10_000.0}}))
+        };
+        let begin = |n: u32, seed| super::calls(&asked(n), seed).begin();
+        let latest = (1..=100).map(|seed| begin(100, seed)).max().expect("a call");
+        assert!((Duration::from_secs(4)..Duration::from_secs(5)).contains(&latest), "{latest:?}");
+        assert!((1..=100).all(|seed| begin(2, seed) < Duration::from_millis(100)));
+        assert!((1..=300).all(|seed| begin(300, seed) < Duration::from_secs(8)), "before it counts as told");
+        let pushed = settings(serde_json::json!({"balancers": 100, "rules": {"ask-within": 10_000.0}}));
+        assert_eq!(super::calls(&pushed, 1).begin(), Duration::ZERO);
+    }
+
+    #[test]
+    fn an_answer_is_judged_by_its_status() {
+        let judge = |status: u16, after: Option<&str>| {
+            let mut answer = Response::builder().status(status);
+            if let Some(after) = after {
+                answer = answer.header(header::RETRY_AFTER, after);
+            }
+            judged(&answer.body(()).expect("an answer"))
+        };
+        assert_eq!(judge(503, None), calls::Failed::TurnedAway(None));
+        assert_eq!(judge(429, Some("1.5")), calls::Failed::TurnedAway(Some(Duration::from_millis(1_500))));
+        assert_eq!(judge(503, Some("-1")), calls::Failed::TurnedAway(None));
+        assert_eq!(judge(500, Some("1")), calls::Failed::Lost);
+    }
+
     /// Guards the hash that all gateways must share: a server is its `host`, wherever this gateway dials it.
     #[test]
     fn a_server_is_named_by_its_host_and_described_in_the_settings_words() {
         let names = Names { zones: vec!["dc".into()], kinds: vec!["read".into(), "write".into()] };
         let clock = Clock::new(Duration::from_secs(100));
-        let text = r#"{"seq": 3, "hosts": [
-            {"host": "s-1", "dial": "127.0.0.1:1", "site": "dc", "class": "write", "block": 3, "health": "SERVING",
-                "share": 2.0, "born_ms": 104000},
-            {"host": "s-1", "dial": "127.0.0.1:2", "health": "DRAINING", "class": "other", "new": 1}]}"#;
-        let list: List = serde_json::from_str(text).expect("a list");
-        let [a, b] = [0, 1].map(|i| list.hosts[i].member(&names, &clock));
+        let line = |line: &str| {
+            Host::deserialize(serde_json::from_str::<Value>(line).expect("JSON")).expect("a line")
+        };
+        let a = line(
+            r#"{"host": "s-1", "dial": "127.0.0.1:1", "site": "dc", "class": "write", "block": 3, "health": "SERVING",
+                "share": 2.0, "born_ms": 104000}"#,
+        );
+        let b = line(
+            r#"{"host": "s-1", "dial": "127.0.0.1:2", "health": "DRAINING", "class": "other", "new": 1}"#,
+        );
+        let [a, b] = [a, b].map(|host| host.member(&names, &clock));
         assert_eq!(a.server, b.server);
         assert_eq!((a.zone, a.kind, a.cell, a.weight, a.state), (0, 1, 3, 2.0, ServerState::Ready));
         assert_eq!((b.state, b.started, b.kind), (ServerState::Draining, None, u32::MAX));
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -22,6 +22,7 @@
 use deckhub::ServerId;
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::{self, LocalBoxStream, StreamExt};
+use glenrail_story::counts::Counts;
 use http::header::{self, HeaderName, HeaderValue};
 use http::{HeaderMap, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Limited};
@@ -94,6 +95,7 @@
     moving: watch::Sender<bool>,
     /// Attempts written whole.
     relayed: Rc<Cell<u64>>,
+    counts: RefCell<Counts>,
 }
 
 /// What is asked of a server.
@@ -101,8 +103,15 @@
 enum Ask {
     Attempt,
     Hold,
-    /// A probe or a release, which a draining server may get too.
-    Aside,
+    Probe,
+    Release,
+}
+
+impl Ask {
+    /// A draining server may get it too.
+    fn aside(self) -> bool {
+        matches!(self, Ask::Probe | Ask::Release)
+    }
 }
 
 #[derive(Clone)]
@@ -120,6 +129,7 @@
             reaping: Cell::new(false),
             moving: watch::Sender::new(false),
             relayed: Rc::default(),
+            counts: RefCell::default(),
         }))
     }
 
@@ -157,6 +167,11 @@
         self.0.relayed.get()
     }
 
+    /// What was asked of servers so far.
+    pub fn counts(&self) -> Counts {
+        self.0.counts.borrow().clone()
+    }
+
     /// Closes what stands idle; a process that ends does so.
     pub fn close_idle(&self) {
         self.0.places.borrow_mut().values_mut().for_each(|p| p.idle.clear());
@@ -193,6 +208,20 @@
         }
     }
 
+    /// Opens a connection for this, and counts it.
+    async fn opened(&self, server: ServerId, what: Ask) -> Result<Connection, Failed> {
+        let opened = self.open(server).await;
+        let mut counts = self.0.counts.borrow_mut();
+        match (&opened, what) {
+            (Err(_), _) => counts.not_opened += 1,
+            (Ok(_), Ask::Attempt) => counts.opened.attempt += 1,
+            (Ok(_), Ask::Hold) => counts.opened.hold += 1,
+            (Ok(_), Ask::Probe) => counts.opened.probe += 1,
+            (Ok(_), Ask::Release) => counts.opened.release += 1,
+        }
+        opened
+    }
+
     /// Keeps a connection for the next request once its last answer has been taken in.
     fn keep(&self, server: ServerId, mut connection: Connection) {
         if !connection.ended(self.serving(server)) {
@@ -238,12 +267,14 @@
         &self, server: ServerId, request: &Request<Bytes>, what: Ask,
     ) -> Result<(Response<Incoming>, Connection), Failed> {
         loop {
-            let mut connection = match self.idle(server) {
+            let idle = self.idle(server);
+            self.0.counts.borrow_mut().reused += u64::from(idle.is_some());
+            let mut connection = match idle {
                 Some(connection) => connection,
-                None => self.open(server).await?,
+                None => self.opened(server, what).await?,
             };
             // Connecting takes time: what was told meanwhile counts at the first byte.
-            if !connection.may_write(what == Ask::Aside || self.serving(server)) {
+            if !connection.may_write(what.aside() || self.serving(server)) {
                 return Err(Failed::NotSent);
             }
             if what == Ask::Attempt {
@@ -358,7 +389,7 @@
         };
         servers.sort_by(|a, b| b.cmp(a));
         for (_, server) in servers.into_iter().take(RELEASE_TRIES) {
-            let answer = timeout(RELEASE_WAIT, self.brief(server, &request, Ask::Aside)).await;
+            let answer = timeout(RELEASE_WAIT, self.brief(server, &request, Ask::Release)).await;
             if matches!(&answer, Ok(Ok((head, _))) if head.status.is_success()) {
                 return Ok(Reply::Done);
             }
@@ -378,7 +409,8 @@
 
     async fn probe(&self, server: ServerId) -> Result<Reply, Failed> {
         let request = plain_request(Method::GET, "/status/load")?;
-        let answer = timeout(PROBE_WAIT, self.brief(server, &request, Ask::Aside)).await;
+        self.0.counts.borrow_mut().probes += 1;
+        let answer = timeout(PROBE_WAIT, self.brief(server, &request, Ask::Probe)).await;
         let (head, body) = answer.map_err(|_| Failed::Reset)??;
         let report = reply::report_of(&head.headers);
         let report = report.or_else(|| std::str::from_utf8(&body).ok().and_then(reply::report));
--- a/gateway/tests/platform.rs
+++ b/gateway/tests/platform.rs
@@ -250,6 +250,7 @@
             tokio::sync::watch::Sender::new(agent.address.to_string()).subscribe(),
             Some(4),
             calls(),
+            Rc::default(),
             move |list, scope| {
                 discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
                 seen.borrow_mut().push((scope, pool.core.can_serve()));
@@ -284,10 +285,11 @@
         });
         let g = gateway(&[&server], &[&server], None, 50).await;
         let (pool, address) = (g.pool.clone(), tokio::sync::watch::Sender::new(old.address.to_string()));
-        let watching = discovery::watch(address.subscribe(), Some(70), calls(), move |list, scope| {
-            assert_eq!(scope, deckhub::Scope::Full);
-            discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
-        });
+        let watching =
+            discovery::watch(address.subscribe(), Some(70), calls(), Rc::default(), move |list, scope| {
+                assert_eq!(scope, deckhub::Scope::Full);
+                discovery::apply(list, scope, &names(), &pool.clock, &pool.engine, &pool.core);
+            });
         let moved = async {
             until(|| old.seen.borrow().len() == 1).await;
             assert!(g.pool.core.can_serve());
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -6,6 +6,7 @@
 use anyhow::{Context, Result};
 use clap::{Parser, Subcommand};
 use glenrail_story::account::Account;
+use glenrail_story::counts::Counts;
 use glenrail_story::Story;
 
 #[derive(Parser)]
@@ -17,7 +18,8 @@
 
 #[derive(Subcommand)]
 enum What {
-    /// An account of the worth lost, by cause, from the logs of all gateways in a folder.
+    /// An account of the worth lost, by cause, and of what was asked of servers and of discovery and its price, from the
+    /// logs of all gateways in a folder.
     Account {
         logs: PathBuf,
         /// Also tell this many of the costliest turns of each cause, request by request.
@@ -32,9 +34,9 @@
     },
 }
 
-/// Every story in the files of a folder, in order of arrival.
-fn stories(folder: &Path) -> Result<Vec<Story>> {
-    let mut stories = Vec::new();
+/// Every story in the files of a folder, in order of arrival, and the sum of the gateways' counts.
+fn read(folder: &Path) -> Result<(Vec<Story>, Counts)> {
+    let (mut stories, mut counts) = (Vec::new(), Vec::new());
     for entry in fs::read_dir(folder).with_context(|| folder.display().to_string())? {
         let path = entry?.path();
         let text = fs::read(&path).with_context(|| path.display().to_string())?;
@@ -43,17 +45,22 @@
             if let Some(mut story) = Story::of_line(line) {
                 story.id = format!("{gateway}/{}", story.id);
                 stories.push(story);
+            } else if let Some(told) = Counts::of_line(line) {
+                counts.push((gateway.clone(), told));
             }
         }
     }
     stories.sort_by(|a, b| a.came.total_cmp(&b.came));
-    Ok(stories)
+    Ok((stories, Counts::sum(counts)))
 }
 
 fn main() -> Result<()> {
     match Cli::parse().what {
         What::Account { logs, tell, from, to } => {
-            print!("{}", Account::of(&stories(&logs)?, from, to).table(tell));
+            let (stories, counts) = read(&logs)?;
+            let whole = Account::of(&stories, 0.0, f64::MAX).turns;
+            print!("{}", Account::of(&stories, from, to).table(tell));
+            print!("over the whole time, {whole} first tries:\n{}", counts.table(whole));
         }
     }
     Ok(())
