--- a/src/logic.rs
+++ b/src/logic.rs
@@ -950,8 +950,7 @@
             return self.advance(id, out);
         }
         let late = self.now > job.arrived + job.aim();
-        // A retry costs what the lost attempt took of the time: quick errors of a few servers may not use up the
-        // budget of a router that earns one retry in a minute, nor may retries of slow ones pile up.
+        // A retry costs what the lost attempt took: quick errors may not use up what few requests earn.
         let took = job.attempts.last().map_or(0.0, |a| self.now - a.sent);
         let cost = match status {
             Status::ConnectFailed => 0.0,
