--- a/crates/story/src/account.rs
+++ b/crates/story/src/account.rs
@@ -139,6 +139,8 @@
     pub fates: BTreeMap<Fate, (usize, f64)>,
     /// Attempts by stage and outcome, and those of them at servers that were cold.
     pub attempts: BTreeMap<(bool, String), (usize, usize)>,
+    /// Tries that were refused, by what the last attempt brought (`unsent`: there was none).
+    pub refused: BTreeMap<String, usize>,
     /// The costliest turns of each fate, told at length.
     told: BTreeMap<Fate, Vec<(f64, String)>>,
     /// By server: attempts, those that brought nothing, time waited.
@@ -168,6 +170,10 @@
             *part = (part.0 + 1, part.1 + worth);
             let told = turn.tries.iter().map(|s| format!("    {s}\n")).collect();
             account.told.entry(fate).or_default().push((worth, told));
+            for s in turn.tries.iter().filter(|s| s.end == End::Refused) {
+                let after = s.tries.last().map_or("unsent", |t| &t.how);
+                *account.refused.entry(after.into()).or_default() += 1;
+            }
             for (_, t) in turn.attempts() {
                 let reads = t.stage == Stage::Read;
                 let alike = account.attempts.entry((reads, t.how.clone())).or_default();
@@ -199,6 +205,9 @@
             let stage = if *reads { "read" } else { "run " };
             let _ = writeln!(text, "{stage} {how:<14}{count:>7}   {cold:>6} at cold servers");
         }
+        for (after, count) in &self.refused {
+            let _ = writeln!(text, "refused, {after:<22}{count:>7}");
+        }
         for reads in [true, false] {
             let mut servers: Vec<_> = self.servers.iter().filter(|s| s.0 .0 == reads).collect();
             servers.sort_by(|a, b| b.1 .2.total_cmp(&a.1 .2));
@@ -291,5 +300,6 @@
         let sum: f64 = account.fates.keys().map(|f| account.share(*f)).sum();
         assert!((sum - 1.0).abs() < 1e-9, "{sum}");
         assert!(account.table(1).contains("refused unsent"));
+        assert_eq!(account.refused, BTreeMap::from([("unsent".to_string(), 3)]));
     }
 }
