--- a/crates/story/src/counts.rs
+++ b/crates/story/src/counts.rs
@@ -55,9 +55,7 @@
 impl Counts {
     /// The counts in a line of a log, if there are any.
     pub fn of_line(line: &str) -> Option<Counts> {
-        let at = line.find(WORD)? + WORD.len();
-        let mut values = serde_json::Deserializer::from_str(line.get(at..)?).into_iter::<Counts>();
-        values.next()?.ok()
+        crate::behind(WORD, line)
     }
 
     /// The sum of what many gateways wrote, each line with its gateway's name, in any order: of each start the greatest
--- a/crates/story/src/lib.rs
+++ b/crates/story/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod account;
 pub mod counts;
 
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
 /// The word in front of a story in a log line.
@@ -81,12 +82,17 @@
     pub tries: Vec<Try>,
 }
 
+/// What stands as JSON behind this word in a line, whatever stands around it.
+fn behind<T: DeserializeOwned>(word: &str, line: &str) -> Option<T> {
+    let at = line.find(word)? + word.len();
+    let mut values = serde_json::Deserializer::from_str(line.get(at..)?).into_iter();
+    values.next()?.ok()
+}
+
 impl Story {
     /// The story in a line of a log, if there is one.
     pub fn of_line(line: &str) -> Option<Story> {
-        let at = line.find(WORD)? + WORD.len();
-        let mut values = serde_json::Deserializer::from_str(line.get(at..)?).into_iter::<Story>();
-        values.next()?.ok()
+        behind(WORD, line)
     }
 
     /// When the client's first token came, since the arrival.
