Let crowd and warm no longer import each other

Both asked the other for one thing: warm for how long a server's word is fresh, crowd for what a load counts for at a cold server. The first is a fact about a report, and now stands in state.rs below both.

--- a/src/crowd.rs
+++ b/src/crowd.rs
@@ -2,7 +2,7 @@
 //! counts show how hot it is, and whom to look at before a request is sent. No clock, no state, no I/O.
 
 use crate::api::{Ms, ServerId};
-use crate::state::{median, Random, Server};
+use crate::state::{median, Random, Server, SEEN};
 use crate::warm;
 
 /// Own counts stand for the whole while the escape's floor, divided among the routers, is a request or more.
@@ -31,8 +31,6 @@
 const LOOK_SAVES: f64 = 0.48;
 const FURTHER_SAVES: f64 = 0.29;
 const WRITERS_SEEN: usize = 4;
-/// A load seen so long ago needs no second look (ms): a report is refreshed about as seldom.
-pub const SEEN: Ms = 500.0;
 /// Loads that lie so near to each other are alike.
 const ALIKE_LOAD: f64 = 0.5;
 /// What a server said of its load fades in this time (ms).
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -687,7 +687,7 @@
         let best = lowest(&|_| true)?;
         // What is not known does not speak against a near writer.
         let looks = self.looks();
-        let known = |s: &Server| looks && self.now <= s.memory_seen + crowd::SEEN;
+        let known = |s: &Server| looks && self.now <= s.memory_seen + SEEN;
         let room = |c: &(ServerId, f64)| {
             self.servers.get(&c.0).is_some_and(|s| known(s) && c.1 + job.share(s) <= WRITERS_FULL)
         };
@@ -733,7 +733,7 @@
         let near =
             self.servers.values().filter(|s| s.role == Role::Writer && (s.info.zone, s.info.cell) == place);
         let well = near.filter(|s| s.info.state == ServerState::Ready && !s.health.suspect(self.now));
-        let old = well.filter(|s| self.now > s.memory_seen.max(s.probed) + crowd::SEEN);
+        let old = well.filter(|s| self.now > s.memory_seen.max(s.probed) + SEEN);
         let mut old: Vec<ServerId> = old.map(|s| s.info.server).collect();
         let Prices { probe, moved } = self.settings.prices;
         for _ in 0..crowd::writers_seen(probe, moved) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,6 +4,9 @@
 
 use crate::api::*;
 
+/// A load seen so long ago needs no second look (ms): a report is refreshed about as seldom.
+pub const SEEN: Ms = 500.0;
+
 #[derive(Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
 pub enum Key {
     Session(u64),
--- a/src/warm.rs
+++ b/src/warm.rs
@@ -6,8 +6,7 @@
 //! do not need, while those that are warm drown. There a server's own fresh word stands for the sum of all routers.
 
 use crate::api::{Ms, Rules};
-use crate::crowd;
-use crate::state::{Carried, Server};
+use crate::state::{Carried, Server, SEEN};
 
 /// Memory of the rate carried, and of the highest (ms).
 const RATE_MEMORY: Ms = 10_000.0;
@@ -62,7 +61,7 @@
 /// Whether a server may be sent something: a warm one always, a cold one from credit, or where its word is fresh and
 /// stands for what all routers send it. How much it then gets is for whoever compares its word with the others'.
 pub fn may_get(s: &Server, warmth: f64, credit: f64, looks: bool, now: Ms) -> bool {
-    warmth >= 1.0 || credit >= 1.0 || (looks && s.load(now, crowd::SEEN).is_some())
+    warmth >= 1.0 || credit >= 1.0 || (looks && s.load(now, SEEN).is_some())
 }
 
 #[cfg(test)]
@@ -131,7 +130,7 @@
         #[test]
         fn a_cold_server_is_sent_something_on_a_fresh_word_only(age in 0.0..5_000.0, credit in 0.0..0.99f64) {
             let s = Server { seen: Some((0.0, 0.0)), ..Server::default() };
-            prop_assert_eq!(may_get(&s, 0.4, credit, true, age), age <= crowd::SEEN);
+            prop_assert_eq!(may_get(&s, 0.4, credit, true, age), age <= SEEN);
             prop_assert!(!may_get(&s, 0.4, credit, false, age));
             prop_assert!(may_get(&s, 1.0, credit, false, age) && may_get(&s, 0.4, 1.0, false, age));
         }
