Split the policy into small modules, one concern each

It becomes src/policy/, one file a concern.

What decides nothing goes beside it: how a server takes in a report, the end of an attempt and what it is sent (state.rs), how the list of servers is taken in (list.rs), how seldom a line is written (log.rs), the map of the newest entries (newest.rs).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,11 +44,14 @@
 
 mod api;
 mod crowd;
-mod logic;
+mod list;
+mod log;
 mod memory;
+mod newest;
 mod order;
+mod policy;
 mod state;
 mod warm;
 
 pub use api::*;
-pub use logic::Router;
+pub use policy::Router;
--- a/src/memory.rs
+++ b/src/memory.rs
@@ -2,7 +2,7 @@
 //! what each role has carried, the paces, and the newest homes of sessions and beginnings. Times are ages.
 
 use crate::api::*;
-use crate::logic::Router;
+use crate::policy::Router;
 use crate::state::*;
 
 /// The form of the bytes.
@@ -33,11 +33,11 @@
         let mut all = Words::default();
         all.put(FORM);
         all.number(self.now - self.started.unwrap_or(self.now));
-        all.number(self.prompt);
-        for c in &self.carried {
+        all.number(self.learned.prompt);
+        for c in &self.learned.carried {
             [c.count, self.now - c.at, c.units, c.peak].into_iter().for_each(|x| all.number(x));
         }
-        for p in &self.pace {
+        for p in &self.learned.pace {
             all.number(p.low);
             all.put(u64::from(p.samples));
         }
@@ -74,7 +74,8 @@
             let (Some(low), Some(samples)) = (words.next(), words.next()) else { return };
             *p = Pace { low: sane(f64::from_bits(low)), samples: u32::try_from(samples).unwrap_or(u32::MAX) };
         }
-        (self.started, self.prompt, self.carried, self.pace) = (Some(now - age), prompt, carried, pace);
+        self.started = Some(now - age);
+        self.learned = Learned { prompt, carried, pace, ..self.learned };
         let rest: Vec<u64> = words.take(4 * HOMES).collect();
         // The newest came first, and what is put last counts as the newest.
         for home in rest.chunks_exact(4).rev() {
--- /dev/null
+++ b/src/policy/looks.rs
@@ -0,0 +1,128 @@
+//! Looks: probes, on behalf of a request or to hear from a server that has been silent.
+
+use super::{health::EJECT, writers::REPORT_FADES, Router};
+use crate::{api::*, crowd, crowd::Next, crowd::Sight, state::*};
+
+/// Servers not heard from for this long are probed (ms), from so many probes earned by a request.
+pub const PROBE_AFTER: Ms = 1_000.0;
+const PROBE_EARN: f64 = 1.0;
+/// Among many routers: how many looks are saved up for requests.
+const LOOKS_KEPT: f64 = 12.0;
+
+impl Router {
+    /// Whether requests go by what servers say when they are asked: routers are too many for own counts.
+    pub(super) fn looks(&self) -> bool {
+        crowd::thin(self.routers()) && self.settings.limits.probes
+    }
+
+    /// The escape among many routers: the first in order that is not crowded by its own word, asked for it.
+    pub(super) fn look(
+        &mut self, matched: Option<ServerId>, order: &[ServerId], job: &mut Job, out: &mut Vec<Action>,
+    ) -> Option<ServerId> {
+        let now = self.now;
+        let rest = order.iter().copied().filter(|id| matched != Some(*id));
+        let mut candidates: Vec<ServerId> = matched.into_iter().chain(rest).collect();
+        let server = |id: &ServerId| self.servers.get(id);
+        let heard = candidates.iter().filter_map(|id| server(id)?.load(now, REPORT_FADES)).collect();
+        let usual = crowd::usual(heard);
+        // Of the others, one that was looked at or has the fewest in flight as far as is known stands last.
+        let mut others = candidates.split_off(candidates.len().min(crowd::HOMES_SEEN));
+        others.retain(|id| server(id).is_some_and(|s| self.may_get(s)));
+        let seen = others.iter().find(|id| job.looks.iter().any(|l| l.0 == **id)).copied();
+        let reckon = |s: &Server| crowd::reckon(s, now, usual, self.warmth(s) < 1.0);
+        let reckoned: Vec<_> = others.iter().filter_map(|id| Some((reckon(server(id)?), *id))).collect();
+        let drawn = crowd::least(&reckoned, &mut self.random);
+        candidates.extend(seen.or(drawn));
+        let server = |id: &ServerId| self.servers.get(id);
+        let look = |id: &ServerId| job.looks.iter().find(|l| l.0 == *id).map(|l| l.1);
+        let sight = |s: &Server, look| crowd::sight(s, look, now, usual, self.warmth(s));
+        let sights = |id: &ServerId| server(id).map_or(Sight::Deaf, |s| sight(s, look(id)));
+        // A cold one that says nothing gets nothing.
+        let may_look = self.probes >= 1.0;
+        candidates.retain(|id| server(id).is_some_and(|s| self.may_get(s)) || sights(id).may_tell(may_look));
+        let sights: Vec<Sight> = candidates.iter().map(sights).collect();
+        match crowd::next(&sights, may_look) {
+            Next::Send(n) => return candidates.get(n).copied(),
+            Next::Wait => {}
+            Next::Look(which) => {
+                for id in which.into_iter().filter_map(|n| candidates.get(n)) {
+                    job.looks.push((*id, now));
+                    self.look_at(*id, out);
+                }
+            }
+        }
+        None
+    }
+
+    fn look_at(&mut self, id: ServerId, out: &mut Vec<Action>) {
+        let Some(s) = self.servers.get_mut(&id) else { return };
+        s.probed = self.now;
+        self.probes -= 1.0;
+        out.push(Action::Probe { server: id });
+    }
+
+    /// While the prompt is read, some writers near it are asked for their memory: a state need not leave
+    /// its cell for a writer of which no more is known.
+    pub(super) fn look_ahead(&mut self, place: (u32, u32), out: &mut Vec<Action>) {
+        let near = self.servers.values().filter(|s| s.role == Role::Writer && s.info.place() == place);
+        let well = near.filter(|s| s.info.state == ServerState::Ready && !s.health.suspect(self.now));
+        let old = well.filter(|s| self.now > s.memory_seen.max(s.probed) + SEEN);
+        let mut old: Vec<ServerId> = old.map(|s| s.info.server).collect();
+        let Prices { probe, moved } = self.settings.prices;
+        for _ in 0..crowd::writers_seen(probe, moved) {
+            if old.is_empty() || self.probes < 1.0 {
+                return;
+            }
+            let n = (self.random.unit() * old.len() as f64) as usize;
+            self.look_at(old.swap_remove(n.min(old.len() - 1)), out);
+        }
+    }
+
+    pub(super) fn on_probed(
+        &mut self, server: ServerId, status: Status, report: Option<Report>, out: &mut Vec<Action>,
+    ) {
+        self.learn_report(server, report);
+        let now = self.now;
+        let unreachable = |s: &&mut Server| status != Status::Served && s.health.unreachable();
+        if let Some(s) = self.servers.get_mut(&server).filter(unreachable) {
+            s.health.until = s.health.until.max(now + EJECT);
+        }
+        let mut waiting = Vec::new();
+        for (id, job) in self.jobs.iter_mut().filter(|(_, j)| !j.closed && !j.any_out()) {
+            let Some(look) = job.looks.iter_mut().find(|l| l.0 == server) else { continue };
+            if status != Status::Served {
+                look.1 = now - crowd::LOOK_WAIT;
+            }
+            waiting.push(*id);
+        }
+        waiting.into_iter().for_each(|id| self.advance(id, out));
+    }
+
+    /// Spends the probes earned where an answer would change most: where work waits, then longest unheard of.
+    pub(super) fn probe(&mut self, out: &mut Vec<Action>) {
+        // Among many routers, probes are kept for the servers that a request is to go to.
+        let kept = if crowd::thin(self.routers()) { LOOKS_KEPT } else { 0.0 };
+        while self.settings.limits.probes && self.probes >= 1.0 + kept {
+            let due = self.servers.values_mut().filter(|s| self.now >= s.heard.max(s.probed) + PROBE_AFTER);
+            let urgency = |s: &Server| s.heard.max(s.probed) - if s.waiting.is_empty() { 0.0 } else { 1e12 };
+            let Some(s) = due.min_by(|a, b| urgency(a).total_cmp(&urgency(b))) else { return };
+            let id = s.info.server;
+            self.look_at(id, out);
+        }
+    }
+
+    pub(super) fn learn_report(&mut self, id: ServerId, report: Option<Report>) {
+        if let (Some(s), Some(report)) = (self.servers.get_mut(&id), report) {
+            s.hear(report, self.learned.prompt, self.now);
+        }
+    }
+
+    /// Looks and probes earned by a new request.
+    pub(super) fn earn_probes(&mut self) {
+        let (earn, most) = match crowd::thin(self.routers()) {
+            true => (crowd::looks_earned(self.settings.prices.probe), LOOKS_KEPT + 1.0),
+            false => (PROBE_EARN, 2.0),
+        };
+        self.probes = (self.probes + earn).min(most);
+    }
+}
--- /dev/null
+++ b/src/policy/requests.rs
@@ -0,0 +1,135 @@
+//! The steps of a request, from its arrival to its first token.
+
+use super::{health::EJECT, retries::RETRY_EARN, retries::RETRY_SAVED, Router, ASKED_MEMORY};
+use crate::{api::*, state::*};
+
+/// The pause before a request that found no server looks again (ms).
+pub const LOOK_AGAIN: Ms = 20.0;
+/// Weight of a new prompt's length.
+const BLEND: f64 = 0.05;
+
+impl Router {
+    pub(super) fn on_request(&mut self, mut ask: Request, out: &mut Vec<Action>) {
+        let Some(class) = self.settings.classes.get(ask.class as usize).cloned() else {
+            out.push(Action::Refuse { id: ask.id, retry_after: 0.0 });
+            return;
+        };
+        if self.jobs.contains_key(&ask.id) {
+            return;
+        }
+        ask.sanitise();
+        let blend = if self.learned.prompt > 0.0 { BLEND } else { 1.0 };
+        self.learned.prompt += blend * (ask.prompt_tokens - self.learned.prompt);
+        let id = ask.id;
+        let deadline = self.now + ask.patience;
+        self.retries = (self.retries + RETRY_EARN).min((RETRY_SAVED / self.routers()).max(1.0));
+        self.earn_probes();
+        let now = self.now;
+        for key in [None, Some(ask.beginning())] {
+            let e = self.asked.get_or_insert_mut(key, || (0.0, now));
+            *e = (1.0 + decayed(*e, now, ASKED_MEMORY), now);
+        }
+        let over_share = self.over_share(ask.tenant);
+        let job = Job { ask, class, arrived: now, deadline, idle_since: now, over_share, ..Job::default() };
+        self.jobs.insert(id, job);
+        let answer_by = (deadline - 2.0 * self.settings.tick).max(self.now);
+        out.push(Action::Timer { at: answer_by, key: id.0 << 1, of: Some(id) });
+        self.advance(id, out);
+    }
+
+    /// Takes the next step for a request that no attempt is out for.
+    pub(super) fn advance(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        let Some(mut job) = self.jobs.remove(&id) else { return };
+        let done = job.closed || job.begun() || job.any_out();
+        let spent = job.attempts.len() as u32 >= self.settings.limits.max_attempts;
+        let target = if done || spent {
+            None
+        } else if job.state_at.is_some() {
+            self.choose_writer(&job, out).map(|w| (w, Stage::Write, 0.0))
+        } else {
+            self.choose_reader(&mut job, out)
+        };
+        let shed = match target {
+            Some((reader, _, kept)) if job.attempts.is_empty() => self.shed(&job, reader, kept),
+            None => self.now > job.arrived + job.aim(),
+            _ => false,
+        };
+        let may_wait = !spent && self.may_hold(&job);
+        let waits = job.again > self.now;
+        if target.is_none() && !waits {
+            job.again = self.now + LOOK_AGAIN;
+        }
+        self.jobs.insert(id, job);
+        match target {
+            _ if done => {}
+            _ if shed => {
+                self.log.say("load shedding", "expected after the aim".into(), self.now, out);
+                self.give_up(id, out);
+            }
+            Some(pick) => self.send(id, pick, out),
+            None if may_wait && waits => {}
+            None if may_wait => {
+                out.push(Action::Timer { at: self.now + LOOK_AGAIN, key: id.0 << 1 | 1, of: Some(id) })
+            }
+            None => self.give_up(id, out),
+        }
+    }
+
+    fn send(&mut self, id: RequestId, (to, stage, kept): Pick, out: &mut Vec<Action>) {
+        let now = self.now;
+        let credit = self.servers.get(&to).map_or(0.0, |s| self.credit(s));
+        let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
+        let own = job.work(if stage == Stage::Read { kept } else { 0.0 });
+        s.take_on(id, now, credit - 1.0, ASKED_MEMORY);
+        if s.health.on_trial {
+            // One trial at a time.
+            s.health.until = now + EJECT;
+        }
+        if stage == Stage::Write {
+            s.recent.insert(id, (now, job.share(s)));
+            job.ran.get_or_insert((s.info.zone, s.info.cell, now));
+        }
+        // Slow work that moves is left alone: a copy would be read from the start. Silence tells the rest.
+        let timeout = (job.deadline - now - 2.0 * self.settings.tick).max(1.0);
+        job.attempts.push(Attempt {
+            server: to,
+            stage,
+            sent: now,
+            out: true,
+            work: own,
+            ..Attempt::default()
+        });
+        out.push(Action::Send { id, server: to, timeout });
+        let place = s.info.place();
+        if stage == Stage::Read && self.looks() {
+            self.look_ahead(place, out);
+        }
+    }
+
+    pub(super) fn on_timer(&mut self, key: u64, out: &mut Vec<Action>) {
+        let id = RequestId(key >> 1);
+        match self.jobs.get(&id).filter(|j| j.open()) {
+            None => {}
+            Some(_) if key & 1 == 1 => self.advance(id, out),
+            Some(_) => self.give_up(id, out),
+        }
+    }
+
+    pub(super) fn on_first(&mut self, id: RequestId, attempt: u32, elapsed: Ms) {
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        let Some(Attempt { server, sent, work, .. }) = job.begin(attempt, self.now) else { return };
+        let per_work = sane(elapsed) / work;
+        let whole = job.attempts.iter().all(|a| a.stage == Stage::Write);
+        self.learned.pace[Stage::Write as usize].add(per_work);
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.start.add(per_work);
+            s.waiting.remove(&id);
+        }
+        self.waited(server, sane(elapsed), sent);
+        self.note_success(server);
+        if whole {
+            self.learn(id, server);
+        }
+        self.success(server, sent);
+    }
+}
--- /dev/null
+++ b/src/policy/retries.rs
@@ -0,0 +1,80 @@
+//! Retries: whether another attempt may follow (rule 2), and the budget that it is paid from.
+
+use super::Router;
+use crate::{api::*, state::*};
+
+/// Retries earned by a request, the most that may be saved up, and the least that one costs.
+pub const RETRY_EARN: f64 = 0.1;
+pub const RETRY_SAVED: f64 = 30.0;
+const RETRY_LEAST: f64 = 0.1;
+
+impl Job {
+    /// Rule 2: a refusal says that trying again is harmless.
+    pub fn may_refuse(&self) -> bool {
+        let never_ran = self.ran.is_none() && !self.any_out();
+        match self.class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => self.class.group == Group::All || never_ran,
+            Effect::Unsafe => never_ran,
+        }
+    }
+    /// Rule 2: whether another attempt may go to this server.
+    pub fn may_send(&self, to: &Member, now: Ms) -> bool {
+        let Some((zone, cell, sent)) = self.ran else { return true };
+        let in_group = self.class.group.holds((zone, cell), (to.zone, to.cell));
+        match self.class.effect {
+            Effect::Safe => true,
+            Effect::Keyed => in_group && now < sent + self.class.window,
+            Effect::Unsafe => false,
+        }
+    }
+}
+
+impl Router {
+    pub(super) fn on_outcome(&mut self, o: Outcome, out: &mut Vec<Action>) {
+        self.learn_report(o.server, o.report);
+        let Some(job) = self.jobs.get_mut(&o.id) else { return };
+        let Some(Attempt { server, stage, sent, .. }) = job.end(&o, self.now) else { return };
+        let work = job.work(sane(o.note));
+        if let Some(s) = self.servers.get_mut(&server) {
+            s.let_go(o.id);
+        }
+        self.judge(&o, stage, sent, work, out);
+        if o.status == Status::Read {
+            self.note_success(server);
+            self.learn(o.id, server);
+        }
+        // The writer found no state, or has spent it; its reader may only be cut off: let go in any case.
+        let gone = o.status == Status::Full && o.note >= 1.0 || o.status == Status::Spoilt;
+        if gone && self.jobs.get_mut(&o.id).is_some_and(|j| j.state_at.take().is_some()) {
+            out.push(Action::Release { id: o.id });
+        }
+        self.after_outcome(o.id, o.status, out);
+    }
+
+    fn after_outcome(&mut self, id: RequestId, status: Status, out: &mut Vec<Action>) {
+        let Some(job) = self.jobs.get(&id) else { return };
+        if job.closed {
+            return self.settle(id, out);
+        }
+        if job.any_out() {
+            return;
+        }
+        if status == Status::Read {
+            return self.advance(id, out);
+        }
+        let late = self.now > job.arrived + job.aim();
+        // A retry costs what the lost attempt took: quick errors may not use up what few requests earn.
+        let took = job.attempts.last().map_or(0.0, |a| self.now - a.sent);
+        let cost = match status {
+            Status::ConnectFailed => 0.0,
+            Status::Cancelled if !late => 0.0,
+            _ => (took / job.aim().max(1.0)).clamp(RETRY_LEAST, 1.0),
+        };
+        if job.deadline - self.now <= 3.0 * self.settings.tick || self.retries < cost {
+            return self.give_up(id, out);
+        }
+        self.retries -= cost;
+        self.advance(id, out);
+    }
+}
--- /dev/null
+++ b/src/policy/silence.rs
@@ -0,0 +1,48 @@
+//! Silence: servers that give no sign of life, and attempts that are lost at one that does.
+
+use super::{looks::PROBE_AFTER, Router};
+use crate::{api::*, state::*};
+
+/// An attempt's server must show a sign of life within this share of the shortest aim.
+const OF_AIM: f64 = 3.0;
+/// A server whose reports or probe answers still come is given this many times as long.
+const HEARD_PATIENCE: f64 = 2.5;
+/// Lost: an attempt that so many later ones at its server have overtaken, after this share of the aim and
+/// twice its own work. Its wait tells nothing of the server's queue.
+pub const OVERTAKEN: u32 = 3;
+const LOST_OF_AIM: f64 = 0.3;
+
+impl Router {
+    /// Silence: work waits at a server that gave no sign for far longer than such work takes: it is dead, cut
+    /// off or stuck. Should also cover hung processes. Harm: a pause as long as that counts too.
+    pub(super) fn check_silence(&mut self, out: &mut Vec<Action>) {
+        let aims = self.settings.classes.iter().map(|c| c.aim);
+        let least = OF_AIM * aims.fold(f64::MAX, f64::min).min(1e6);
+        let late = |s: &Server, since: Ms| {
+            let alive = if self.now < s.heard + 2.0 * PROBE_AFTER { HEARD_PATIENCE } else { 1.0 };
+            self.now > since.max(s.answered) + alive * least
+        };
+        let quiet = self.servers.iter().filter(|(_, s)| s.waiting.values().any(|w| late(s, w.0)));
+        let silent: Vec<ServerId> = quiet.map(|(id, _)| *id).collect();
+        for id in silent {
+            self.symptom(id, Symptom::Silence, out);
+        }
+        let now = self.now;
+        let wait = |s: &Server, j: &Job, a: &Attempt| LOST_OF_AIM * j.aim() + 2.0 * a.work * s.start.low;
+        let late = |s: &Server, j: &Job, a: &Attempt| now > a.sent + wait(s, j, a);
+        self.recall(|s, j, a| s.overtaken(j.ask.id) >= OVERTAKEN && late(s, j, a), out);
+    }
+
+    /// Attempts taken for lost are called back at once, not at their time-outs, where another may follow: a
+    /// read has no effect.
+    pub(super) fn recall(&mut self, lost: impl Fn(&Server, &Job, &Attempt) -> bool, out: &mut Vec<Action>) {
+        let Router { jobs, servers, settings, .. } = self;
+        for job in jobs.values_mut().filter(|j| settings.limits.cancel && j.open()) {
+            let Some(a) = job.attempts.last().filter(|a| a.out) else { continue };
+            let may = a.stage == Stage::Read || job.class.effect == Effect::Safe;
+            if may && servers.get(&a.server).is_some_and(|s| lost(s, job, a)) {
+                job.call_back(out);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/slow_start.rs
@@ -0,0 +1,32 @@
+//! Slow start: what a cold server may get from this router; the figures are in `warm.rs`.
+
+use super::Router;
+use crate::{api::*, state::*, warm};
+
+impl Router {
+    /// Slow start: the share of its capacity that a server can be trusted with at present.
+    pub(super) fn warmth(&self, s: &Server) -> f64 {
+        warm::warmth(&self.settings.rules, s.cold_since, self.now)
+    }
+
+    /// Slow start: sends that a cold server has left from this router.
+    pub(super) fn credit(&self, s: &Server) -> f64 {
+        let units = warm::units(s, self.warmth(s));
+        let (carried, rules) = (&self.learned.carried[s.role as usize], &self.settings.rules);
+        warm::credit(s, units, carried, rules, self.routers(), self.now)
+    }
+
+    /// Slow start: whether this server may be sent something now.
+    pub(super) fn may_get(&self, s: &Server) -> bool {
+        warm::may_get(s, self.warmth(s), self.credit(s), self.looks(), self.now)
+    }
+
+    /// The most that this role has carried a second for this router, by unit of warm weight.
+    pub(super) fn note_success(&mut self, id: ServerId) {
+        let Some(role) = self.servers.get(&id).map(|s| s.role) else { return };
+        let like = self.servers.values().filter(|s| s.role == role);
+        let units = like.map(|s| warm::units(s, self.warmth(s))).sum();
+        let age = self.now - self.started.unwrap_or(self.now);
+        warm::note_success(&mut self.learned.carried[role as usize], units, age, self.now);
+    }
+}
--- /dev/null
+++ b/src/policy/writers.rs
@@ -0,0 +1,66 @@
+//! Writer choice: the lowest projected memory, and near the reader where that costs little.
+
+use super::Router;
+use crate::{api::*, state::*, warm};
+
+/// Share of memory by which a near writer may lie above the lowest.
+const NEAR_MARGIN: f64 = 0.05;
+/// A report fades in this time (ms), and what is not known may lie this far above the average.
+pub const REPORT_FADES: Ms = 10_000.0;
+const UNSURE: f64 = 0.2;
+/// From this projection of the lowest writer on, mixed servers take states too.
+const FULL: f64 = 0.85;
+
+impl Router {
+    pub(super) fn choose_writer(&mut self, job: &Job, out: &mut Vec<Action>) -> Option<ServerId> {
+        let usable = self.usable(&[Role::Writer], job, Stage::Write, out);
+        let mut known = self.projections(&usable);
+        // Exception: mixed servers take states too while every writer is known to be nearly full.
+        if known.iter().all(|w| w.1 * self.sure(w.0) > FULL) {
+            let mixed = self.usable(&[Role::Mixed], job, Stage::Write, out);
+            known.extend(self.projections(&mixed));
+        }
+        let place = |id: &ServerId| self.servers.get(id).map(|s| s.info.place());
+        let home = job.state_at.as_ref().and_then(place)?;
+        let lowest = |near: &dyn Fn((u32, u32)) -> bool| {
+            let mine = known.iter().copied().filter(|w| place(&w.0).is_some_and(near));
+            mine.min_by(|a, b| a.1.total_cmp(&b.1))
+        };
+        let best = lowest(&|_| true)?;
+        // What is not known does not speak against a near writer.
+        let looks = self.looks();
+        let known = |s: &Server| looks && self.now <= s.memory_seen + SEEN;
+        let room = |c: &(ServerId, f64)| {
+            self.servers.get(&c.0).is_some_and(|s| known(s) && c.1 + job.share(s) <= FULL)
+        };
+        let fits = |c: &(ServerId, f64)| c.1 <= best.1 + NEAR_MARGIN * (2.0 - self.sure(c.0)) || room(c);
+        let near = |c: Option<(ServerId, f64)>| c.filter(fits).map(|c| c.0);
+        near(lowest(&|p| p == home)).or(near(lowest(&|p| p.0 == home.0))).or(Some(best.0))
+    }
+
+    /// Last reported share of memory, believed less with its age (then the average, give or take), plus the
+    /// streams sent there since. Own sends stand for those of the other routers only where there are many:
+    /// a few among hundreds of routers say nothing, and what all send alike raises all alike.
+    fn projections(&mut self, usable: &[ServerId]) -> Vec<(ServerId, f64)> {
+        // What is not known is drawn by chance: routers that know the same must not all pick the same.
+        let draws: Vec<f64> = usable.iter().map(|_| self.random.unit()).collect();
+        let servers: Vec<&Server> = usable.iter().filter_map(|id| self.servers.get(id)).collect();
+        let known = servers.iter().map(|s| (s.memory.unwrap_or(0.0), s.trust(self.now, REPORT_FADES)));
+        let (sum, weight) = known.fold((0.0, 1e-9), |a, (m, t)| (a.0 + m * t, a.1 + t));
+        let own = servers.iter().map(|s| s.recent.len()).sum::<usize>() as f64;
+        let routers = self.routers();
+        let times = 1.0 + (routers - 1.0) * (own / routers).min(1.0);
+        let project = |s: &Server, draw: f64| {
+            let unsure = 1.0 - s.trust(self.now, REPORT_FADES);
+            let seen = s.memory.unwrap_or(0.0) * (1.0 - unsure) + unsure * (sum / weight);
+            let sent: f64 = s.recent.values().map(|r| r.1).sum();
+            let warmth = if self.looks() { self.warmth(s) } else { 1.0 };
+            (s.info.server, warm::as_warm(seen + sent * times, warmth) + unsure * UNSURE * draw)
+        };
+        servers.iter().zip(draws).map(|(s, draw)| project(s, draw)).collect()
+    }
+
+    fn sure(&self, id: ServerId) -> f64 {
+        self.servers.get(&id).map_or(0.0, |s| s.trust(self.now, REPORT_FADES))
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -20,6 +20,16 @@
     Write,
 }
 
+impl Stage {
+    /// The stage at which a request comes to a server of this role first.
+    pub fn first(role: Role) -> Self {
+        match role {
+            Role::Reader => Stage::Read,
+            Role::Writer | Role::Mixed => Stage::Write,
+        }
+    }
+}
+
 /// Where a request goes next, at which stage, and how much of its prompt should be kept there.
 pub type Pick = (ServerId, Stage, f64);
 
@@ -33,6 +43,19 @@
     NoConnection,
 }
 
+impl Symptom {
+    /// What the end of an attempt speaks of.
+    pub fn of(status: Status) -> Option<Self> {
+        match status {
+            Status::ConnectFailed => Some(Symptom::NoConnection),
+            Status::Error => Some(Symptom::Error),
+            Status::Reset => Some(Symptom::Reset),
+            Status::Spoilt => Some(Symptom::Spoilt),
+            _ => None,
+        }
+    }
+}
+
 /// The time that a unit of work takes.
 #[derive(Clone, Copy, Default)]
 pub struct Pace {
@@ -122,6 +145,40 @@
         let known = [self.start, role].into_iter().find(|p| p.samples >= enough);
         known.map_or(0.0, |p| p.low)
     }
+    /// An attempt of this request goes out to it, which leaves it this much of its credit; `fades` (ms): the memory of
+    /// its sends.
+    pub fn take_on(&mut self, id: RequestId, now: Ms, credit: f64, fades: Ms) {
+        self.out += 1;
+        self.sent_since += 1.0;
+        self.sends = (1.0 + decayed(self.sends, now, fades), now);
+        self.waiting.insert(id, (now, 0));
+        (self.credit, self.credit_at) = (credit, now);
+    }
+    /// An attempt of this request has come to its end.
+    pub fn let_go(&mut self, id: RequestId) {
+        self.out = self.out.saturating_sub(1);
+        self.waiting.remove(&id);
+        self.recent.remove(&id);
+    }
+    /// Takes in what it says of itself; `prompt`: mean tokens of a prompt.
+    pub fn hear(&mut self, report: Report, prompt: f64, now: Ms) {
+        self.heard = now;
+        if let Some(load) = report.in_flight {
+            (self.seen, self.sent_since) = (Some((sane(load), now)), 0.0);
+        }
+        // What waits for memory counts as if it held it: a full writer's share alone stops at the top.
+        let waits = report.backlog_k.map(|k| sane(k) * 1000.0).or(report.queue.map(|q| sane(q) * prompt));
+        let Some(memory) = report.memory.map(|m| sane(m) + waits.unwrap_or(0.0) / self.memory_tokens) else {
+            return;
+        };
+        if self.memory != Some(memory) {
+            // A fresh figure: it knows of what was sent before the last sight of the old one.
+            let known = self.memory_seen;
+            self.recent.retain(|_, r| r.0 >= known);
+            self.memory = Some(memory);
+        }
+        self.memory_seen = now;
+    }
     /// Forgets what was measured of its speed.
     pub fn unlearn(&mut self) {
         (self.start, self.wait) = (Pace::default(), 0.0);
@@ -140,7 +197,7 @@
     }
 }
 
-#[derive(Default)]
+#[derive(Clone, Copy, Default)]
 pub struct Attempt {
     pub server: ServerId,
     pub stage: Stage,
@@ -171,6 +228,19 @@
 }
 
 impl Job {
+    /// Whether it waits for its answer to begin.
+    pub fn open(&self) -> bool {
+        !self.closed && !self.begun()
+    }
+    /// Tokens of its answer, by its hint or else half of what is permitted.
+    pub fn expected_out(&self) -> f64 {
+        let hint = self.ask.hint.filter(|h| *h > 0.0 && self.class.token_aim > 0.0);
+        hint.map_or(self.ask.max_tokens / 2.0, |h| h / self.class.token_aim)
+    }
+    /// Share of this server's memory that its answer will hold.
+    pub fn share(&self, at: &Server) -> f64 {
+        (self.ask.prompt_tokens + self.expected_out()) / at.memory_tokens
+    }
     /// By when the first token is wanted, from the arrival on.
     pub fn aim(&self) -> Ms {
         self.class.aim + self.class.aim_per_1000_tokens * self.ask.prompt_tokens / 1000.0
@@ -181,10 +251,33 @@
     pub fn begun(&self) -> bool {
         self.attempts.iter().any(|a| a.out && a.first.is_some())
     }
-    /// Calls back what is out and has not begun, at this server or at any.
-    pub fn call_back(&mut self, at: Option<ServerId>, out: &mut Vec<Action>) {
+    /// The answer of one of its attempts that are out begins; gives that attempt, or none if there is no such one.
+    pub fn begin(&mut self, attempt: u32, now: Ms) -> Option<Attempt> {
+        let a = self.attempts.get_mut(attempt as usize).filter(|a| a.out)?;
+        a.first = Some(now);
+        self.state_at = None;
+        Some(*a)
+    }
+    /// One of its attempts that were out has come to this end; gives that attempt, or none if there is no such one.
+    pub fn end(&mut self, o: &Outcome, now: Ms) -> Option<Attempt> {
+        let a = self.attempts.get_mut(o.attempt as usize).filter(|a| a.out)?;
+        a.out = false;
+        let ended = *a;
+        self.idle_since = now;
+        self.closed |= o.closed;
+        if o.status == Status::Read {
+            self.state_at = Some(ended.server);
+        }
+        let writes = self.attempts.iter().filter(|a| a.stage == Stage::Write).count();
+        if ended.stage == Stage::Write && o.status.never_ran() && writes == 1 {
+            self.ran = None;
+        }
+        Some(ended)
+    }
+    /// Calls back what is out and has not begun, wherever it is.
+    pub fn call_back(&mut self, out: &mut Vec<Action>) {
         for (n, a) in self.attempts.iter_mut().enumerate() {
-            if a.out && !a.cancelled && a.first.is_none() && at.is_none_or(|s| s == a.server) {
+            if a.out && !a.cancelled && a.first.is_none() {
                 a.cancelled = true;
                 out.push(Action::Cancel { id: self.ask.id, attempt: n as u32 });
             }
@@ -195,6 +288,34 @@
     }
 }
 
+impl Request {
+    /// Puts right what cannot be meant.
+    pub fn sanitise(&mut self) {
+        for x in [&mut self.prompt_tokens, &mut self.prefix_tokens, &mut self.max_tokens, &mut self.patience]
+        {
+            *x = sane(*x);
+        }
+    }
+    /// What it is read by when it has no home yet: the beginning it shares with others, or else its session.
+    pub fn beginning(&self) -> u64 {
+        self.prefix.unwrap_or(self.session)
+    }
+}
+
+impl Status {
+    /// Whether it proves that a write did not run.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Status::Full | Status::ConnectFailed | Status::NotSent | Status::Read)
+    }
+}
+
+impl Member {
+    /// Its zone, and its cell in it.
+    pub fn place(&self) -> (u32, u32) {
+        (self.zone, self.cell)
+    }
+}
+
 impl Group {
     /// Whether two places, each a zone and a cell in it, share the group.
     pub fn holds(self, a: (u32, u32), b: (u32, u32)) -> bool {
@@ -225,9 +346,12 @@
 }
 
 /// A seeded random source (xorshift).
-pub struct Random(pub u64);
+pub struct Random(u64);
 
 impl Random {
+    pub fn new(seed: u64) -> Self {
+        Random(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
+    }
     /// The next number in [0, 1).
     pub fn unit(&mut self) -> f64 {
         self.0 ^= self.0 << 13;
@@ -237,6 +361,16 @@
     }
 }
 
+/// What all requests have taught: the mean tokens of a prompt; by stage, the pace of all servers; by role, what was
+/// waited of late and when, and what its servers have carried.
+#[derive(Clone, Copy, Default)]
+pub struct Learned {
+    pub prompt: f64,
+    pub pace: [Pace; 2],
+    pub waits: [(f64, Ms); 3],
+    pub carried: [Carried; 3],
+}
+
 /// What the servers of a role have carried: decayed count of successes, warm weight that carried it, and the highest
 /// rate a unit of weight.
 #[derive(Clone, Copy, Default)]
