Put what is handed over below both the end of the process and upgrades

upgrade.rs took Guard, Phase and Shutdown from shutdown.rs, which took Heir from upgrade.rs. Handed, Moved, Heir and the count of open connections are now in handed.rs, which knows neither. Nothing else changes.

--- a/gateway/src/front/connection.rs
+++ b/gateway/src/front/connection.rs
@@ -15,8 +15,8 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep_until, timeout, Instant};
 
+use crate::handed::Moved;
 use crate::log;
-use crate::upgrade::Moved;
 use crate::wire::Wire;
 
 pub use glenrail_lifecycle::client::Stage;
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -28,10 +28,11 @@
 use super::{response, Body, Front};
 use crate::core;
 use crate::counters::{Counters, Outcome, Tally};
+use crate::handed::{Guard, Handed, Moved};
 use crate::log;
 use crate::pools::Pool;
-use crate::shutdown::{Guard, Phase, Shutdown};
-use crate::upgrade::{self, Handed, Inbox, Moved};
+use crate::shutdown::{Phase, Shutdown};
+use crate::upgrade::{self, Inbox};
 use crate::wire::Wire;
 
 /// Connections beyond the cap that may at the same time be told to come back later; further ones are closed.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod engine;
 pub mod exchange;
 pub mod front;
+pub mod handed;
 pub mod haproxy;
 pub mod log;
 pub mod ops;
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -1,13 +1,12 @@
 //! The end of the process, in steps: serving, leaving (still accepting), closing (no new connections).
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::{watch, Notify};
+use tokio::sync::watch;
 use tokio::time::{sleep_until, Instant};
 
-use crate::upgrade::Heir;
+use crate::handed::{Guard, Heir, Open};
 
 /// Told to send its clients away, the gateway ends their connections after this time: until then they may move by
 /// themselves, as each answer tells them to.
@@ -33,18 +32,7 @@
     /// Since when the gateway is out of service, if operators took it out.
     away: Rc<watch::Sender<Option<Instant>>>,
     phase: Rc<watch::Sender<Phase>>,
-    open: Rc<Cell<usize>>,
-    empty: Rc<Notify>,
-}
-
-/// One connection that the process waits for.
-pub struct Guard(Shutdown);
-
-impl Drop for Guard {
-    fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
-        self.0.empty.notify_waiters();
-    }
+    open: Open,
 }
 
 impl Default for Shutdown {
@@ -52,7 +40,7 @@
         let phase = Rc::new(watch::Sender::new(Phase::Serving));
         let away = Rc::new(watch::Sender::new(None));
         let heir = Rc::new(watch::Sender::new(None));
-        Shutdown { heir, away, phase, open: Rc::default(), empty: Rc::default() }
+        Shutdown { heir, away, phase, open: Open::default() }
     }
 }
 
@@ -122,17 +110,10 @@
         self.heir.subscribe()
     }
     pub fn guard(&self) -> Guard {
-        self.open.set(self.open.get() + 1);
-        Guard(self.clone())
+        self.open.guard()
     }
     /// Until no connection is left.
     pub async fn emptied(&self) {
-        loop {
-            let changed = self.empty.notified();
-            if self.open.get() == 0 {
-                return;
-            }
-            changed.await;
-        }
+        self.open.emptied().await;
     }
 }
--- a/gateway/src/upgrade.rs
+++ b/gateway/src/upgrade.rs
@@ -22,8 +22,9 @@
 
 use crate::budget::{Budget, Claim};
 use crate::exchange::Rest;
+use crate::handed::{Handed, Moved};
 use crate::log;
-use crate::shutdown::{Guard, Phase, Shutdown};
+use crate::shutdown::{Phase, Shutdown};
 
 /// The fronts whose sockets are handed over.
 pub const PLATFORM: u8 = 0;
@@ -52,23 +53,6 @@
 const PATH: usize = 100;
 const NAME: &str = "handover";
 
-/// The rest of a stream that goes on in the other process, and the class that it counts for.
-pub struct Moved {
-    pub rest: Rest,
-    pub class: Option<String>,
-}
-
-/// A client's connection on its way to the other process: at rest, or with a stream under way.
-pub struct Handed {
-    pub front: u8,
-    pub socket: TcpStream,
-    pub stream: Option<Moved>,
-    /// The process that hands it over waits for it until it is sent.
-    pub guard: Guard,
-}
-
-/// Where connections at rest go once another process has taken over.
-pub type Heir = mpsc::UnboundedSender<Handed>;
 /// Where connections that another process hands over come in.
 pub type Inbox = mpsc::UnboundedReceiver<(TcpStream, Option<Moved>)>;
 
