Close the listening sockets for good when accepting ends

Seen: with a stream under way after SIGTERM, a new connection is still taken by the machine 0.6 s later and waits in a queue that nobody reads until the process ends (gateway/tests/program.rs, after_accepting_has_ended_...). Ruled out: the fronts, whose listeners are dropped when serve() returns. At fault: daemon.rs made a copy of each listener for a second process and kept it until the process ended, also where none can ever ask for it. The copies now go when accepting ends; a process whose heir has died keeps them for the next one, as before.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -247,6 +247,9 @@
             }
             upgrade::hand_over(state, listeners, inboxes, learned, shutdown, shared).await;
         });
+    } else {
+        // Copies would keep the sockets listening after the fronts have ended to accept.
+        drop(listeners);
     }
 
     // Also while the process ends, when it changes nothing that matters any more.
--- a/gateway/src/upgrade.rs
+++ b/gateway/src/upgrade.rs
@@ -297,12 +297,19 @@
     state: PathBuf, listeners: Vec<(u8, OwnedFd)>, inboxes: Rc<Inboxes>, learned: Learned,
     shutdown: Shutdown, share: Share,
 ) {
+    let mut asked_before = false;
     loop {
         let asked = async { publish(&state)?.accept().await };
-        let link = match asked.await {
-            Ok((stream, _)) => Link(stream),
-            Err(e) => return log!("no upgrade is possible: {e}"),
+        let link = tokio::select! {
+            asked = asked => match asked {
+                Ok((stream, _)) => Link(stream),
+                Err(e) => return log!("no upgrade is possible: {e}"),
+            },
+            // Nobody accepts any more: with these copies gone the machine refuses new connections, and a process that is
+            // started now can listen. Only one whose heir has died keeps what still comes, for the next heir.
+            () = shutdown.reached(Phase::Closing), if !asked_before => return,
         };
+        asked_before = true;
         let _half = share.halve();
         if let Err(e) = succeed(&link, &listeners, &inboxes, &learned, &shutdown).await {
             log!("a handing over ended: {e}");
--- a/gateway/tests/program.rs
+++ b/gateway/tests/program.rs
@@ -194,3 +194,34 @@
     running.terminate();
     assert!(running.0.wait().expect("an end").success());
 }
+
+/// Guards new connections from a process that has ended to accept but still finishes its streams: they are refused, for
+/// the client to go elsewhere at once, and do not wait in a queue that nobody reads.
+#[test]
+fn after_accepting_has_ended_a_connection_is_refused() {
+    use common::{ask, post, run, until, Act, StandIn, STREAM};
+    run(async {
+        let parts = || STREAM.split_inclusive("\n\n").collect();
+        let pause = std::time::Duration::from_millis(1_000);
+        let server = StandIn::start(move |_, _| Act::Slowly(parts(), pause)).await;
+        let text = "listen = '127.0.0.1:0'\n[chat]\nservers = [{ name = 'c', dial = 'AT' }]\n";
+        let front = file("refuses.toml", &text.replace("AT", &server.address.to_string()));
+        let mut command = Command::new(env!("CARGO_BIN_EXE_glenrail"));
+        let (running, address) = Running::start(command.arg("--front").arg(&front), "second");
+        let chat = r#"{"model":"c","stream":true,"messages":[{"role":"user","content":"hi"}]}"#;
+        let slow = ask(address, post("/v1/chat/completions", &[], chat));
+        tokio::pin!(slow);
+        tokio::select! {
+            _ = &mut slow => panic!("the answer takes longer"),
+            () = until(|| server.count("POST") == 1) => {}
+        }
+        running.terminate();
+        let refused = until(|| TcpStream::connect(address).is_err());
+        tokio::select! {
+            _ = &mut slow => panic!("a new connection is taken to the end and never served"),
+            () = refused => {}
+        }
+        let slow = slow.await;
+        assert_eq!((slow.status().as_u16(), slow.body().as_deref()), (200, Some(STREAM.as_bytes())));
+    });
+}
