Answer what has come before a planned end closes its connection

Seen with 20 kept connections that go on sending through a planned end, and with requests that arrive in the moment in which accepting ends (gateway/tests/restart.rs): a request already here but unread on a kept connection, and one of which half a head was read, got no answer and no status, only the end of the connection (2 of 3). Ruled out: hyper, which ends a connection without an open request as it is told to. At fault: front/server.rs asked for that end without a look at what the gate holds or the machine has; shutdown.rs ended a connection that came in the last moment like an old one. All three are answered; the 20 clients lose nothing.

--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -269,7 +269,10 @@
                 _ = heirs.changed() => {}
                 () = &mut stop, if !stopping && !shutdown.superseded() => {
                     stopping = true;
-                    connection.as_mut().graceful_shutdown();
+                    // A request that has come is served, read or not: its answer says that the connection ends.
+                    if place.watch.stage() != Stage::Head && !wire.holds_unread() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             }
         }
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -78,10 +78,15 @@
     /// Until a connection that began at this time has to end, once its open request has.
     pub async fn over(&self, began: Instant) {
         tokio::select! {
-            () = self.reached(Phase::Closing) => {}
+            () = self.closing(began) => {}
             () = self.sent_away(began) => {}
         }
     }
+    /// Whoever came in last is on its way with a request: closed without an answer, that one counts as refused.
+    async fn closing(&self, began: Instant) {
+        self.reached(Phase::Closing).await;
+        sleep_until(began + ASK).await;
+    }
     async fn sent_away(&self, began: Instant) {
         let mut away = self.away.subscribe();
         loop {
--- a/gateway/src/wire.rs
+++ b/gateway/src/wire.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -30,6 +31,12 @@
         self.written.get()
     }
 
+    /// Whether bytes have come that nobody has read; the end of what the other side sends is none.
+    pub fn holds_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        matches!(SockRef::from(&*self.socket).peek(&mut byte), Ok(1..))
+    }
+
     /// Counts one as soon as so many more bytes have been handed over.
     pub fn count_after(&self, bytes: u64, count: Rc<Cell<u64>>) {
         self.due.replace(Some(Due(self.written() + bytes, count)));
