Let one faulty entry of a list cost no other, in any white space

Checked first: indented lists were read, and an entry of the wrong shape was left out alone. Not so (list.rs, readable): one number out of range (1e999), one half of a surrogate pair or one byte that is no text made the whole list unreadable; a null was a fault, so a DELETED entry with "dial": null was left out and its server kept; a DRAINING entry with a faulty field beside was left out, and its server went on getting requests. Each entry is now read by itself, field by field: null is as good as left out, and an entry that says that its server is to get nothing new is taken as far as that. Tests: the eleven entries in three layouts, and any list with any one entry spoilt (proptest).

--- a/gateway/src/discovery/list.rs
+++ b/gateway/src/discovery/list.rs
@@ -1,8 +1,11 @@
 //! A list of servers as discovery writes it, and how the rest of the gateway is told of it.
 
+use std::collections::BTreeMap;
+
 use deckhub::{Member, Scope, ServerState};
 use serde::{Deserialize, Deserializer};
-use serde_json::Value;
+use serde_json::value::RawValue;
+use serde_json::{Map, Value};
 
 use crate::core::{Clock, Core, Upstream};
 use crate::engine::{Address, Engine};
@@ -21,23 +24,26 @@
     pub hosts: Vec<Host>,
 }
 
+impl List {
+    /// Reads a list with any white space in it. A byte that is no text spoils its own line only.
+    pub fn read(bytes: &[u8]) -> serde_json::Result<List> {
+        serde_json::from_str(&String::from_utf8_lossy(bytes))
+    }
+}
+
 /// The lines of a list that can be used, in order. One that cannot be read must not cost the others, and of two lines for
 /// one engine the later holds; both are named in the log.
 fn readable<'de, D: Deserializer<'de>>(lines: D) -> Result<Vec<Host>, D::Error> {
     let mut hosts: Vec<Host> = Vec::new();
-    for line in Vec::<Value>::deserialize(lines)? {
-        let name = line.get("host").map_or("no name".into(), Value::to_string);
-        let host = match Host::deserialize(line) {
-            Ok(host) if host.host.is_empty() => Err("no name".to_string()),
-            Ok(host) if host.dial.is_empty() && !host.gone() => Err("no address to dial".into()),
-            Ok(host) => Ok(host),
-            Err(e) => Err(e.to_string()),
-        };
-        match host {
-            Err(e) => log!("discovery: a line is left out: {name}: {e}"),
+    for line in Option::<Vec<Box<RawValue>>>::deserialize(lines)?.unwrap_or_default() {
+        match Host::read(&line) {
+            Err(e) => {
+                let line = line.get().split_whitespace().collect::<Vec<_>>().join(" ");
+                log!("discovery: a line is left out: {line:.200}: {e}");
+            }
             Ok(host) => {
                 if let Some(at) = hosts.iter().position(|h| h.host == host.host) {
-                    log!("discovery: {name} is listed twice, the later line holds");
+                    log!("discovery: {} is listed twice, the later line holds", host.host);
                     hosts.remove(at);
                 }
                 hosts.push(host);
@@ -73,7 +79,40 @@
     }
 }
 
+/// Why a line cannot be used.
+#[derive(Debug, thiserror::Error)]
+enum Unusable {
+    #[error("{0}")]
+    Unreadable(#[from] serde_json::Error),
+    #[error("no name")]
+    NoName,
+    #[error("no address to dial")]
+    NoAddress,
+}
+
 impl Host {
+    /// Reads a line. A field that is null is as good as left out, and a faulty one spoils the line; but where that line
+    /// says that its server is to get nothing new, this much is taken.
+    fn read(line: &RawValue) -> Result<Host, Unusable> {
+        let raw: BTreeMap<String, Box<RawValue>> = serde_json::from_str(line.get())?;
+        let value = |raw: &RawValue| serde_json::from_str::<Value>(raw.get());
+        let good = raw.iter().filter_map(|(name, raw)| Some((name.clone(), value(raw).ok()?)));
+        let good: Map<String, Value> = good.filter(|(_, v)| !v.is_null()).collect();
+        let word = |name: &str| good.get(name).and_then(Value::as_str).unwrap_or("").to_string();
+        let (host, dial, health) = (word("host"), word("dial"), word("health"));
+        let brief = Host { host, dial, health, ..Host::default() };
+        let fault = raw.values().find_map(|raw| value(raw).err());
+        let read = fault.map_or_else(|| Host::deserialize(Value::Object(good)), Err);
+        let host = match read {
+            Err(e) if brief.health.is_empty() || brief.state() == ServerState::Ready => return Err(e.into()),
+            read => read.unwrap_or(brief),
+        };
+        match host.state() {
+            _ if host.host.is_empty() => Err(Unusable::NoName),
+            ServerState::Ready if host.dial.is_empty() => Err(Unusable::NoAddress),
+            _ => Ok(host),
+        }
+    }
     /// Whether this line says that the server has left the list.
     pub fn gone(&self) -> bool {
         self.state() == ServerState::Gone
@@ -133,24 +172,62 @@
 mod tests {
     use std::time::Duration;
 
+    use proptest::prelude::*;
+    use serde_json::json;
+
     use super::*;
 
-    /// Guards the other lines of a list against one that cannot be read, and a server against standing in it twice.
+    /// Guards the other lines of a list, indented or not, against one that cannot be read, and a server against standing in
+    /// it twice.
     #[test]
     fn a_line_that_cannot_be_read_costs_no_other() {
-        let text = r#"{"seq": 7, "whole": true, "hosts": [
-            {"host": "s-1", "dial": "127.0.0.1:1", "health": "SERVING"},
-            {"host": "s-2", "dial": "127.0.0.1:2", "health": "SERVING", "share": "much"},
-            {"host": "s-3", "health": "SERVING"},
-            {"host": 4, "dial": "127.0.0.1:4"},
-            "s-5",
-            {"dial": "127.0.0.1:6", "health": "SERVING"},
-            {"host": "s-7", "health": "DELETED"},
-            {"host": "s-1", "dial": "127.0.0.1:8", "health": "DRAINING"}]}"#;
-        let list: List = serde_json::from_str(text).expect("a list");
-        let lines: Vec<(&str, &str)> = list.hosts.iter().map(|h| (&*h.host, &*h.dial)).collect();
-        assert_eq!((list.seq, lines), (7, vec![("s-7", ""), ("s-1", "127.0.0.1:8")]));
-        assert!(list.hosts[0].gone() && list.hosts[1].state() == ServerState::Draining);
+        let lines = [
+            &br#"{"host": "s-1", "dial": "127.0.0.1:1", "health": "SERVING"}"#[..],
+            br#"{"host": "s-2", "dial": "127.0.0.1:2", "health": "SERVING", "share": "much"}"#,
+            br#"{"host": "s-3", "health": "SERVING"}"#,
+            br#"{"host": 4, "dial": "127.0.0.1:4"}"#,
+            br#""s-5""#,
+            br#"{"dial": "127.0.0.1:6", "health": "SERVING"}"#,
+            br#"{"host": "s-7", "dial": null, "health": "DELETED"}"#,
+            br#"{"host": "s-8", "dial": "127.0.0.1:8", "health": "SERVING", "born_ms": 1e999}"#,
+            b"{\"host\": \"s-9\", \"dial\": \"\xff\xfe\", \"health\": \"\\ud800\"}",
+            br#"{"host": "s-1", "dial": "127.0.0.1:8", "health": "DRAINING", "born_ms": 1e999}"#,
+            br#"{"host": "s-10", "dial": "127.0.0.1:10", "health": "SERVING", "site": null, "born_ms": null}"#,
+        ];
+        for between in [&b","[..], b",\n    ", b"\r\n\t,\r\n\t"] {
+            let text = [
+                b" {\n  \"seq\": 7,\n  \"whole\": true,\n  \"hosts\": [\n",
+                &lines.join(between)[..],
+                b"]\n}\n",
+            ];
+            let list = List::read(&text.concat()).expect("a list");
+            let read: Vec<(&str, &str)> = list.hosts.iter().map(|h| (&*h.host, &*h.dial)).collect();
+            assert_eq!((list.seq, list.whole), (7, true));
+            assert_eq!(read, [("s-7", ""), ("s-1", "127.0.0.1:8"), ("s-10", "127.0.0.1:10")]);
+            let states: Vec<ServerState> = list.hosts.iter().map(Host::state).collect();
+            assert_eq!(states, [ServerState::Gone, ServerState::Draining, ServerState::Ready]);
+        }
+    }
+
+    proptest! {
+        /// Guards every list that can be written: indented or not, with any one line spoilt, all other lines are there.
+        #[test]
+        fn one_spoilt_line_costs_itself_only(
+            names in prop::collection::btree_set("s-[0-9a-f]{8}", 1..20), at: prop::sample::Index, indented: bool,
+            spoilt in prop::sample::select(vec![
+                json!(null), json!(7), json!([]), json!({}), json!({"host": []}),
+                json!({"host": "x", "dial": "127.0.0.1:1", "health": "SERVING", "born_ms": "long ago"}),
+            ]),
+        ) {
+            let names: Vec<String> = names.into_iter().collect();
+            let line = |name: &String| json!({"host": name, "dial": "127.0.0.1:1", "health": "SERVING"});
+            let mut hosts: Vec<Value> = names.iter().map(line).collect();
+            hosts.insert(at.index(hosts.len()), spoilt);
+            let list = json!({"seq": 1, "whole": true, "hosts": hosts});
+            let write = if indented { serde_json::to_vec_pretty } else { serde_json::to_vec };
+            let list = List::read(&write(&list).expect("a list")).expect("a list");
+            prop_assert_eq!(list.hosts.into_iter().map(|h| h.host).collect::<Vec<_>>(), names);
+        }
     }
 
     /// Guards the hash that all gateways must share: a server is its `host`, wherever this gateway dials it.
