Ask an agent for the whole list at once: at start, after silence, after a move

What a pushed list's agent has counts as told from the first moment of a process and after an outage, watch or no watch, and drains may have to be kept within 300 ms. Seen (gateway/tests/discovery.rs on the code as it was): a new process asks for changes to the version it was started with, which waits for a hold of 2 s where that is the old place's number; after an outage of 3.5 s the list is here after 2.7 s (calls of 3 s, pauses up to 3.75 s); a SIGHUP in a pause waits until the pause is over (20 s of 20 s); an agent that has been sent nothing yet takes every server away. Checked and well: the first call was not delayed where lists are pushed; the next call follows an answer at once; a hung watch was opened anew after 3.1 s of the 6 s; a list that trickles is given up.

At fault: discovery/watch.rs (one time-out and one pace for both modes, sleep(pause) without an eye on the address) and lifecycle's watch.rs, which knew pauses only. That machine now says what the next call asks for: where lists are pushed, the whole list until a call is answered, each within 150 ms and again after 30 to 90 ms; a watch is held 1 s and lost after 1.5 s. Now: after an outage 250 ms at most, a hung watch 1.6 s, a move at once (simulated by proptest over any moment of change, outage and hang, in both modes). Where lists are asked for, paces are as they were, but a move ends a pause. A whole list with no usable entry counts as a failed call. The log names failed calls 1, 2, 4, 8 and so on.

--- a/crates/lifecycle/src/watch.rs
+++ b/crates/lifecycle/src/watch.rs
@@ -4,6 +4,11 @@
 //! it as much as one that it answers. Gateways start together. Where all call in one moment, and call again as soon as
 //! they were turned away, each call keeps the others out for good. So each gateway draws its own moment, from a seed that no
 //! two share, out of a time that gives every gateway its turn, and draws from twice the time whenever it is turned away.
+//!
+//! Where lists are pushed, calls go to an agent on the gateway's own machine, which answers at once and at no cost, but
+//! is silent while discovery is down; and what it has counts as told whether or not anybody asks. So there nothing waits
+//! for its turn, and until a call has been answered the whole list is asked for, again and again: an answer to that
+//! can be missed after a moment, where one to a watch may be a whole hold away.
 
 use std::time::Duration;
 
@@ -20,6 +25,29 @@
     pub round: Duration,
     /// The longest mean pause after calls that were turned away.
     pub longest_round: Duration,
+    /// For so long discovery may keep a watch waiting.
+    pub hold: Duration,
+    /// A call must be answered so soon after its hold has passed, or it is taken for lost.
+    pub late: Duration,
+    /// How soon a call for the whole list is answered, where an agent on the same machine does so at once.
+    pub at_once: Option<Duration>,
+}
+
+/// What the next call asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Ask {
+    /// The whole list; its answer must have begun within this time.
+    Whole { within: Duration },
+    /// Changes to the version known, for which the call may be held; its answer must have begun within this time.
+    Changes { hold: Duration, within: Duration },
+}
+
+impl Ask {
+    pub fn within(self) -> Duration {
+        match self {
+            Ask::Whole { within } | Ask::Changes { within, .. } => within,
+        }
+    }
 }
 
 /// Why a call brought no list.
@@ -37,13 +65,15 @@
     pauses: Pauses,
     /// Calls that failed since the last one that was answered.
     failed: u32,
+    /// The last call was answered, by the place that is asked now.
+    current: bool,
     random: u64,
 }
 
 impl Watch {
     /// The calls of one gateway; no two may have the same seed.
     pub fn new(pauses: Pauses, seed: u64) -> Self {
-        Watch { pauses, failed: 0, random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1 }
+        Watch { pauses, failed: 0, current: false, random: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1 }
     }
 
     /// Calls that failed since the last one that was answered.
@@ -56,16 +86,31 @@
         self.pauses.round.mul_f64(self.unit())
     }
 
+    /// What the next call asks for; `known`: there is a version that changes can be told from.
+    pub fn ask(&self, known: bool) -> Ask {
+        let Pauses { hold, late, at_once, .. } = self.pauses;
+        match at_once {
+            Some(within) if !self.current => Ask::Whole { within },
+            _ if known => Ask::Changes { hold, within: hold + late },
+            _ => Ask::Whole { within: hold + late },
+        }
+    }
+
     /// A call was answered: the next one follows at once, and nothing is held against discovery.
     pub fn answered(&mut self) {
-        self.failed = 0;
+        (self.failed, self.current) = (0, true);
+    }
+
+    /// Discovery has another address: nothing is held against that one.
+    pub fn moved(&mut self) {
+        (self.failed, self.current) = (0, false);
     }
 
     /// A call failed: the pause before the next one, from half the mean to one and a half times it.
     pub fn failed(&mut self, why: Failed) -> Duration {
         let doublings = self.failed.min(16);
-        self.failed = self.failed.saturating_add(1);
-        let Pauses { first, most, round, longest_round } = self.pauses;
+        (self.failed, self.current) = (self.failed.saturating_add(1), false);
+        let Pauses { first, most, round, longest_round, .. } = self.pauses;
         let (least, most) = match why {
             Failed::Lost => (first, most),
             Failed::TurnedAway(_) => (round.max(first), longest_round.max(first)),
@@ -90,6 +135,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::prelude::*;
     use std::collections::VecDeque;
 
     const PAUSES: Pauses = Pauses {
@@ -97,6 +143,9 @@
         most: Duration::from_millis(2_500),
         round: Duration::from_millis(5_000),
         longest_round: Duration::from_millis(20_000),
+        hold: Duration::from_millis(2_000),
+        late: Duration::from_millis(1_000),
+        at_once: None,
     };
 
     #[test]
@@ -203,4 +252,88 @@
         let (took, calls) = all_told(2, Service { every: 60, down: 0, free: 0 }, pauses).expect("told");
         assert!(took <= 200 && calls == 2, "{took} ms, {calls} calls");
     }
+
+    /// Calls of an agent that answers at once.
+    const PUSHED: Pauses = Pauses {
+        first: Duration::from_millis(60),
+        most: Duration::from_millis(60),
+        round: Duration::ZERO,
+        longest_round: Duration::from_millis(1_000),
+        hold: Duration::from_millis(1_000),
+        late: Duration::from_millis(500),
+        at_once: Some(Duration::from_millis(150)),
+    };
+
+    /// Where lists are pushed and where they are asked for.
+    fn modes() -> impl Strategy<Value = Pauses> {
+        prop_oneof![Just(PUSHED), Just(Pauses { round: Duration::ZERO, ..PAUSES })]
+    }
+
+    /// When a change of this moment is heard of, by calls that begin at 0 and are answered at once, but for a time in which
+    /// discovery says nothing, and for a moment at which the watch then open falls silent for good.
+    fn heard(change: u64, (down, up): (u64, u64), breaks: u64, pauses: Pauses, seed: u64) -> u64 {
+        let ms = |d: Duration| d.as_millis() as u64;
+        let mut watch = Watch::new(pauses, seed);
+        let (mut now, mut known) = (ms(watch.begin()), false);
+        loop {
+            let ask = watch.ask(known);
+            let answer = match ask {
+                Ask::Changes { hold, .. } if now < change => change.min(now + ms(hold)),
+                _ => now,
+            };
+            let silent = now < up && answer >= down || (now..answer).contains(&breaks);
+            now = if silent { now + ms(ask.within()) } else { answer };
+            if silent {
+                now += ms(watch.failed(Failed::Lost));
+            } else if now >= change {
+                return now;
+            } else {
+                watch.answered();
+                known = true;
+            }
+        }
+    }
+
+    proptest! {
+        /// Guards the account's clocks: what discovery has counts as told 6 s after a watch has fallen silent, and where lists
+        /// are pushed at once, whether or not a watch is open, so also to a new process and after an outage. Drains may
+        /// have to be kept within 300 ms of that.
+        #[test]
+        fn a_change_is_heard_of_before_it_counts_as_told(
+            change in 0u64..20_000, down in 0u64..20_000, long in 1u64..10_000, outage: bool,
+            pauses in modes(), seed: u64,
+        ) {
+            let pushed = pauses.at_once.is_some();
+            // A watch that falls silent is opened anew well before the 6 s are over.
+            let lost = down + if pushed { 2_000 } else { 3_500 };
+            let (heard, by) = match outage {
+                true => {
+                    let has = if (down..down + long).contains(&change) { down + long } else { change };
+                    let by = if change >= down { has.max(lost) } else { has };
+                    (heard(change, (down, down + long), u64::MAX, pauses, seed), by + if pushed { 250 } else { 6_750 })
+                }
+                false => {
+                    let by = if change >= down { change.max(lost) } else { change };
+                    (heard(change, (0, 0), down, pauses, seed), by)
+                }
+            };
+            prop_assert!(heard <= by, "change {change}, silent from {down} on ({long}): {heard}, not by {by}");
+        }
+    }
+
+    /// Guards a new process, and one whose discovery has moved: the whole list is asked for at once, and again soon.
+    #[test]
+    fn an_agent_that_has_not_answered_is_asked_for_the_whole_list() {
+        let mut watch = Watch::new(PUSHED, 7);
+        let whole = Ask::Whole { within: Duration::from_millis(150) };
+        assert_eq!((watch.begin(), watch.ask(true)), (Duration::ZERO, whole));
+        watch.answered();
+        assert!(matches!(watch.ask(true), Ask::Changes { .. }));
+        watch.moved();
+        assert_eq!(watch.ask(true), whole);
+        (0..50).for_each(|_| assert!(watch.failed(Failed::Lost) < Duration::from_millis(100)));
+        assert_eq!(watch.ask(true), whole);
+        watch.moved();
+        assert_eq!(watch.failures(), 0);
+    }
 }
--- a/gateway/src/discovery/watch.rs
+++ b/gateway/src/discovery/watch.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use deckhub::{Discovery, Scope, Settings};
-use glenrail_lifecycle::watch::{self as calls, Pauses, Watch as Calls};
+use glenrail_lifecycle::watch::{self as calls, Ask, Pauses, Watch as Calls};
 use http::{header, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::client::conn::http1::{handshake, SendRequest};
@@ -24,12 +24,25 @@
 const HOLD: Duration = Duration::from_millis(2_000);
 /// A call must be answered so soon after its hold has passed; then it starts anew on a new connection.
 const LATE: Duration = Duration::from_millis(1_000);
+/// An answer that has begun must be whole so much later.
+const BODY: Duration = Duration::from_millis(1_000);
 const CONNECT: Duration = Duration::from_millis(500);
 /// Mean pause after a first failed call: short enough for the watch to go on as the same one.
 const AGAIN: Duration = Duration::from_millis(100);
 /// The longest mean pause: with a half more and a call's own time, a list that can be had again is here before what it
 /// says counts as told (6 s, the protocol's figure).
 const LONGEST: Duration = Duration::from_millis(2_500);
+/// The same where lists are pushed: calls go to an agent on the same machine, at no cost. What it has counts as told
+/// whether or not a watch is open, and a drain may have to be kept within 300 ms: no call and pause take longer.
+const AGENT: Pauses = Pauses {
+    first: Duration::from_millis(60),
+    most: Duration::from_millis(60),
+    round: Duration::ZERO,
+    longest_round: Duration::from_millis(1_000),
+    hold: Duration::from_millis(1_000),
+    late: Duration::from_millis(500),
+    at_once: Some(Duration::from_millis(150)),
+};
 /// Where discovery has to be asked, each gateway is given so much of its time: a hundred that start together and call
 /// within 5 s are all answered (measured; within 2 s a third of them are turned away, at once nearly all).
 const TURN: Duration = Duration::from_millis(50);
@@ -86,67 +99,96 @@
     calls::Failed::TurnedAway(wanted.and_then(|seconds: f64| Duration::try_from_secs_f64(seconds).ok()))
 }
 
-async fn call(watch: &mut Watch, address: &str, from: Option<u64>) -> Result<List, Failed> {
-    let target = from.map_or("/v1/endpoints".to_string(), |seq| {
-        format!("/v1/endpoints?from={seq}&hold_ms={}", HOLD.as_millis())
-    });
+/// Asks on the connection that is open, or on a new one.
+async fn call(
+    open: Option<Watch>, address: &str, ask: Ask, from: Option<u64>,
+) -> Result<(Watch, List), Failed> {
+    let target = match (ask, from) {
+        (Ask::Changes { hold, .. }, Some(seq)) => {
+            format!("/v1/endpoints?from={seq}&hold_ms={}", hold.as_millis())
+        }
+        _ => "/v1/endpoints".to_string(),
+    };
     let request = Request::get(target).header(header::HOST, address).body(Empty::new());
-    let answer = async {
+    let begins = async {
+        let mut watch = match open {
+            Some(watch) => watch,
+            None => connect(address).await?,
+        };
         watch.sender.ready().await?;
         let response = watch.sender.send_request(request?).await?;
-        if !response.status().is_success() {
-            return Err(Failed(format!("status {}", response.status()), judged(&response)));
-        }
-        let body = Limited::new(response.into_body(), LIST).collect().await?;
-        Ok(serde_json::from_slice(&body.to_bytes())?)
+        Ok::<_, Failed>((watch, response))
     };
-    timeout(HOLD + LATE, answer).await.map_err(|_| "no answer in time")?
+    let (watch, response) = timeout(ask.within(), begins).await.map_err(|_| "no answer in time")??;
+    if !response.status().is_success() {
+        return Err(Failed(format!("status {}", response.status()), judged(&response)));
+    }
+    let body = timeout(BODY, Limited::new(response.into_body(), LIST).collect()).await;
+    let body = body.map_err(|_| "an answer does not end in time")??;
+    Ok((watch, List::read(&body.to_bytes())?))
 }
 
 /// The calls of a gateway with this seed, one of as many as the settings say.
 pub fn calls(settings: &Settings, seed: u64) -> Calls {
-    let ask_within = duration(settings.rules.ask_within * ASKED_BY).max(AGAIN);
-    let round = match settings.discovery {
-        Discovery::Push => Duration::ZERO,
-        Discovery::Subscribe => (TURN * settings.routers).min(ask_within),
+    let pauses = match settings.discovery {
+        Discovery::Push => AGENT,
+        Discovery::Subscribe => {
+            let ask_within = duration(settings.rules.ask_within * ASKED_BY).max(AGAIN);
+            Pauses {
+                first: AGAIN,
+                most: LONGEST,
+                round: (TURN * settings.routers).min(ask_within),
+                longest_round: ask_within.mul_f64(AFTER_FAILED),
+                hold: HOLD,
+                late: LATE,
+                at_once: None,
+            }
+        }
     };
-    let longest_round = ask_within.mul_f64(AFTER_FAILED);
-    Calls::new(Pauses { first: AGAIN, most: LONGEST, round, longest_round }, seed)
+    Calls::new(pauses, seed)
+}
+
+/// Waits so long, or until there is another address to call.
+async fn pause(address: &mut watch::Receiver<String>, time: Duration) {
+    tokio::select! {
+        () = sleep(time) => {}
+        Ok(()) = address.changed() => address.mark_changed(),
+    }
 }
 
 /// Watches for as long as the process runs, from the version of the list that it began with. Where the address
-/// changes, the call under way is given up at once, and the new place's whole list is the truth about what is gone.
+/// changes, the call under way or the pause is given up at once, and the new place's whole list is the truth about what
+/// is gone.
 pub async fn watch(
     mut address: watch::Receiver<String>, mut from: Option<u64>, mut calls: Calls, tally: Rc<Tally>,
     take: impl Fn(&List, Scope),
 ) {
     let mut open: Option<Watch> = None;
     let mut at = address.borrow_and_update().clone();
-    // Whoever has a list can wait for its turn.
-    let begin = if from.is_some() { calls.begin() } else { Duration::ZERO };
-    tokio::select! {
-        () = sleep(begin) => {}
-        _ = address.changed() => address.mark_changed(),
+    // Whoever has a list can wait for its turn, where it has to.
+    let begin = calls.begin();
+    if from.is_some() && !begin.is_zero() {
+        pause(&mut address, begin).await;
     }
     loop {
         let told = address.borrow_and_update().clone();
         if told != at {
             log!("discovery: moved to {told}");
             (at, open, from) = (told, None, None);
+            calls.moved();
         }
-        let ask = async {
-            let mut watch = match open.take() {
-                Some(watch) => watch,
-                None => connect(&at).await?,
-            };
-            let list = call(&mut watch, &at, from).await?;
-            Ok::<_, Failed>((watch, list))
-        };
+        let ask = calls.ask(from.is_some());
         let answer = tokio::select! {
             biased;
             Ok(()) = address.changed() => continue,
-            answer = ask => answer,
+            answer = call(open.take(), &at, ask, from) => answer,
         };
+        let whole = |list: &List| list.whole || matches!(ask, Ask::Whole { .. });
+        let answer = answer.and_then(|(watch, list)| match whole(&list) && list.hosts.is_empty() {
+            // An agent that has been sent nothing yet: the list known is better.
+            true => Err("a whole list with no line that can be used".into()),
+            false => Ok((watch, list)),
+        });
         match answer {
             Ok((watch, list)) => {
                 open = Some(watch);
@@ -156,7 +198,7 @@
                 calls.answered();
                 tally.answered.set(tally.answered.get() + 1);
                 tally.lines.set(tally.lines.get() + list.hosts.len() as u64);
-                let whole = list.whole || from.is_none();
+                let whole = whole(&list);
                 if whole || !list.hosts.is_empty() {
                     let (kind, lines) = (if whole { "whole" } else { "changes" }, list.hosts.len());
                     log!("discovery: version {}, {kind}, {lines} lines", list.seq);
@@ -165,10 +207,17 @@
                 from = Some(list.seq);
             }
             Err(Failed(e, why)) => {
-                let pause = calls.failed(why);
+                let time = calls.failed(why);
                 tally.failed.set(tally.failed.get() + 1);
-                log!("discovery: {e}; asked again in {} ms", pause.as_millis());
-                sleep(pause).await;
+                // Calls that come so soon after each other would fill the log.
+                if calls.failures().is_power_of_two() {
+                    log!(
+                        "discovery: {e}; {} calls failed; asked again in {} ms",
+                        calls.failures(),
+                        time.as_millis()
+                    );
+                }
+                pause(&mut address, time).await;
             }
         }
     }
