--- a/gateway/tests/discovery.rs
+++ b/gateway/tests/discovery.rs
@@ -170,6 +170,32 @@
     });
 }
 
+/// Guards a watch as one and the same: its next call must come within 200 ms of the last answer, lists to take or not. Half
+/// of the calls may be held up by whatever else the machine does.
+#[test]
+fn the_next_call_follows_an_answer_at_once() {
+    run(async {
+        let (reader, writers) = servers().await;
+        let g = gateway(&[&reader], &[&writers[0], &writers[1]], None, 50).await;
+        let list = listed(5, &reader, &writers, None);
+        let called = Rc::new(RefCell::new(Vec::new()));
+        let calls = called.clone();
+        let agent = StandIn::start(move |n, _| {
+            calls.borrow_mut().push(Instant::now());
+            match n {
+                0..21 => told(&list),
+                _ => Act::Silence,
+            }
+        })
+        .await;
+        watched(&g, &agent, None);
+        until(|| called.borrow().len() == 22).await;
+        let mut gaps: Vec<Duration> = called.borrow().windows(2).map(|w| w[1] - w[0]).collect();
+        gaps.sort();
+        assert!(gaps[10] < Duration::from_millis(50), "{gaps:?}");
+    });
+}
+
 /// Guards an agent that has been sent nothing yet: the list known serves on until there is another.
 #[test]
 fn a_list_of_nobody_takes_nobody_away() {
