--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -28,16 +28,19 @@
 use super::{response, Body, Front};
 use crate::core;
 use crate::counters::{Counters, Outcome, Tally};
+use crate::handed::{Guard, Handed, Moved};
 use crate::log;
 use crate::pools::Pool;
-use crate::shutdown::{Guard, Phase, Shutdown};
-use crate::upgrade::{self, Handed, Inbox, Moved};
+use crate::shutdown::{Phase, Shutdown};
+use crate::upgrade::{self, Inbox};
 use crate::wire::Wire;
 
 /// Connections beyond the cap that may at the same time be told to come back later; further ones are closed.
 const REFUSING: usize = 24;
 /// What is in the machine's queue when accepting ends has been accepted for us, so it is served.
 const LAST_ACCEPT: Duration = Duration::from_millis(5);
+/// Where connections still come without a pause, accepting ends after this time all the same.
+const LAST_ACCEPTS: Duration = Duration::from_millis(100);
 /// Pause after a failed accept (no descriptor left, say).
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -181,9 +184,12 @@
     if shutdown.superseded() {
         return;
     }
-    while let Ok(Ok((socket, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
-        take(socket, None);
-    }
+    let last = async {
+        while let Ok(Ok((socket, _))) = timeout(LAST_ACCEPT, listener.accept()).await {
+            take(socket, None);
+        }
+    };
+    let _ = timeout(LAST_ACCEPTS, last).await;
 }
 
 /// The next connection handed over; none ever where nobody can.
@@ -268,7 +274,10 @@
                 _ = heirs.changed() => {}
                 () = &mut stop, if !stopping && !shutdown.superseded() => {
                     stopping = true;
-                    connection.as_mut().graceful_shutdown();
+                    // A request that has come is served, read or not: its answer says that the connection ends.
+                    if place.watch.stage() != Stage::Head && !wire.holds_unread() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             }
         }
