--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -161,7 +161,13 @@
         None
     }
 
-    async fn open(&self, server: ServerId) -> Result<Connection, Failed> {
+    async fn open(&self, server: ServerId, by: Option<Instant>) -> Result<Connection, Failed> {
+        let usual = self.0.limits.connect_timeout;
+        let time = by.map_or(usual, |by| usual.min(by.saturating_duration_since(Instant::now())));
+        if time < usual / 4 {
+            // It would be no word on the server either.
+            return Err(Failed::NotSent);
+        }
         let dial = self.0.places.borrow().get(server).map(|p| p.dial.clone()).ok_or(Failed::NotSent)?;
         let slot = self.0.slots.clone().try_acquire_owned();
         let slot = slot.or_else(|_| {
@@ -171,7 +177,7 @@
         });
         // No word on the server: the lack is here.
         let slot = slot.map_err(|_| Failed::NotSent)?;
-        match timeout(self.0.limits.connect_timeout, Connection::open(&dial, slot)).await {
+        match timeout(time, Connection::open(&dial, slot)).await {
             Ok(Ok(connection)) => Ok(connection),
             _ => {
                 self.0.places.borrow_mut().note(server, |reach, now| reach.lost(now));
@@ -181,8 +187,8 @@
     }
 
     /// Opens a connection for this, and counts it.
-    async fn opened(&self, server: ServerId, what: Ask) -> Result<Connection, Failed> {
-        let opened = self.open(server).await;
+    async fn opened(&self, server: ServerId, what: Ask, by: Option<Instant>) -> Result<Connection, Failed> {
+        let opened = self.open(server, by).await;
         let mut counts = self.0.counts.borrow_mut();
         match (&opened, what) {
             (Err(_), _) => counts.not_opened += 1,
@@ -235,14 +241,15 @@
 
     /// Writes a request to a server once and returns the head of what comes back.
     async fn ask(
-        &self, server: ServerId, request: &Request<Bytes>, what: Ask,
+        &self, server: ServerId, request: &Request<Bytes>, what: Ask, connect: Option<Duration>,
     ) -> Result<(Response<Incoming>, Connection), Failed> {
+        let connect = connect.map(|time| Instant::now() + time);
         loop {
             let idle = self.idle(server);
             self.0.counts.borrow_mut().reused += u64::from(idle.is_some());
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => self.opened(server, what).await?,
+                None => self.opened(server, what, connect).await?,
             };
             // Connecting takes time: what was told meanwhile counts at the first byte.
             if !connection.may_write(what.aside() || self.serving(server)) {
@@ -268,19 +275,21 @@
     async fn brief(
         &self, server: ServerId, request: &Request<Bytes>, what: Ask,
     ) -> Result<(Head, Bytes), Failed> {
-        let (response, connection) = self.ask(server, request, what).await?;
+        let (response, connection) = self.ask(server, request, what, None).await?;
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, BRIEF).collect().await.map_err(|_| Failed::Reset)?.to_bytes();
         self.keep(server, connection);
         Ok((Head { status: parts.status, headers: parts.headers }, body))
     }
 
-    async fn attempt(&self, server: ServerId, payload: Rc<Payload>, wait: Duration) -> Result<Reply, Failed> {
-        let (response, connection) = self.ask(server, &attempt_request(&payload, wait), Ask::Attempt).await?;
+    async fn attempt(
+        &self, server: ServerId, request: &Request<Bytes>, whole: bool, connect: Option<Duration>,
+    ) -> Result<Reply, Failed> {
+        let (response, connection) = self.ask(server, request, Ask::Attempt, connect).await?;
         let (parts, body) = response.into_parts();
         let head = Head { status: parts.status, headers: parts.headers };
         let report = reply::report_of(&head.headers);
-        if head.status == StatusCode::OK && !payload.whole {
+        if head.status == StatusCode::OK && !whole {
             if !reply::is_events(&head) {
                 log!("an answer of server {:x} is no stream of events", server.0);
                 return Err(Failed::Spoilt);
@@ -373,7 +382,9 @@
 
     async fn answer(self, call: Call) -> Result<Reply, Failed> {
         match call {
-            Call::Attempt { server, payload, wait } => self.attempt(server, payload, wait).await,
+            Call::Attempt { server, payload, wait, connect } => {
+                self.attempt(server, &attempt_request(&payload, wait), payload.whole, connect).await
+            }
             Call::Release { payload } => self.release(&payload).await,
             Call::Hold { server, payload } => self.hold(server, &payload).await,
             Call::Probe { server } => self.probe(server).await,
--- a/gateway/src/upgrade.rs
+++ b/gateway/src/upgrade.rs
@@ -22,8 +22,9 @@
 
 use crate::budget::{Budget, Claim};
 use crate::exchange::Rest;
+use crate::handed::{Handed, Moved};
 use crate::log;
-use crate::shutdown::{Guard, Phase, Shutdown};
+use crate::shutdown::{Phase, Shutdown};
 
 /// The fronts whose sockets are handed over.
 pub const PLATFORM: u8 = 0;
@@ -52,23 +53,6 @@
 const PATH: usize = 100;
 const NAME: &str = "handover";
 
-/// The rest of a stream that goes on in the other process, and the class that it counts for.
-pub struct Moved {
-    pub rest: Rest,
-    pub class: Option<String>,
-}
-
-/// A client's connection on its way to the other process: at rest, or with a stream under way.
-pub struct Handed {
-    pub front: u8,
-    pub socket: TcpStream,
-    pub stream: Option<Moved>,
-    /// The process that hands it over waits for it until it is sent.
-    pub guard: Guard,
-}
-
-/// Where connections at rest go once another process has taken over.
-pub type Heir = mpsc::UnboundedSender<Handed>;
 /// Where connections that another process hands over come in.
 pub type Inbox = mpsc::UnboundedReceiver<(TcpStream, Option<Moved>)>;
 
@@ -313,12 +297,19 @@
     state: PathBuf, listeners: Vec<(u8, OwnedFd)>, inboxes: Rc<Inboxes>, learned: Learned,
     shutdown: Shutdown, share: Share,
 ) {
+    let mut asked_before = false;
     loop {
         let asked = async { publish(&state)?.accept().await };
-        let link = match asked.await {
-            Ok((stream, _)) => Link(stream),
-            Err(e) => return log!("no upgrade is possible: {e}"),
+        let link = tokio::select! {
+            asked = asked => match asked {
+                Ok((stream, _)) => Link(stream),
+                Err(e) => return log!("no upgrade is possible: {e}"),
+            },
+            // Nobody accepts any more: with these copies gone the machine refuses new connections, and a process that is
+            // started now can listen. Only one whose heir has died keeps what still comes, for the next heir.
+            () = shutdown.reached(Phase::Closing), if !asked_before => return,
         };
+        asked_before = true;
         let _half = share.halve();
         if let Err(e) = succeed(&link, &listeners, &inboxes, &learned, &shutdown).await {
             log!("a handing over ended: {e}");
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -12,11 +12,13 @@
 
 #[derive(Clone, Debug)]
 pub enum Call {
-    /// Sends the request once; `wait` is how long the core will wait for its answer to begin.
+    /// Sends the request once; `wait` is how long the core will wait for its answer to begin. What must be on a
+    /// connection sooner, as a state waits for it, has `connect` for that.
     Attempt {
         server: ServerId,
         payload: Rc<Payload>,
         wait: Duration,
+        connect: Option<Duration>,
     },
     /// Lets go of every lease held for the request, at any server that runs.
     Release {
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -53,7 +53,12 @@
         engine.learn(true, &[address(SERVER, &server, true)], &[]);
         let whole = || {
             let payload = Payload { name: "a".into(), whole: true, ..Payload::default() };
-            engine.clone().oneshot(Call::Attempt { server: SERVER, payload: Rc::new(payload), wait: AGES })
+            engine.clone().oneshot(Call::Attempt {
+                server: SERVER,
+                payload: Rc::new(payload),
+                wait: AGES,
+                connect: None,
+            })
         };
         assert!(matches!(whole().await, Ok(Reply::Error { .. })));
         let Ok(kept) = whole().await else { panic!("no answer") };
@@ -66,7 +71,12 @@
 }
 
 async fn attempt(engine: &Engine, body: &str) -> Result<Reply, Failed> {
-    let call = Call::Attempt { server: SERVER, payload: payload(body), wait: Duration::from_millis(1_500) };
+    let call = Call::Attempt {
+        server: SERVER,
+        payload: payload(body),
+        wait: Duration::from_millis(1_500),
+        connect: None,
+    };
     engine.clone().oneshot(call).await
 }
 
@@ -273,7 +283,8 @@
         engine.learn(true, &[address(SERVER, &one, true), address(ServerId(2), &two, true)], &[]);
         assert!(attempt(&engine, "x").await.is_ok());
         back_to_the_pool().await;
-        let other = || Call::Attempt { server: ServerId(2), payload: payload("x"), wait: AGES };
+        let other =
+            || Call::Attempt { server: ServerId(2), payload: payload("x"), connect: None, wait: AGES };
         let both = async { tokio::join!(engine.clone().oneshot(other()), engine.clone().oneshot(other())) };
         let (a, b) = both.await;
         assert!(a.is_ok() != b.is_ok(), "one slot, one connection");
