--- a/crates/lifecycle/src/request.rs
+++ b/crates/lifecycle/src/request.rs
@@ -385,6 +385,11 @@
         self.attempts.iter().any(|a| matches!(a.step, Step::Out | Step::CalledBack | Step::Begun))
     }
 
+    /// Whether servers hold something under its name, or may.
+    pub fn holds(&self) -> bool {
+        self.held != Held::Nothing
+    }
+
     /// Whether nothing of it is left.
     pub fn over(&self) -> bool {
         self.over
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -11,6 +11,8 @@
     pub out: bool,
     pub cancelled: bool,
     pub first: Option<Ms>,
+    /// It ended as it should have: nothing speaks against its server.
+    pub well: bool,
     pub work: f64,
 }
 
@@ -23,6 +25,8 @@
     pub attempts: Vec<Attempt>,
     pub state_at: Option<ServerId>,
     pub idle_since: Ms,
+    /// Since when what is held for it waits. An attempt that did not connect was never out: the time ran on.
+    pub held_since: Ms,
     pub over_share: bool,
     /// The first attempt that may have had an effect: its zone, cell and time.
     pub ran: Option<(u32, u32, Ms)>,
@@ -68,14 +72,18 @@
     pub fn end(&mut self, o: &Outcome, now: Ms) -> Option<Attempt> {
         let a = self.attempts.get_mut(o.attempt as usize).filter(|a| a.out)?;
         a.out = false;
+        a.well = o.status == Status::Read;
         let ended = *a;
         self.idle_since = now;
+        if !matches!(o.status, Status::ConnectFailed | Status::NotSent) {
+            self.held_since = now;
+        }
         self.closed |= o.closed;
         if o.status == Status::Read {
             self.state_at = Some(ended.server);
         }
-        let writes = self.attempts.iter().filter(|a| a.stage == Stage::Write).count();
-        if ended.stage == Stage::Write && o.status.never_ran() && writes == 1 {
+        // Whichever attempt it was that might have had the effect: of one that never ran, nothing is left.
+        if o.status.never_ran() && self.ran.is_some_and(|ran| ran.2 == ended.sent) {
             self.ran = None;
         }
         Some(ended)
@@ -89,7 +97,8 @@
             }
         }
     }
+    /// Whether an attempt of this stage came to nothing there.
     pub fn tried(&self, server: ServerId, stage: Stage) -> bool {
-        self.attempts.iter().any(|a| a.server == server && a.stage == stage)
+        self.attempts.iter().any(|a| a.server == server && a.stage == stage && !a.well)
     }
 }
