--- a/crates/story/src/counts.rs
+++ b/crates/story/src/counts.rs
@@ -17,6 +17,12 @@
     pub handshake: f64,
     /// Times lines of lists a hundred first tries.
     pub discovery: f64,
+    /// Times the part of all prompt tokens that left their cell.
+    #[serde(default)]
+    pub moved: f64,
+    /// Times work that brought no answer, as a part of what was asked for.
+    #[serde(default)]
+    pub waste: f64,
 }
 
 /// Since one start of one gateway.
@@ -136,7 +142,7 @@
     use super::*;
 
     fn counts(since: f64, probes: u64) -> Counts {
-        let prices = Prices { probe: 0.003, handshake: 0.01, discovery: 0.5 };
+        let prices = Prices { probe: 0.003, handshake: 0.01, discovery: 0.5, ..Prices::default() };
         let opened = Opened { attempt: 10, probe: 5, ..Opened::default() };
         Counts { since, probes, opened, list_lines: 40, prices, ..Counts::default() }
     }
--- a/crates/story/src/lib.rs
+++ b/crates/story/src/lib.rs
@@ -39,6 +39,9 @@
     /// The server, as the gateway's other lines name it.
     pub to: String,
     pub stage: Stage,
+    /// Its zone and its cell in that, as far as the list tells.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub place: Option<(u32, u32)>,
     pub sent: f64,
     /// When its first event came, for one that answered.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -64,6 +67,11 @@
 pub struct Story {
     pub id: String,
     pub class: u32,
+    /// The class may not simply be repeated.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub once: bool,
+    #[serde(default)]
+    pub tenant: u32,
     pub session: u64,
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub prefix: Option<u64>,
--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -199,6 +199,8 @@
             probe: price("probe"),
             handshake: price("handshake"),
             discovery: price("discovery"),
+            moved: settings.prices.moved,
+            waste: price("waste"),
         },
         settings,
     })
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -96,6 +96,8 @@
 struct Listed {
     role: Role,
     state: ServerState,
+    /// Its zone, and its cell in that.
+    place: (u32, u32),
     started: Option<Ms>,
 }
 
@@ -202,7 +204,10 @@
                 let role = inner.roles.get(m.kind as usize).copied().unwrap_or(Role::Mixed);
                 match m.state {
                     ServerState::Gone => inner.members.remove(&m.server),
-                    state => inner.members.insert(m.server, Listed { role, state, started: m.started }),
+                    state => {
+                        let (place, started) = ((m.zone, m.cell), m.started);
+                        inner.members.insert(m.server, Listed { role, state, place, started })
+                    }
                 };
             }
         }
@@ -366,7 +371,7 @@
             let stage = if listed.is_some_and(|l| l.role == Role::Reader) { Stage::Read } else { Stage::Run };
             let sent = inner.clock.at(now);
             let cold = listed.and_then(|l| l.started).is_some_and(|s| sent < s + inner.settings.rules.cold);
-            job.told.sent(server.0, stage, cold, sent);
+            job.told.sent(server.0, stage, listed.map(|l| l.place), cold, sent);
             let ready = listed.is_some_and(|l| l.state == ServerState::Ready);
             Input::Send { server: server.0, stage, may: ready && until > now }
         };
--- a/gateway/src/core/trace.rs
+++ b/gateway/src/core/trace.rs
@@ -1,7 +1,7 @@
 //! The one line that the log gets on a request once nothing of it is left: every attempt, its outcome and what its
 //! server said of itself, so that a request can be followed through every gateway that it met.
 
-use deckhub::{Ms, Report, Request, Settings, Status};
+use deckhub::{Effect, Ms, Report, Request, Settings, Status};
 use glenrail_lifecycle::request::{Answer, Final, Request as Machine, Stage as Asked, Status as How, Step};
 use glenrail_story::{End, Stage, Story, Try};
 
@@ -18,6 +18,8 @@
         let story = Story {
             id: name.into(),
             class: ask.class,
+            once: class.effect != Effect::Safe,
+            tenant: ask.tenant,
             session: ask.session,
             prefix: ask.prefix,
             prompt: ask.prompt_tokens,
@@ -30,10 +32,12 @@
         Told { story, arrived: now }
     }
 
-    pub fn sent(&mut self, server: u64, asked: Asked, cold: bool, now: Ms) {
+    /// `place`: the server's zone and its cell in that.
+    pub fn sent(&mut self, server: u64, asked: Asked, place: Option<(u32, u32)>, cold: bool, now: Ms) {
         let stage = if asked == Asked::Read { Stage::Read } else { Stage::Run };
         let sent = now - self.arrived;
-        self.story.tries.push(Try { to: format!("{server:x}"), stage, sent, cold, ..Try::default() });
+        let to = format!("{server:x}");
+        self.story.tries.push(Try { to, stage, place, sent, cold, ..Try::default() });
     }
 
     pub fn first(&mut self, attempt: usize, now: Ms) {
@@ -69,3 +73,23 @@
         self.story
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use deckhub::RequestId;
+
+    /// Guards against an account that cannot tell whom a fleet starves, or which states leave their cell.
+    #[test]
+    fn a_line_holds_class_tenant_and_places() {
+        let mut settings = crate::core::tests::settings();
+        settings.classes[0].effect = Effect::Keyed;
+        let ask = Request { id: RequestId(1), class: 0, tenant: 2, ..Request::default() };
+        let mut told = Told::new(&ask, "a", &settings, 10.0, 5e6);
+        told.sent(7, Asked::Read, Some((1, 4)), true, 12.0);
+        let line = told.story.to_string();
+        let story = Story::of_line(&format!("{}{line}", glenrail_story::WORD)).expect("a story");
+        assert_eq!((story.class, story.once, story.tenant), (0, true, 2));
+        assert_eq!((story.tries[0].place, story.tries[0].cold), (Some((1, 4)), true));
+    }
+}
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -58,9 +58,10 @@
     match Cli::parse().what {
         What::Account { logs, tell, from, to } => {
             let (stories, counts) = read(&logs)?;
-            let whole = Account::of(&stories, 0.0, f64::MAX).turns;
+            let whole = Account::of(&stories, 0.0, f64::MAX);
             print!("{}", Account::of(&stories, from, to).table(tell));
-            print!("over the whole time, {whole} first tries:\n{}", counts.table(whole));
+            print!("over the whole time, {} first tries:\n{}", whole.turns, counts.table(whole.turns));
+            print!("{}", whole.moves.table(&counts.prices));
         }
     }
     Ok(())
