Judge a tenant by its own part, not for one request that may not be repeated

Seen on an account of forty made-up lines: both tenants were marked as not to be repeated, and so would be judged however small. At fault: Shares::note, which took the mark from any request; it belongs to classes.

--- a/crates/story/src/account/mod.rs
+++ b/crates/story/src/account/mod.rs
@@ -61,8 +61,8 @@
             (account.turns, account.requests) = (account.turns + 1, account.requests + turn.tries.len());
             let (fate, worth) = (turn.fate(), turn.worth());
             account.asked += worth;
-            account.classes.note(turn, |s| s.class);
-            account.tenants.note(turn, |s| s.tenant);
+            account.classes.note(turn, |s| (s.class, s.once));
+            account.tenants.note(turn, |s| (s.tenant, false));
             account.moves.note(turn);
             let part = account.fates.entry(fate).or_default();
             *part = (part.0 + 1, part.1 + worth);
--- a/crates/story/src/account/shares.rs
+++ b/crates/story/src/account/shares.rs
@@ -44,12 +44,14 @@
 }
 
 impl Shares {
-    pub(super) fn note(&mut self, turn: &Turn, of: fn(&Story) -> u32) {
+    /// `of`: whom the turn belongs to, and whether that is a class that may not be repeated.
+    pub(super) fn note(&mut self, turn: &Turn, of: fn(&Story) -> (u32, bool)) {
         let Some(first) = turn.tries.first() else { return };
-        let (share, worth) = (self.0.entry(of(first)).or_default(), turn.worth());
+        let (whose, once) = of(first);
+        let (share, worth) = (self.0.entry(whose).or_default(), turn.worth());
         share.turns += 1;
         share.asked += worth;
-        share.once |= first.once;
+        share.once |= once;
         let end = match turn.fate() {
             Fate::InTime => &mut share.in_time,
             Fate::RefusedUnsent | Fate::RefusedAfter => &mut share.refused,
@@ -115,7 +117,7 @@
 
     fn shares(stories: &[Story]) -> Shares {
         let mut shares = Shares::default();
-        stories.iter().for_each(|s| shares.note(&Turn { tries: vec![s] }, |s| s.class));
+        stories.iter().for_each(|s| shares.note(&Turn { tries: vec![s] }, |s| (s.class, s.once)));
         shares
     }
 
@@ -129,6 +131,12 @@
         let short: Vec<u32> = shares.short(HALF).0.iter().map(|s| s.0).collect();
         assert_eq!(short, [2, 1]);
         assert_eq!(shares.short(THIRD).0.len(), 1);
+        // A tenant is not judged for one request of such a class.
+        let mut tenants = Shares::default();
+        let few = [story(2, 0, false)].into_iter().chain((1..60).map(|n| story(0, n, true)));
+        let few: Vec<Story> = few.collect();
+        few.iter().for_each(|s| tenants.note(&Turn { tries: vec![s] }, |s| (s.class, false)));
+        assert_eq!(tenants.short(THIRD).0, []);
         assert!(shares.table("class", HALF).contains("SHORT: class 2, not to be repeated: 0.00% in time"));
     }
 
