--- a/src/estimate.rs
+++ b/src/estimate.rs
@@ -37,7 +37,8 @@
     let told = crowd::told_wait(s, routers, now, pace, usual_work(learned));
     // Outcomes come too late to tell of what this router has sent there just now.
     let own: f64 = s.waiting.values().filter(counts).map(|w| w.work).sum();
-    let pace = if pace > 0.0 { pace } else { UNKNOWN_PACE };
+    // One of many routers has few samples for long, and refuses nothing for what it only guesses.
+    let pace = if pace > 0.0 || crowd::thin(routers) { pace } else { UNKNOWN_PACE };
     wait.max(told).max(own * OWN_COUNTS * pace) + work * pace
 }
 
