Let own waits weigh at the writers, and mixed servers take states when all are waited for

Checked: no stream was slow where nothing waited, so it is the choice. A projection of own streams alone is a guess and the near margin for guesses wide; the rule that lets mixed servers take states asks that writers are known to be full, which nobody is where nothing reports (writers.rs).

Now a wait met at a writer, against the aim, adds to its projection as far as no report speaks, and from 0.5 of such a projection at all writers on, mixed servers take states.

Tests: states at mixed servers while first tokens wait, a tenant at five times its share, with the policy before both fail.

--- a/src/policy/escape.rs
+++ b/src/policy/escape.rs
@@ -42,9 +42,9 @@
     pub(super) fn detour(&self, home: ServerId, kept: f64, usable: &[ServerId], job: &Job) -> ServerId {
         let chosen = self.escape(home, usable);
         let there = self.expected(chosen, job.work(if chosen == home { kept } else { 0.0 }));
-        let late = LATE * job.aim();
         let others = usable.iter().map(|id| (*id, self.expected(*id, job.work(0.0))));
         let best = others.min_by(|a, b| a.1.total_cmp(&b.1));
-        best.filter(|b| there > late && b.1 < late.min(GAINS * there)).map_or(chosen, |b| b.0)
+        best.filter(|b| there > LATE * job.aim() && b.1 < (LATE * job.aim()).min(GAINS * there))
+            .map_or(chosen, |b| b.0)
     }
 }
--- a/src/policy/shedding.rs
+++ b/src/policy/shedding.rs
@@ -57,7 +57,6 @@
         wait.max(told).max(own * OWN_COUNTS * pace) + work * pace
     }
 
-    /// The work of a usual read.
     pub(super) fn usual_work(&self) -> f64 {
         0.5 * self.learned.prompt + FIXED_WORK
     }
--- a/src/policy/writers.rs
+++ b/src/policy/writers.rs
@@ -3,8 +3,7 @@
 use super::Router;
 use crate::{api::*, state::*, warm};
 
-/// Share of memory by which a near writer may lie above the lowest, where its memory is known and where it is not: the lowest
-/// of mere guesses is no reason to move a state far.
+/// Share of memory by which a near writer may lie above the lowest: where its memory is known, and where it is guessed.
 const NEAR_MARGIN: f64 = 0.05;
 const NEAR_UNSURE: f64 = 0.4;
 /// A report fades in this time (ms), and what is not known may lie this far above the average.
@@ -12,13 +11,17 @@
 const UNSURE: f64 = 0.2;
 /// From this projection of the lowest writer on, mixed servers take states too.
 const FULL: f64 = 0.85;
+const FULL_UNSURE: f64 = 0.5;
 
 impl Router {
     pub(super) fn choose_writer(&mut self, job: &Job, out: &mut Vec<Action>) -> Option<ServerId> {
         let usable = self.usable(&[Role::Writer], job, Stage::Write, out);
         let mut known = self.projections(&usable);
+        // Where no report speaks, what was waited there does: an aim of it is as bad as a memory that is full.
+        let waits = |id| (1.0 - self.sure(id)) * self.expected(id, 0.0) / job.aim().max(1.0);
+        known.iter_mut().for_each(|w| w.1 += waits(w.0));
         // Exception: mixed servers take states too while every writer is known to be nearly full.
-        if known.iter().all(|w| w.1 * self.sure(w.0) > FULL) {
+        if known.iter().all(|w| w.1 * self.sure(w.0) > FULL || w.1 * (1.0 - self.sure(w.0)) > FULL_UNSURE) {
             let mixed = self.usable(&[Role::Mixed], job, Stage::Write, out);
             known.extend(self.projections(&mixed));
         }
--- a/tests/unseen.rs
+++ b/tests/unseen.rs
@@ -49,7 +49,11 @@
 impl World {
     fn new(slow: Option<u64>) -> World {
         let limits = Limits { probes: false, ..settings().limits };
-        let settings = Settings { routers: ROUTERS as u32, limits, ..settings() };
+        World::with(slow, Settings { limits, ..settings() })
+    }
+
+    fn with(slow: Option<u64>, settings: Settings) -> World {
+        let settings = Settings { routers: ROUTERS as u32, ..settings };
         let mut routers: Vec<Router> = (0..ROUTERS).map(|n| Router::new(n + 1, settings.clone())).collect();
         let members: Vec<Member> = (1..=ENGINES).map(|id| member(id, 2, 0)).collect();
         let listed = Event::Members { scope: Scope::Full, members };
@@ -181,3 +185,48 @@
     let t = world.tally[&0];
     assert!(f64::from(t.late + t.refused) < 0.05 * f64::from(t.all), "{t:?}");
 }
+
+/// Writers that report nothing keep first tokens waiting: states go to a mixed server while that lasts, and not before.
+#[test]
+fn states_go_to_a_mixed_server_while_all_writers_are_seen_to_be_waited_for() {
+    for (first, mixed) in [(20.0, false), (1_200.0, true)] {
+        let limits = Limits { probes: false, ..settings().limits };
+        let members = fleet().into_iter().chain([member(31, 2, 0)]).collect();
+        let mut rig = Rig::new(Settings { limits, ..settings() }, members);
+        let mut at_mixed = 0;
+        for id in 1..60 {
+            rig.at(id as f64 * 40.0);
+            let Some(reader) = sent(&rig.request(ask(id))).filter(|to| READERS.contains(to)) else {
+                continue;
+            };
+            let writer = sent(&rig.outcome(id, 0, reader, Status::Read)).expect("a writer");
+            at_mixed += u32::from(writer == 31);
+            let server = ServerId(writer);
+            rig.give(Event::FirstToken { id: RequestId(id), attempt: 1, server, elapsed: first });
+            rig.outcome(id, 1, writer, Status::Served);
+        }
+        assert_eq!(
+            at_mixed > 0,
+            mixed,
+            "{at_mixed} states at the mixed server, first token after {first} ms"
+        );
+    }
+}
+
+/// A tenant at five times its share beside two within theirs, where the servers cannot bear it all: it alone is refused.
+#[test]
+fn a_tenant_far_over_its_share_does_not_take_the_others_places() {
+    let tenants = [2.0, 20.0, 20.0].map(|allowance_per_s| Tenant { allowance_per_s }).to_vec();
+    let limits = Limits { probes: false, ..settings().limits };
+    let mut world = World::with(None, Settings { tenants, limits, ..settings() });
+    // Ten a second of the first, ten of the two others together; the servers read some fourteen of these in a second.
+    for n in 0..800 {
+        let tenant = if n % 2 == 0 { 0 } else { 1 + (n / 2 % 2) as u32 };
+        let class = u32::from(tenant > 0);
+        world.arrives(50 * n, Request { tenant, ..request(n * 7 + n % 3, class, 7_000.0, n % 11) });
+    }
+    world.run();
+    let (over, within) = (world.tally[&0], world.tally[&1]);
+    let lost = |t: Tally| f64::from(t.late + t.refused) / f64::from(t.all);
+    assert!(lost(within) < 0.25 && lost(over) > 2.0 * lost(within), "{over:?} {within:?}");
+}
