Let own waits weigh at the writers only where no server can be asked

Checked: both go back with the waits taken out of writers.rs where reports and probes tell of memory. Where servers can be asked their word stands.

--- a/src/policy/writers.rs
+++ b/src/policy/writers.rs
@@ -17,11 +17,15 @@
     pub(super) fn choose_writer(&mut self, job: &Job, out: &mut Vec<Action>) -> Option<ServerId> {
         let usable = self.usable(&[Role::Writer], job, Stage::Write, out);
         let mut known = self.projections(&usable);
-        // Where no report speaks, what was waited there does: an aim of it is as bad as a memory that is full.
-        let waits = |id| (1.0 - self.sure(id)) * self.expected(id, 0.0) / job.aim().max(1.0);
+        // Where none can be asked, what was waited there speaks: an aim of it is as bad as a memory that is full.
+        let deaf = if self.settings.limits.probes { 0.0 } else { 1.0 / job.aim().max(1.0) };
+        let waits = |id| (1.0 - self.sure(id)) * self.expected(id, 0.0) * deaf;
         known.iter_mut().for_each(|w| w.1 += waits(w.0));
         // Exception: mixed servers take states too while every writer is known to be nearly full.
-        if known.iter().all(|w| w.1 * self.sure(w.0) > FULL || w.1 * (1.0 - self.sure(w.0)) > FULL_UNSURE) {
+        if known
+            .iter()
+            .all(|w| w.1 * self.sure(w.0) > FULL || deaf > 0.0 && w.1 * (1.0 - self.sure(w.0)) > FULL_UNSURE)
+        {
             let mixed = self.usable(&[Role::Mixed], job, Stage::Write, out);
             known.extend(self.projections(&mixed));
         }
