Add the fleet's membership and replicated table, without I/O

Need: each gateway is alone, nothing is told from one to another. The crate holds who is a member (SWIM by the library foca, lives by name, leaving apart from failing) and a table of cells spread by gossip and repaired by digests, every message sealed with keyed BLAKE3 and heard once. No program uses it yet.

--- /dev/null
+++ b/crates/fleet/src/fleet/cycle.rs
@@ -0,0 +1,57 @@
+//! Members one after another, in an order shuffled anew each time round: as random as picking, but each is met once
+//! in every round of all.
+
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+
+use crate::Member;
+
+#[derive(Default)]
+pub(super) struct Cycle {
+    ahead: Vec<Member>,
+}
+
+impl Cycle {
+    /// Up to `most` of `active`, none twice.
+    pub(super) fn next(&mut self, most: usize, active: &[Member], random: &mut StdRng) -> Vec<Member> {
+        let mut picked: Vec<Member> = Vec::new();
+        for _ in 0..2 {
+            while picked.len() < most.min(active.len()) {
+                let Some(member) = self.ahead.pop() else { break };
+                // Those that are gone since, or live another life, are passed over.
+                if active.contains(&member) && !picked.contains(&member) {
+                    picked.push(member);
+                }
+            }
+            if self.ahead.is_empty() {
+                self.ahead = active.to_vec();
+                self.ahead.shuffle(random);
+            }
+        }
+        picked
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use rand::SeedableRng;
+
+    use super::*;
+    use crate::{Life, MemberId};
+
+    #[test]
+    fn each_is_met_once_a_round_and_one_that_goes_is_passed_over() {
+        let member =
+            |id| Member { id: MemberId(id), life: Life(1), returns: 0, address: ([10, 0, 0, 1], 1).into() };
+        let all: Vec<_> = (0..5).map(member).collect();
+        let (mut cycle, mut random) = (Cycle::default(), StdRng::seed_from_u64(1));
+        for _ in 0..10 {
+            let mut met: Vec<_> = (0..5).flat_map(|_| cycle.next(1, &all, &mut random)).collect();
+            met.sort_by_key(|member| member.id);
+            assert_eq!(met, all);
+        }
+        assert_eq!(cycle.next(9, &all, &mut random).len(), 5);
+        assert!((0..9).flat_map(|_| cycle.next(2, &all[1..], &mut random)).all(|met| met != all[0]));
+        assert_eq!(cycle.next(1, &[], &mut random), []);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/gossip.rs
@@ -0,0 +1,72 @@
+//! Fresh cells on their way: each told a number of times that grows with the logarithm of the fleet, the least told
+//! first. Hearing one again counts as having told it, so that telling ends sooner where all know already.
+
+use std::collections::BTreeMap;
+
+use crate::table::Place;
+
+/// Cells by place: only the newest version of a cell is ever on its way, so that the table's bounds bound this too.
+#[derive(Default)]
+pub(crate) struct Fresh {
+    /// How often each was told or heard again.
+    told: BTreeMap<Place, u32>,
+}
+
+/// How often a cell is told in a fleet of `members`: the logarithm to base two, rounded up, and one.
+pub(crate) fn tellings(members: usize) -> u32 {
+    usize::BITS - members.leading_zeros() + 1
+}
+
+impl Fresh {
+    /// A newer version starts anew.
+    pub(crate) fn add(&mut self, place: Place) {
+        self.told.insert(place, 0);
+    }
+
+    /// It was told to someone, or came in again.
+    pub(crate) fn told(&mut self, place: &Place, members: usize) {
+        if let Some(told) = self.told.get_mut(place) {
+            *told += 1;
+            if *told >= tellings(members) {
+                self.told.remove(place);
+            }
+        }
+    }
+
+    pub(crate) fn drop(&mut self, place: &Place) {
+        self.told.remove(place);
+    }
+
+    /// The least told first.
+    pub(crate) fn in_order(&self) -> Vec<Place> {
+        let mut all: Vec<_> = self.told.iter().collect();
+        all.sort_by_key(|(_, told)| **told);
+        all.into_iter().map(|(place, _)| place.clone()).collect()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.told.is_empty()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::MemberId;
+
+    #[test]
+    fn each_is_told_a_logarithm_of_times_and_the_least_told_first() {
+        let place = |key: u8| Place { origin: MemberId(1), kind: 1, key: vec![key] };
+        assert_eq!([1, 3, 12, 50].map(tellings), [2, 3, 5, 7]);
+        let mut fresh = Fresh::default();
+        fresh.add(place(1));
+        (0..4).for_each(|_| fresh.told(&place(1), 12));
+        fresh.add(place(2));
+        assert_eq!(fresh.in_order(), [place(2), place(1)]);
+        fresh.told(&place(1), 12);
+        assert_eq!(fresh.in_order(), [place(2)]);
+        fresh.told(&place(9), 12);
+        fresh.drop(&place(2));
+        assert!(fresh.is_empty());
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/table/tests.rs
@@ -0,0 +1,141 @@
+use proptest::prelude::*;
+
+use super::*;
+use crate::Settings;
+
+const ROOM: fn() -> Bounds = || Bounds::of(&Settings::default());
+
+fn cell(origin: u64, life: u64, key: u8, version: u64, value: u8) -> Cell {
+    let place = Place { origin: MemberId(origin), kind: u16::from(key % 3), key: vec![key] };
+    let value = (!value.is_multiple_of(4)).then(|| vec![value]);
+    Cell::new(place, Life(life), version, 0, value)
+}
+
+fn cells() -> impl Strategy<Value = Vec<Cell>> {
+    let one = (1u64..4, 1u64..3, 0u8..6, 1u64..8, 0u8..5).prop_map(|(o, l, k, v, x)| cell(o, l, k, v, x));
+    prop::collection::vec(one, 0..40)
+}
+
+/// All that can be seen of a table.
+fn seen(table: &Table) -> (usize, Vec<Digest>, Vec<Cell>) {
+    let digests = table.digests(MemberId(0), MemberId(u64::MAX));
+    let held = digests.iter().flat_map(|digest| table.above(0, digest.origin, 0)).collect();
+    (table.bytes(), digests, held)
+}
+
+fn table_of(bounds: Bounds, cells: &[Cell]) -> Table {
+    let mut table = Table::new(MemberId(9), bounds);
+    cells.iter().for_each(|cell| {
+        table.merge(0, cell);
+    });
+    table
+}
+
+/// One round of repair as two members do it: digests compared at both ends, what is lacking merged.
+fn repair(a: &mut Table, b: &mut Table) {
+    let all = (MemberId(0), MemberId(u64::MAX));
+    let (of_a, of_b) = (a.digests(all.0, all.1), b.digests(all.0, all.1));
+    let ids: std::collections::BTreeSet<_> = of_a.iter().chain(&of_b).map(|digest| digest.origin).collect();
+    for id in ids {
+        let find = |all: &[Digest]| all.iter().find(|digest| digest.origin == id).copied();
+        let (in_a, in_b) = (find(&of_a), find(&of_b));
+        let (need_a, need_b) = (compare(in_a.as_ref(), in_b.as_ref()), compare(in_b.as_ref(), in_a.as_ref()));
+        let from_a = need_a.send_above.map_or(Vec::new(), |above| a.above(0, id, above));
+        let from_b = need_b.send_above.map_or(Vec::new(), |above| b.above(0, id, above));
+        assert!(need_a.ask == need_b.send_above.is_some(), "one asks for what the other would send");
+        from_a.iter().for_each(|cell| {
+            b.merge(0, cell);
+        });
+        from_b.iter().for_each(|cell| {
+            a.merge(0, cell);
+        });
+    }
+}
+
+proptest! {
+    #[test]
+    fn merging_is_commutative_and_idempotent(mut offered in cells(), seed in any::<u64>()) {
+        let once = seen(&table_of(ROOM(), &offered));
+        let twice: Vec<_> = offered.iter().chain(&offered).cloned().collect();
+        prop_assert_eq!(&seen(&table_of(ROOM(), &twice)), &once);
+        // Any other order.
+        offered.sort_by_key(|cell| {
+            blake3::hash(&[&seed.to_le_bytes()[..], format!("{cell:?}").as_bytes()].concat()).as_bytes().to_owned()
+        });
+        prop_assert_eq!(&seen(&table_of(ROOM(), &offered)), &once);
+    }
+
+    #[test]
+    fn digests_repair_any_two_tables(first in cells(), second in cells()) {
+        let (mut a, mut b) = (table_of(ROOM(), &first), table_of(ROOM(), &second));
+        let whole = seen(&table_of(ROOM(), &[first, second].concat()));
+        for _ in 0..3 {
+            repair(&mut a, &mut b);
+        }
+        prop_assert_eq!(seen(&a), seen(&b));
+        prop_assert_eq!(seen(&a), whole);
+    }
+
+    #[test]
+    fn no_offer_takes_the_table_over_its_bounds(offered in cells(), big in 0usize..300) {
+        let bounds = Bounds { entries_per_origin: 3, bytes_per_origin: 400, origins: 2, bytes_total: 500, ..ROOM() };
+        let mut table = Table::new(MemberId(9), bounds);
+        for mut cell in offered {
+            cell.value = cell.value.map(|value| value.repeat(big));
+            table.merge(0, &cell);
+            prop_assert!(table.bytes() <= 500 && table.origins() <= 2);
+            prop_assert!(table.digests(MemberId(0), MemberId(9)).iter().all(|digest| digest.cells <= 3));
+            let weights: usize = seen(&table).2.iter().map(Cell::weight).sum();
+            prop_assert_eq!(weights, table.bytes());
+        }
+    }
+
+    /// By number, the same cells stay whichever way they came.
+    #[test]
+    fn what_a_bound_keeps_does_not_depend_on_the_order(mut offered in cells()) {
+        let bounds = Bounds { entries_per_origin: 3, ..ROOM() };
+        let forth = seen(&table_of(bounds, &offered));
+        offered.reverse();
+        prop_assert_eq!(seen(&table_of(bounds, &offered)).2, forth.2);
+    }
+}
+
+#[test]
+fn age_travels_and_only_grows() {
+    let bounds = ROOM();
+    let mut a = table_of(bounds, &[cell(1, 1, 1, 1, 1)]);
+    let told_on = a.cell(100_000, &cell(1, 1, 1, 1, 1).place).unwrap();
+    assert_eq!(told_on.age(), 100_000);
+    // Another clock, another zero: what counts is the age that it came with.
+    let mut b = Table::new(MemberId(9), bounds);
+    assert_eq!(b.merge(5, &told_on), Merged::Newer);
+    b.age(5 + bounds.age - 100_000 - 1);
+    assert_eq!(b.len(), 1);
+    b.age(5 + bounds.age - 100_000);
+    assert_eq!(b.len(), 0);
+    let late = a.cell(bounds.age, &told_on.place).unwrap();
+    assert_eq!(b.merge(7, &late), Merged::Aged);
+    a.age(bounds.age);
+    assert!(a.is_empty() && a.bytes() == 0);
+}
+
+#[test]
+fn what_was_taken_back_outlives_the_value() {
+    let bounds = ROOM();
+    let back = cell(1, 1, 1, 2, 0);
+    let mut table = table_of(bounds, &[cell(1, 1, 1, 1, 1), back.clone()]);
+    assert_eq!(table.get(MemberId(1), 1, &[1]), None);
+    table.age(bounds.age);
+    assert_eq!(table.merge(bounds.age, &cell(1, 1, 1, 1, 1)), Merged::Older);
+    table.age(2 * bounds.age);
+    assert!(table.is_empty());
+}
+
+#[test]
+fn a_later_life_drops_all_of_an_earlier() {
+    let mut table = table_of(ROOM(), &[cell(1, 1, 1, 7, 1), cell(1, 1, 2, 8, 1)]);
+    assert_eq!(table.merge(0, &cell(1, 2, 3, 1, 1)), Merged::Newer);
+    assert_eq!((table.len(), table.life(MemberId(1))), (1, Some(Life(2))));
+    assert_eq!(table.merge(0, &cell(1, 1, 1, 9, 1)), Merged::Older);
+    assert!(table.later_life(MemberId(1), Life(3)) && table.is_empty());
+}
--- /dev/null
+++ b/crates/fleet/tests/members.rs
@@ -0,0 +1,108 @@
+//! Membership over a network that loses, doubles, reorders, cuts and stops.
+
+mod net;
+
+use glenrail_fleet::{Life, MemberState, Settings};
+use net::{id, Net};
+
+fn met(nodes: usize, seed: u64, loss: f64) -> Net {
+    let mut net = Net::new(nodes, seed, Settings::default());
+    (net.loss, net.doubled, net.delay) = (loss, 0.1, 60);
+    net.until(60_000, Net::all_know_all).expect("all meet within a minute");
+    net
+}
+
+#[test]
+fn all_meet_whatever_is_lost() {
+    for (nodes, loss) in [(2, 0.0), (3, 0.2), (8, 0.1), (20, 0.2)] {
+        for seed in 1..=3 {
+            met(nodes, seed, loss);
+        }
+    }
+}
+
+#[test]
+fn one_that_dies_is_gone_and_one_that_leaves_has_left() {
+    for seed in 1..=5 {
+        let mut net = met(5, seed, 0.1);
+        net.kill(4);
+        let left = net.now;
+        net.step(3, |fleet, now, out| fleet.leave(now, out));
+        net.kill(3);
+        let told = net.until(30_000, |net| {
+            net.nodes[..3].iter().all(|node| {
+                let state =
+                    |of| node.fleet.members().find(|(member, _)| member.id == of).map(|(_, state)| state);
+                state(id(4)) == Some(MemberState::Gone) && state(id(3)) == Some(MemberState::Left)
+            })
+        });
+        assert!(told.is_some(), "seed {seed}");
+        // The planned end is heard long before a probe could have found it.
+        let heard =
+            net.nodes.iter().flat_map(|node| &node.changes).any(|(at, of, _, state)| {
+                *of == id(3) && *state == MemberState::Left && *at <= left + net.delay
+            });
+        assert!(heard, "seed {seed}");
+        net.run(200_000);
+        let state =
+            net.nodes[0].fleet.members().find(|(member, _)| member.id == id(3)).map(|(_, state)| state);
+        assert_eq!(state, Some(MemberState::Left), "left stays left when the note has aged out");
+    }
+}
+
+#[test]
+fn parts_that_were_cut_off_meet_again() {
+    for seed in 1..=3 {
+        let mut net = met(8, seed, 0.05);
+        net.nodes[5..].iter_mut().for_each(|node| node.group = 1);
+        net.run(10_000);
+        let gone = net.nodes[0].changes.iter().any(|(.., state)| *state == MemberState::Gone);
+        assert!(gone, "a cut of 10 s is seen");
+        net.nodes.iter_mut().for_each(|node| node.group = 0);
+        let healed = net.until(30_000, Net::all_know_all);
+        assert!(healed.is_some(), "seed {seed}");
+        assert!(net.nodes.iter().all(|node| node.fleet.me().life == Life(1)), "a cut is no new life");
+    }
+}
+
+#[test]
+fn a_restart_under_its_name_is_a_new_life() {
+    for seed in 1..=5 {
+        let mut net = met(5, seed, 0.1);
+        net.put(2, 7, b"old", b"of the first life");
+        assert!(net.until(20_000, |net| net.same_values(7, 1)).is_some());
+        net.kill(2);
+        net.run(300);
+        net.restart(2, 2);
+        let known = net.until(30_000, |net| {
+            net.all_know_all()
+                && net.nodes.iter().enumerate().all(|(node, it)| {
+                    node == 2
+                        || it.fleet.members().any(|(member, _)| member.id == id(2) && member.life == Life(2))
+                })
+        });
+        assert!(known.is_some(), "seed {seed}");
+        assert!(net.same_values(7, 0), "what the earlier life told is gone with it");
+    }
+}
+
+#[test]
+fn one_that_is_stopped_for_8_s_wakes_and_gives_nobody_up() {
+    for seed in 1..=5 {
+        let mut net = met(5, seed, 0.0);
+        net.put(1, 7, b"k", b"v");
+        net.run(5_000);
+        net.nodes[1].stopped_until = net.now + 8_000;
+        net.run(7_900);
+        let seen_gone =
+            net.nodes[0].fleet.members().any(|(member, state)| member.id == id(1) && !state.is_active());
+        assert!(seen_gone, "seed {seed}: 8 s are more than a suspect is given");
+        let woke = net.now;
+        assert!(net.until(20_000, Net::all_know_all).is_some(), "seed {seed}");
+        let given_up =
+            net.nodes[1].changes.iter().any(|(at, .., state)| *at > woke && *state == MemberState::Gone);
+        assert!(!given_up, "seed {seed}: those that answered all the time are not found gone by the sleeper");
+        assert_eq!(net.nodes[1].fleet.me().life, Life(1));
+        assert!(net.until(10_000, |net| net.same_values(7, 1)).is_some(), "what it holds stays good");
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/net/mod.rs
@@ -0,0 +1,275 @@
+//! A network in simulated time for several members in one process: loses, doubles, delays and so reorders
+//! datagrams, cuts groups off, stops and restarts members. One seed, one run.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use glenrail_fleet::{
+    Effect, Exchange, Fleet, FleetKey, Keyring, Life, MemberId, MemberState, Settings, DATAGRAM_MOST,
+};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+pub struct Node {
+    pub fleet: Fleet,
+    pub up: bool,
+    pub stopped_until: u64,
+    /// Raised by a restart: what was asked for before it is void.
+    run: u32,
+    pub group: u8,
+    pub changes: Vec<(u64, MemberId, Life, MemberState)>,
+    pub sent: u64,
+    pub superseded: u32,
+}
+
+enum Event {
+    Datagram { to: usize, from: SocketAddr, bytes: Vec<u8> },
+    Timer { node: usize, run: u32, token: u64 },
+}
+
+pub struct Net {
+    pub now: u64,
+    pub nodes: Vec<Node>,
+    queue: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+    random: StdRng,
+    /// Shares of all datagrams, 0 to 1.
+    pub loss: f64,
+    pub doubled: f64,
+    /// Milliseconds on the way, at most. More than the time between two: they are reordered.
+    pub delay: u64,
+    pub settings: Settings,
+    seed: u64,
+    /// Every datagram and change, for runs to be compared.
+    pub trace: u64,
+    /// Copies of what was sent, while wanted.
+    pub recorded: Option<Vec<(usize, Vec<u8>)>>,
+    pub exchanges: u32,
+}
+
+pub fn keys(byte: u8) -> Keyring {
+    Keyring::new(FleetKey::derive(&[byte; 32], "trial").unwrap(), None)
+}
+
+pub fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7_000 + node as u16))
+}
+
+pub fn id(node: usize) -> MemberId {
+    MemberId::of_name(&format!("gw-{node}"))
+}
+
+impl Net {
+    #[allow(dead_code)]
+    pub fn new(nodes: usize, seed: u64, settings: Settings) -> Net {
+        Net::of_life(1, nodes, seed, settings)
+    }
+
+    pub fn of_life(life: u64, nodes: usize, seed: u64, settings: Settings) -> Net {
+        let mut net = Net {
+            now: 1_000,
+            nodes: Vec::new(),
+            queue: BTreeMap::new(),
+            sequence: 0,
+            random: StdRng::seed_from_u64(seed),
+            loss: 0.0,
+            doubled: 0.0,
+            delay: 5,
+            settings,
+            seed,
+            trace: 0,
+            recorded: None,
+            exchanges: 0,
+        };
+        for node in 0..nodes {
+            let fleet = net.fleet(node, life);
+            net.nodes.push(Node {
+                fleet,
+                up: true,
+                stopped_until: 0,
+                run: 0,
+                group: 0,
+                changes: Vec::new(),
+                sent: 0,
+                superseded: 0,
+            });
+        }
+        for node in 0..nodes {
+            net.step(node, |fleet, now, out| fleet.start(now, out));
+        }
+        net
+    }
+
+    fn fleet(&self, node: usize, life: u64) -> Fleet {
+        let seeds = vec![address(0), address(1)];
+        let (settings, seed) = (self.settings.clone(), self.seed ^ (node as u64) << 32 ^ life);
+        Fleet::new(&format!("gw-{node}"), Life(life), address(node), seeds, keys(1), settings, seed).unwrap()
+    }
+
+    /// Lets a member do something, and carries out what comes of it.
+    pub fn step<T>(&mut self, node: usize, act: impl FnOnce(&mut Fleet, u64, &mut Vec<Effect>) -> T) -> T {
+        let mut out = Vec::new();
+        let result = act(&mut self.nodes[node].fleet, self.now, &mut out);
+        for effect in out {
+            self.carry(node, effect);
+        }
+        result
+    }
+
+    fn carry(&mut self, node: usize, effect: Effect) {
+        self.note(format!("{node} {effect:?}").as_bytes());
+        match effect {
+            Effect::Send { to, bytes } => {
+                assert!(bytes.len() <= DATAGRAM_MOST, "a datagram of {} bytes", bytes.len());
+                self.nodes[node].sent += bytes.len() as u64;
+                let to = usize::from(to.port()) - 7_000;
+                if let Some(recorded) = &mut self.recorded {
+                    recorded.push((to, bytes.clone()));
+                }
+                let copies = 1 + usize::from(self.random.random_bool(self.doubled));
+                for _ in 0..copies {
+                    let at = self.now + self.random.random_range(0..=self.delay);
+                    if !self.random.random_bool(self.loss) && self.nodes[node].group == self.nodes[to].group {
+                        self.push(at, Event::Datagram { to, from: address(node), bytes: bytes.clone() });
+                    }
+                }
+            }
+            Effect::Timer { after, token } => {
+                let run = self.nodes[node].run;
+                self.push(self.now + after, Event::Timer { node, run, token });
+            }
+            Effect::Changed { member, state } => {
+                self.nodes[node].changes.push((self.now, member.id, member.life, state));
+            }
+            Effect::OpenExchange { with, to } => self.exchange(node, usize::from(to.port()) - 7_000, with),
+            Effect::Superseded { .. } => self.nodes[node].superseded += 1,
+            Effect::Told { .. } => {}
+        }
+    }
+
+    /// A stream between two members, its bytes cut at random.
+    fn exchange(&mut self, opener: usize, acceptor: usize, with: MemberId) {
+        let reached = &self.nodes[acceptor];
+        if !reached.up || reached.stopped_until > self.now || reached.group != self.nodes[opener].group {
+            return;
+        }
+        self.exchanges += 1;
+        let (first, write) = self.nodes[opener].fleet.open_exchange(with).unwrap();
+        let mut sides = [(opener, first), (acceptor, Exchange::accept())];
+        let (mut flight, mut turn) = (write, 1);
+        while !flight.is_empty() {
+            self.nodes[sides[1 - turn].0].sent += flight.len() as u64;
+            let mut answer = Vec::new();
+            while !flight.is_empty() {
+                let cut = self.random.random_range(1..=flight.len().min(5_000));
+                let chunk: Vec<u8> = flight.drain(..cut).collect();
+                let (node, side) = &mut sides[turn];
+                let mut out = Vec::new();
+                let step = self.nodes[*node].fleet.exchange(self.now, side, &chunk, &mut out);
+                let node = *node;
+                out.into_iter().for_each(|effect| self.carry(node, effect));
+                // After an error the driver closes the stream.
+                let Ok(step) = step else { return };
+                answer.extend(step.write);
+            }
+            (flight, turn) = (answer, 1 - turn);
+        }
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence), event);
+    }
+
+    fn note(&mut self, what: &[u8]) {
+        for byte in self.now.to_le_bytes().iter().chain(what) {
+            self.trace = (self.trace ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
+        }
+    }
+
+    /// Plays `time` milliseconds.
+    pub fn run(&mut self, time: u64) {
+        let until = self.now + time;
+        while let Some(entry) = self.queue.first_entry().filter(|entry| entry.key().0 <= until) {
+            let ((at, _), event) = entry.remove_entry();
+            self.now = self.now.max(at);
+            let node = match event {
+                Event::Datagram { to, .. } => to,
+                Event::Timer { node, .. } => node,
+            };
+            let Node { up, stopped_until, run, .. } = self.nodes[node];
+            if up && stopped_until > self.now {
+                self.push(stopped_until, event);
+                continue;
+            }
+            match event {
+                _ if !up => {}
+                Event::Datagram { from, bytes, .. } => {
+                    let _ = self.step(node, |fleet, now, out| fleet.datagram(now, from, &bytes, out));
+                }
+                Event::Timer { run: asked_by, token, .. } if asked_by == run => {
+                    self.step(node, |fleet, now, out| fleet.timer(now, token, out));
+                }
+                Event::Timer { .. } => {}
+            }
+        }
+        self.now = until;
+    }
+
+    /// Plays until `done`, looking every 100 ms; how long it took, or `None` after `most`.
+    #[allow(dead_code)]
+    pub fn until(&mut self, most: u64, done: impl Fn(&Net) -> bool) -> Option<u64> {
+        let from = self.now;
+        while !done(self) {
+            if self.now - from >= most {
+                return None;
+            }
+            self.run(100);
+        }
+        Some(self.now - from)
+    }
+
+    #[allow(dead_code)]
+    pub fn kill(&mut self, node: usize) {
+        self.nodes[node].up = false;
+    }
+
+    #[allow(dead_code)]
+    pub fn restart(&mut self, node: usize, life: u64) {
+        self.nodes[node].fleet = self.fleet(node, life);
+        self.nodes[node].up = true;
+        self.nodes[node].run += 1;
+        self.step(node, |fleet, now, out| fleet.start(now, out));
+    }
+
+    pub fn put(&mut self, node: usize, kind: u16, key: &[u8], value: &[u8]) {
+        self.step(node, |fleet, now, _| fleet.put(now, kind, key, value.to_vec()).map(|_| ())).unwrap();
+    }
+
+    /// Everyone that is up takes everyone else that is up, and nobody else, for alive.
+    pub fn all_know_all(&self) -> bool {
+        let up: Vec<_> = (0..self.nodes.len()).filter(|node| self.nodes[*node].up).collect();
+        up.iter().all(|node| {
+            let fleet = &self.nodes[*node].fleet;
+            let mut alive: Vec<_> =
+                fleet.members().filter(|(_, state)| *state == MemberState::Alive).collect();
+            alive.sort_by_key(|(member, _)| member.id);
+            let mut expected: Vec<_> =
+                up.iter().filter(|other| *other != node).map(|other| id(*other)).collect();
+            expected.sort();
+            let suspects = fleet.members().any(|(_, state)| state == MemberState::Suspect);
+            !suspects && alive.iter().map(|(member, _)| member.id).eq(expected)
+        })
+    }
+
+    /// All that are up hold the same values of `kind`; `kinds` of them together.
+    #[allow(dead_code)]
+    pub fn same_values(&self, kind: u16, cells: usize) -> bool {
+        let mut tables =
+            self.nodes.iter().filter(|node| node.up).map(|node| {
+                node.fleet.table().of_kind(kind).map(|cell| format!("{cell:?}")).collect::<Vec<_>>()
+            });
+        let Some(first) = tables.next() else { return true };
+        first.len() == cells && tables.all(|table| table == first)
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/table.rs
@@ -0,0 +1,163 @@
+//! The table over the same network: convergence, bounds, replays and forgeries, determinism.
+
+mod net;
+
+use glenrail_fleet::{Effect, Fleet, Life, MemberState, Refused, Settings};
+use net::{address, keys, Net};
+
+#[test]
+fn all_hold_the_same_whatever_is_lost() {
+    for (nodes, loss) in [(3, 0.2), (12, 0.1), (20, 0.2)] {
+        let mut net = Net::new(nodes, 5, Settings { entry_age: 20_000, ..Settings::default() });
+        (net.loss, net.doubled, net.delay) = (loss, 0.1, 300);
+        assert!(net.until(60_000, Net::all_know_all).is_some());
+        for node in 0..nodes {
+            (0..5u8).for_each(|key| net.put(node, 7, &[key], &[key; 60]));
+        }
+        net.put(0, 65_000, b"of a later build", b"carried on");
+        for turn in 0..20u8 {
+            net.put(0, 7, &[0], &[turn; 60]);
+            net.run(50);
+        }
+        assert!(net.until(30_000, |net| net.same_values(7, 5 * nodes)).is_some(), "{nodes} nodes");
+        assert!(net.until(30_000, |net| net.same_values(65_000, 1)).is_some());
+        net.step(0, |fleet, now, _| fleet.take_back(now, 7, &[0])).unwrap();
+        assert!(net.until(30_000, |net| net.same_values(7, 5 * nodes - 1)).is_some());
+        // Told anew by itself, it outlives the age of a value many times.
+        net.run(3 * net.settings.entry_age);
+        assert!(net.until(10_000, |net| net.same_values(7, 5 * nodes - 1)).is_some());
+    }
+}
+
+#[test]
+fn what_does_not_fit_into_datagrams_goes_over_a_stream() {
+    let mut net = Net::new(3, 6, Settings::default());
+    net.run(5_000);
+    net.put(0, 7, b"large", &vec![1; 20_000]);
+    (0..100u8).for_each(|key| net.put(1, 8, &[key], &[key; 300]));
+    assert!(net.until(20_000, |net| net.same_values(7, 1) && net.same_values(8, 100)).is_some());
+    assert!(net.exchanges > 0);
+    // A member that comes later gets all of it too.
+    net.kill(2);
+    net.restart(2, 2);
+    assert!(net.until(20_000, |net| net.same_values(7, 1) && net.same_values(8, 100)).is_some());
+}
+
+#[test]
+fn what_a_member_told_ends_with_its_age_when_it_is_gone() {
+    let mut net = Net::new(4, 7, Settings::default());
+    net.run(5_000);
+    net.put(3, 7, b"k", b"v");
+    assert!(net.until(10_000, |net| net.same_values(7, 1)).is_some());
+    net.kill(3);
+    net.run(net.settings.entry_age + 3_000);
+    assert!(net.same_values(7, 0));
+}
+
+#[test]
+fn an_origin_that_floods_takes_no_more_than_its_part() {
+    let wide = Settings { entries_per_origin: 5_000, bytes_per_origin: 1 << 20, ..Settings::default() };
+    let narrow =
+        Settings { entries_per_origin: 20, bytes_per_origin: 30_000, bytes_total: 40_000, ..wide.clone() };
+    let mut net = Net::new(4, 8, narrow);
+    // The last one runs with bounds of its own making.
+    net.settings = wide;
+    net.kill(3);
+    net.restart(3, 2);
+    net.run(5_000);
+    (0..3).for_each(|node| net.put(node, 7, b"quiet", b"value"));
+    let before: Vec<_> = net.nodes.iter().map(|node| node.sent).collect();
+    for turn in 0..1_000u32 {
+        net.put(3, 7, &turn.to_le_bytes(), &[7; 100]);
+        net.run(10);
+    }
+    net.run(5_000);
+    for (node, before) in net.nodes.iter().zip(before).take(3) {
+        let table = node.fleet.table();
+        assert!(table.bytes() <= 40_000);
+        assert!(table.of_kind(7).count() <= 20 + 3);
+        let quiet = table.of_kind(7).filter(|(_, _, key, ..)| *key == b"quiet").count();
+        assert_eq!(quiet, 3, "the others' cells stand");
+        let sent = (node.sent - before) / 15;
+        assert!(sent < 40_000, "{sent} bytes a second");
+    }
+}
+
+#[test]
+fn replays_and_forgeries_change_nothing() {
+    let mut net = Net::new(3, 9, Settings::default());
+    net.run(5_000);
+    net.recorded = Some(Vec::new());
+    net.put(0, 7, b"k", b"first");
+    net.run(2_000);
+    let recorded = net.recorded.take().unwrap();
+    net.put(0, 7, b"k", b"second");
+    net.run(3_000);
+    assert!(net.same_values(7, 1) && recorded.len() > 10);
+    for (to, bytes) in &recorded {
+        // Again to the same, to each other one, bent, and to a later life of the same.
+        for node in 0..3 {
+            let refused = net.step(node, |fleet, now, out| fleet.datagram(now, address(9), bytes, out));
+            let again = matches!(refused, Err(Refused::Replayed { .. }));
+            let other = matches!(refused, Err(Refused::Foreign { .. } | Refused::Ourselves { .. }));
+            assert!(if node == *to { again } else { other }, "{refused:?}");
+        }
+        let mut bent = bytes.clone();
+        bent[30] ^= 4;
+        let refused = net.step(*to, |fleet, now, out| fleet.datagram(now, address(9), &bent, out));
+        assert_eq!(refused, Err(Refused::Forged));
+    }
+    assert_eq!(net.nodes[1].fleet.table().get(net::id(0), 7, b"k").unwrap().1, b"second");
+    net.kill(1);
+    net.restart(1, 2);
+    for (to, bytes) in recorded.iter().filter(|(to, _)| *to == 1) {
+        let refused = net.step(*to, |fleet, now, out| fleet.datagram(now, address(9), bytes, out));
+        assert!(matches!(refused, Err(Refused::Foreign { .. })));
+    }
+    let counted = &net.nodes[0].fleet.counters().refused;
+    assert!(counted[Refused::Forged.reason()] > 0);
+}
+
+#[test]
+fn one_with_another_key_is_not_heard_and_is_gone() {
+    let mut net = Net::new(3, 10, Settings::default());
+    net.run(5_000);
+    net.step(2, |fleet, _, _| fleet.turn_keys(keys(2)));
+    net.run(15_000);
+    for node in 0..2 {
+        assert!(net.nodes[node].fleet.counters().refused[Refused::Forged.reason()] > 0);
+        let state = net.nodes[node].fleet.members().find(|(member, _)| member.id == net::id(2)).unwrap().1;
+        assert_eq!(state, MemberState::Gone);
+    }
+}
+
+#[test]
+fn a_second_process_under_the_same_name_is_told_of() {
+    let mut net = Net::new(2, 11, Settings::default());
+    net.run(5_000);
+    let (settings, seeds) = (Settings::default(), vec![address(0)]);
+    let mut second = Fleet::new("gw-0", Life(5), address(2), seeds, keys(1), settings, 1).unwrap();
+    let mut out = Vec::new();
+    second.start(0, &mut out);
+    let Effect::Send { bytes, .. } = &out[0] else { panic!("{out:?}") };
+    let refused = net.step(0, |fleet, now, out| fleet.datagram(now, address(2), bytes, out));
+    assert_eq!(refused, Err(Refused::Ourselves { life: Life(5) }));
+    assert_eq!(net.nodes[0].superseded, 1);
+}
+
+#[test]
+fn one_seed_is_one_run() {
+    let play = |seed| {
+        let mut net = Net::new(6, seed, Settings::default());
+        (net.loss, net.doubled, net.delay) = (0.15, 0.1, 200);
+        net.run(4_000);
+        net.put(1, 7, b"k", b"v");
+        net.nodes[4].group = 1;
+        net.run(8_000);
+        net.nodes[4].group = 0;
+        net.run(8_000);
+        net.trace
+    };
+    assert_eq!(play(3), play(3));
+    assert_ne!(play(3), play(4));
+}
