--- /dev/null
+++ b/crates/fleet/tests/on_call.rs
@@ -0,0 +1,49 @@
+//! Every error of the crate is on the page for those on call, with what to do about it.
+
+use glenrail_fleet::{ExchangeError, KeyError, Life, MemberId, Refused, SettingsError, TableError};
+
+/// The variant's name, and what an operator can do. A variant that is added ends the compilation of `all` below.
+fn named(error: &dyn std::fmt::Debug, advice: &'static str) -> (String, &'static str) {
+    let shown = format!("{error:?}");
+    let name = shown.split([' ', '(', '{']).next().unwrap_or_default();
+    (name.to_string(), advice)
+}
+
+macro_rules! all {
+    ($type:ident: $($variant:ident $({ $($field:ident: $value:expr),* })? $(($inner:expr))?),* $(,)?) => {{
+        // Every variant is here, or this does not compile.
+        let _ = |error: $type| match error { $($type::$variant { .. } => (),)* };
+        [$($type::$variant $({ $($field: $value),* })? $(($inner))?),*].map(|error| {
+            let (name, advice) = named(&error, error.advice());
+            (format!("{}::{name}", stringify!($type)), advice)
+        })
+    }};
+}
+
+#[test]
+fn the_page_has_every_error_and_its_advice() {
+    let page =
+        std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/on-call.md")).unwrap();
+    let (from, to, with, life) = (MemberId(1), MemberId(2), MemberId(3), Life(1));
+    let refused = all!(Refused: Short { bytes: 1 }, Long { bytes: 2, most: 1 }, Version { found: 2, ours: 1 }, Forged,
+        Replayed { from: from, counter: 1 }, Stale { from: from, counter: 1 }, OldLife { from: from, life: life },
+        Foreign { to: to, life: life }, Ourselves { life: life }, Malformed { from: from }, Borrowed { from: from },
+        Left);
+    let exchange = all!(ExchangeError: NotAMember { with: with }, Long { bytes: 2, most: 1 },
+        TooMuch { bytes: 2, most: 1 }, Refused(Refused::Forged), OutOfTurn { with: with });
+    let keys = all!(KeyError: None, TooMany { found: 3 }, NotAKey { line: 1 }, Short { bytes: 1 });
+    let settings = all!(SettingsError: TooSmall { what: "x", found: 1, least: 2 },
+        TooLarge { what: "x", found: 2, most: 1 }, Address { address: ([0, 0, 0, 0], 0).into() });
+    let table = all!(TableError: Key { kind: 1, bytes: 2, most: 1 }, Value { kind: 1, bytes: 2, most: 1 },
+        Entries { kind: 1, entries: 1 }, Bytes { kind: 1, bytes: 2, most: 1 }, Reserved { kind: 0 });
+    let every = refused.iter().chain(&exchange).chain(&keys).chain(&settings).chain(&table);
+    for (name, advice) in every {
+        // What an exchange passes on has the advice of what it passes on.
+        let line = page.lines().find(|line| line.contains(&format!("`{name}`")));
+        let line = line.unwrap_or_else(|| panic!("docs/on-call.md lacks {name}: {advice}"));
+        assert!(
+            name == "ExchangeError::Refused" || line.contains(advice),
+            "{name}: {advice}\nnot in: {line}"
+        );
+    }
+}
