--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -50,6 +50,18 @@
     }
 }
 
+#[test]
+fn a_planned_end_is_heard_by_all_in_the_time_of_one_datagram() {
+    let mut net = met(12, 1, 0.0);
+    net.step(7, |fleet, now, out| fleet.leave(now, out));
+    net.kill(7);
+    net.run(net.delay);
+    let left = |node: &&net::Node| {
+        node.fleet.members().any(|(member, state)| member.id == id(7) && state == MemberState::Left)
+    };
+    assert_eq!(net.nodes.iter().filter(left).count(), 11);
+}
+
 #[test]
 fn parts_that_were_cut_off_meet_again() {
     for seed in 1..=3 {
