--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -246,7 +246,7 @@
     }
 
     fn after(&mut self, now: u64, after: u64, due: Due, out: &mut Vec<Effect>) {
-        let token = self.timers.add(now + after, due);
+        let token = self.timers.add(now.saturating_add(after), due);
         out.push(Effect::Timer { after, token });
     }
 
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -90,6 +90,9 @@
     }
 }
 
+/// No time is longer: sums of times do not overflow, and nobody means it.
+const DAY: u64 = 24 * 3_600 * 1_000;
+
 impl Settings {
     /// Checked once at the start, so that nothing later has to look at figures.
     pub fn check(&self) -> Result<(), SettingsError> {
@@ -128,7 +131,17 @@
             ("origins", self.origins as u64, 512),
             ("entries_per_origin", self.entries_per_origin as u64, 65_535),
         ];
-        for (what, found, most) in most {
+        let times = [
+            ("probe", self.probe),
+            ("suspect", self.suspect),
+            ("forget", self.forget),
+            ("round", self.round),
+            ("repair", self.repair),
+            ("hello", self.hello),
+            ("entry_age", self.entry_age),
+            ("exchange_apart", self.exchange_apart),
+        ];
+        for (what, found, most) in most.into_iter().chain(times.map(|(what, found)| (what, found, DAY))) {
             if found > most {
                 return Err(SettingsError::TooLarge { what, found, most });
             }
@@ -146,6 +159,8 @@
         assert_eq!(Settings::default().check(), Ok(()));
         let wrong = Settings { probe_answer: 900, ..Settings::default() };
         assert!(matches!(wrong.check(), Err(SettingsError::TooLarge { what: "probe_answer", .. })));
+        let wrong = Settings { hello: u64::MAX, ..Settings::default() };
+        assert!(matches!(wrong.check(), Err(SettingsError::TooLarge { what: "hello", .. })));
         let wrong = Settings { origins: 0, ..Settings::default() };
         assert!(matches!(wrong.check(), Err(SettingsError::TooSmall { what: "origins", .. })));
     }
