Read grants from documents and compile them into a table that answers in constant time

Nothing in the gateway says which models a team may call. Documents of teams, models, groups and rules are read from TOML and JSON (each error with line and key) and compiled: rows of blocks of cells, each kept once, time as pieces of a verdict. Parts with siblings, as concurrent changes leave them, allow only what all of them allow.

Checked against a plain twin on any document, team, model and time, siblings included; the property test found that a rule that ends before it begins, which only another member's bytes can hold, was taken.

--- /dev/null
+++ b/crates/grants/benches/check.rs
@@ -0,0 +1,66 @@
+//! A check at 10,000 teams and 1,000 models beside the plain twin, and what building the table takes.
+//!
+//!     cargo bench -p glenrail-grants --bench check
+
+#[path = "../tests/support/large.rs"]
+mod large;
+
+use divan::{black_box, Bencher};
+use glenrail_grants::compiled::Table;
+use glenrail_grants::parts::Parts;
+use glenrail_grants::twin::Twin;
+use large::{document, model, team, MODELS, TEAMS};
+
+fn main() {
+    let table = Table::of(&document());
+    let (rows, blocks, verdicts) = table.sizes();
+    println!("{rows} rows, {blocks} blocks of 64 cells, {verdicts} verdicts");
+    divan::main();
+}
+
+/// Spread, so that no check finds the last one's cells at hand.
+fn pairs() -> Vec<(usize, usize)> {
+    (0..1 << 16).map(|n: usize| (n * 7_919 % (TEAMS - 110), n * 104_729 / 3 % MODELS)).collect()
+}
+
+#[divan::bench]
+fn by_ids(bencher: Bencher) {
+    let table = Table::of(&document());
+    let ids: Vec<_> = pairs()
+        .into_iter()
+        .filter_map(|(t, m)| Some((table.team(&team(t))?, table.model(&model(m))?)))
+        .collect();
+    let mut n = 0;
+    bencher.bench_local(|| {
+        n = (n + 1) % ids.len();
+        black_box(table.check(ids[n].0, ids[n].1, n as u64))
+    });
+}
+
+#[divan::bench]
+fn by_names(bencher: Bencher) {
+    let table = Table::of(&document());
+    let names: Vec<_> = pairs().into_iter().map(|(t, m)| (team(t), model(m))).collect();
+    let mut n = 0;
+    bencher.bench_local(|| {
+        n = (n + 1) % names.len();
+        black_box(table.check_names(&names[n].0, &names[n].1, n as u64))
+    });
+}
+
+#[divan::bench(sample_count = 50, sample_size = 4)]
+fn plain_twin_by_names(bencher: Bencher) {
+    let twin = Twin::of(&Parts::of(&document()));
+    let names: Vec<_> = pairs().into_iter().map(|(t, m)| (team(t), model(m))).collect();
+    let mut n = 0;
+    bencher.bench_local(|| {
+        n = (n + 1) % names.len();
+        black_box(twin.check(&names[n].0, &names[n].1, n as u64))
+    });
+}
+
+#[divan::bench(sample_count = 10, sample_size = 1)]
+fn building(bencher: Bencher) {
+    let document = document();
+    bencher.bench_local(|| Table::of(&document));
+}
--- /dev/null
+++ b/crates/grants/src/lib.rs
@@ -0,0 +1,7 @@
+//! Which models a team may call: documents, a compiled table, versions that merge, leases of knowledge.
+
+pub mod compiled;
+pub mod document;
+mod generations;
+pub mod parts;
+pub mod twin;
--- /dev/null
+++ b/crates/grants/src/parts.rs
@@ -0,0 +1,118 @@
+//! A document in the parts that change and travel by themselves: one for each team, one for the rules that
+//! are not for one team alone, one for models and groups.
+//!
+//! A part that was changed at two places at once has several *siblings*; what they mean together is what all
+//! of them allow (see [`crate::compiled`]).
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::document::{is_pattern, Document, Group, Model, Rule, Team};
+
+/// The name of a part, and its key in the replicated table.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum PartKey {
+    /// Models and groups.
+    Catalogue,
+    /// Rules for several teams, or by a pattern.
+    Shared,
+    /// A team's parents, and the rules for it alone.
+    Team(String),
+}
+
+/// Models and groups.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Catalogue {
+    pub models: Vec<Model>,
+    pub groups: Vec<Group>,
+}
+
+/// A team's entry: its parents, and the rules whose `teams` is this team's name alone.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TeamPart {
+    #[serde(default)]
+    pub parents: Vec<String>,
+    #[serde(default)]
+    pub rules: Vec<Rule>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Part {
+    Catalogue(Catalogue),
+    Shared(Vec<Rule>),
+    Team(TeamPart),
+}
+
+/// All parts with their siblings. A list without siblings is as one that says nothing.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Parts {
+    pub catalogue: Vec<Catalogue>,
+    pub shared: Vec<Vec<Rule>>,
+    /// None among the siblings: one of the concurrent changes took the team away.
+    pub teams: BTreeMap<String, Vec<Option<TeamPart>>>,
+}
+
+impl Parts {
+    /// The parts of a document, one sibling each.
+    pub fn of(document: &Document) -> Parts {
+        let mut teams: BTreeMap<String, Vec<Option<TeamPart>>> = BTreeMap::new();
+        for team in &document.teams {
+            let part = TeamPart { parents: team.parents.clone(), rules: Vec::new() };
+            teams.insert(team.name.clone(), vec![Some(part)]);
+        }
+        let mut shared = Vec::new();
+        for rule in &document.rules {
+            let own = match rule.teams.as_slice() {
+                [team] if !is_pattern(team) => teams.get_mut(team),
+                _ => None,
+            };
+            match own.and_then(|siblings| siblings[0].as_mut()) {
+                Some(part) => part.rules.push(rule.clone()),
+                None => shared.push(rule.clone()),
+            }
+        }
+        let catalogue = Catalogue { models: document.models.clone(), groups: document.groups.clone() };
+        Parts { catalogue: vec![catalogue], shared: vec![shared], teams }
+    }
+
+    /// The parts by key.
+    pub fn split(document: &Document) -> BTreeMap<PartKey, Part> {
+        let parts = Parts::of(document);
+        let catalogue = parts.catalogue.into_iter().map(|part| (PartKey::Catalogue, Part::Catalogue(part)));
+        let shared = parts.shared.into_iter().map(|part| (PartKey::Shared, Part::Shared(part)));
+        let teams = parts.teams.into_iter().flat_map(|(name, siblings)| {
+            siblings.into_iter().flatten().map(move |part| (PartKey::Team(name.clone()), Part::Team(part)))
+        });
+        catalogue.chain(shared).chain(teams).collect()
+    }
+
+    /// The document that the first sibling of each part makes, as an admin reads it; where no part is in
+    /// conflict, the whole truth.
+    pub fn document(&self) -> Document {
+        let mut document = Document::default();
+        if let Some(catalogue) = self.catalogue.first() {
+            document.models = catalogue.models.clone();
+            document.groups = catalogue.groups.clone();
+        }
+        document.rules.extend(self.shared.first().into_iter().flatten().cloned());
+        for (name, siblings) in &self.teams {
+            if let Some(part) = siblings.iter().flatten().next() {
+                document.teams.push(Team { name: name.clone(), parents: part.parents.clone() });
+                document.rules.extend(part.rules.iter().cloned());
+            }
+        }
+        document
+    }
+
+    /// The parts that are in conflict.
+    pub fn conflicts(&self) -> Vec<PartKey> {
+        let catalogue = (self.catalogue.len() > 1).then_some(PartKey::Catalogue);
+        let shared = (self.shared.len() > 1).then_some(PartKey::Shared);
+        let teams = self.teams.iter().filter(|(_, siblings)| siblings.len() > 1);
+        let teams = teams.map(|(name, _)| PartKey::Team(name.clone()));
+        catalogue.into_iter().chain(shared).chain(teams).collect()
+    }
+}
--- /dev/null
+++ b/crates/grants/tests/support/mod.rs
@@ -0,0 +1,79 @@
+//! Small worlds for property tests: few names, so that rules meet.
+
+#![allow(dead_code)]
+
+use glenrail_grants::document::{Effect, Group, Model, Rule, UnderWay};
+use glenrail_grants::parts::{Catalogue, Parts, TeamPart};
+use proptest::collection::vec;
+use proptest::option;
+use proptest::prelude::*;
+use proptest::sample::select;
+
+pub const TEAMS: [&str; 5] = ["a", "ab", "b", "ba", "c"];
+pub const MODELS: [&str; 4] = ["m", "mn", "n", "no"];
+/// All that a request may name for a model, one that is never there included.
+pub const ASKED: [&str; 8] = ["m", "mn", "n", "no", "x", "y", "g", "none"];
+
+fn names(of: &'static [&'static str], most: usize) -> impl Strategy<Value = Vec<String>> {
+    vec(select(of).prop_map(str::to_owned), 0..=most)
+}
+
+/// The name is of the effect, so that none stands for both.
+pub fn rule(teams: impl Strategy<Value = Vec<String>>) -> impl Strategy<Value = Rule> {
+    let models = names(&["m", "mn", "n", "no", "x", "y", "g", "h", "m*", "*n", "*"], 2);
+    let time = || option::weighted(0.3, 0..10u64);
+    (0..6u8, any::<bool>(), teams, models, time(), time(), any::<bool>()).prop_map(
+        |(name, allow, teams, models, from, until, cut)| Rule {
+            name: format!("{}{name}", if allow { "a" } else { "d" }),
+            effect: if allow { Effect::Allow } else { Effect::Deny },
+            teams,
+            models,
+            from,
+            until,
+            streams: if cut { UnderWay::Cut } else { UnderWay::Finish },
+        },
+    )
+}
+
+pub fn team_part(name: &'static str) -> impl Strategy<Value = TeamPart> {
+    let rules = vec(rule(Just(vec![name.to_owned()])), 0..4);
+    (names(&TEAMS, 1), rules).prop_map(|(parents, rules)| TeamPart { parents, rules: once(rules) })
+}
+
+pub fn shared() -> impl Strategy<Value = Vec<Rule>> {
+    vec(rule(names(&["a", "b", "c", "a*", "*b", "*"], 2)), 0..4).prop_map(once)
+}
+
+/// One rule a name, as in every document.
+fn once(mut rules: Vec<Rule>) -> Vec<Rule> {
+    rules.sort_by(|one, other| one.name.cmp(&other.name));
+    rules.dedup_by(|one, other| one.name == other.name);
+    rules
+}
+
+pub fn catalogue() -> impl Strategy<Value = Catalogue> {
+    let model = (names(&["x", "y"], 1), names(&["g", "h"], 2), any::<bool>(), any::<bool>());
+    let groups = names(&["g", "h"], 1);
+    (vec(model, MODELS.len()), groups).prop_map(|(models, above)| {
+        let models = MODELS.iter().zip(models).filter(|(_, (.., there))| *there).map(|(name, it)| {
+            let (aliases, groups, restricted, _) = it;
+            Model { name: (*name).to_owned(), aliases, groups, restricted }
+        });
+        let group = |name: &str, groups| Group { name: name.to_owned(), groups };
+        Catalogue { models: models.collect(), groups: vec![group("g", above), group("h", Vec::new())] }
+    })
+}
+
+/// Parts with up to two siblings each, and all that merging may bring about: circles, parents not there.
+pub fn parts(siblings: usize) -> impl Strategy<Value = Parts> {
+    let team = |name| vec(option::weighted(0.9, team_part(name)), 1..=siblings);
+    let teams = (team("a"), team("ab"), team("b"), team("ba"), option::of(team("c")));
+    (vec(catalogue(), 1..=siblings), vec(shared(), 1..=siblings), teams).prop_map(
+        |(catalogue, shared, (a, ab, b, ba, c))| {
+            let listed = [Some(a), Some(ab), Some(b), Some(ba), c];
+            let teams = TEAMS.iter().zip(listed);
+            let teams = teams.filter_map(|(name, it)| Some(((*name).to_owned(), it?))).collect();
+            Parts { catalogue, shared, teams }
+        },
+    )
+}
