Give each part of the grants versions that merge without losing a change

Changes of one team at two sides of a partition have to meet, and neither may vanish. Each part is a cell of siblings under dots and a clock; a change against another version than the present is refused with the present one; concurrent ones stand side by side, allow what all allow, and are named until a change that knew them replaces them.

Property tests: merging is commutative, associative and idempotent over changes, partial tellings, lost stores and stores put back; every change stands or was replaced by one that saw it. A life used twice is found and both changes stand.

--- a/crates/grants/src/document/error.rs
+++ b/crates/grants/src/document/error.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use super::place::{KeyPath, Place};
+use super::place::{in_json, KeyPath, Place};
 
 /// A document that was not taken: where, under which key, and why. Nothing changed.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -30,6 +30,12 @@
     pub fn advice(&self) -> &'static str {
         self.fault.advice()
     }
+
+    /// The same with its place in the JSON text that it is about, for one that came without.
+    pub fn placed(self, text: &str) -> DocumentError {
+        let place = self.place.or_else(|| in_json(text, &self.key));
+        DocumentError { place, ..self }
+    }
 }
 
 /// What a name is a name of.
--- a/crates/grants/src/document/mod.rs
+++ b/crates/grants/src/document/mod.rs
@@ -50,7 +50,7 @@
 }
 
 /// A name for several models. Its models belong to the groups that it belongs to, too.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Group {
     pub name: String,
@@ -58,7 +58,7 @@
     pub groups: Vec<String>,
 }
 
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Model {
     pub name: String,
@@ -73,7 +73,7 @@
 }
 
 /// A team has what its parents have, allowed and denied.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Team {
     pub name: String,
@@ -102,11 +102,13 @@
 /// One rule. Each name in `teams` is a team or a pattern over teams; each in `models` a model, an alias, a
 /// group, or a pattern over models. A pattern (`*` is any run of characters) matches models and teams by
 /// their own names, never by an alias or a group, and may match nothing.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Rule {
     pub name: String,
     pub effect: Effect,
+    /// May be left out in a team's own entry.
+    #[serde(default)]
     pub teams: Vec<String>,
     pub models: Vec<String>,
     /// It holds from this time on (Unix ms).
--- a/crates/grants/src/document/read.rs
+++ b/crates/grants/src/document/read.rs
@@ -1,7 +1,10 @@
 //! Documents from and to text. A text is taken whole or not at all.
 
+use serde::de::DeserializeOwned;
 use serde_path_to_error::{Path, Segment};
 
+use crate::parts::TeamPart;
+
 use super::check::faults;
 use super::error::{DocumentError, Fault};
 use super::place::{in_json, in_toml, Key, KeyPath, Place};
@@ -27,16 +30,7 @@
 
     /// Reads what came over the wire.
     pub fn from_json(text: &str) -> Result<Document, DocumentError> {
-        within(text)?;
-        let form = |key: KeyPath, error: serde_json::Error| DocumentError {
-            place: Some(Place { line: error.line().max(1), column: error.column().max(1) }),
-            key,
-            fault: Fault::Form { message: error.to_string() },
-        };
-        let mut reader = serde_json::Deserializer::from_str(text);
-        let document: Document = serde_path_to_error::deserialize(&mut reader)
-            .map_err(|error| form(key_path(error.path()), error.into_inner()))?;
-        reader.end().map_err(|error| form(KeyPath::default(), error))?;
+        let document = json(text)?;
         checked(document, |path| in_json(text, path))
     }
 
@@ -50,6 +44,33 @@
     }
 }
 
+/// Any form of JSON, by its form alone.
+fn json<T: DeserializeOwned>(text: &str) -> Result<T, DocumentError> {
+    within(text)?;
+    let form = |key: KeyPath, error: serde_json::Error| DocumentError {
+        place: Some(Place { line: error.line().max(1), column: error.column().max(1) }),
+        key,
+        fault: Fault::Form { message: error.to_string() },
+    };
+    let mut reader = serde_json::Deserializer::from_str(text);
+    let read = serde_path_to_error::deserialize(&mut reader)
+        .map_err(|error| form(key_path(error.path()), error.into_inner()))?;
+    reader.end().map_err(|error| form(KeyPath::default(), error))?;
+    Ok(read)
+}
+
+impl TeamPart {
+    /// Reads one team's entry as it came over the wire. A rule without `teams` is for this team. What it names
+    /// is checked when it is proposed ([`crate::versions::Ledger::propose`]), for it needs the rest.
+    pub fn from_json(team: &str, text: &str) -> Result<TeamPart, DocumentError> {
+        let mut part: TeamPart = json(text)?;
+        for rule in part.rules.iter_mut().filter(|rule| rule.teams.is_empty()) {
+            rule.teams.push(team.to_owned());
+        }
+        Ok(part)
+    }
+}
+
 /// A time beyond what TOML's integers hold is all that cannot be written.
 fn unwritable(error: impl std::fmt::Display) -> DocumentError {
     DocumentError { place: None, key: KeyPath::default(), fault: Fault::Form { message: error.to_string() } }
--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -5,3 +5,4 @@
 mod generations;
 pub mod parts;
 pub mod twin;
+pub mod versions;
--- a/crates/grants/src/parts.rs
+++ b/crates/grants/src/parts.rs
@@ -5,6 +5,7 @@
 //! of them allow (see [`crate::compiled`]).
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
@@ -22,7 +23,7 @@
 }
 
 /// Models and groups.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Catalogue {
     pub models: Vec<Model>,
@@ -30,7 +31,7 @@
 }
 
 /// A team's entry: its parents, and the rules whose `teams` is this team's name alone.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct TeamPart {
     #[serde(default)]
@@ -39,13 +40,36 @@
     pub rules: Vec<Rule>,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Part {
     Catalogue(Catalogue),
     Shared(Vec<Rule>),
     Team(TeamPart),
 }
 
+impl fmt::Display for PartKey {
+    fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            PartKey::Catalogue => out.write_str("the list of models and groups"),
+            PartKey::Shared => out.write_str("the list of rules for several teams"),
+            PartKey::Team(name) => write!(out, "team `{name}`"),
+        }
+    }
+}
+
+impl Part {
+    /// Whether it is such as the key names. A team's rules are for that team alone.
+    pub fn fits(&self, key: &PartKey) -> bool {
+        match (self, key) {
+            (Part::Catalogue(_), PartKey::Catalogue) | (Part::Shared(_), PartKey::Shared) => true,
+            (Part::Team(part), PartKey::Team(name)) => {
+                part.rules.iter().all(|rule| rule.teams.as_slice() == std::slice::from_ref(name))
+            }
+            _ => false,
+        }
+    }
+}
+
 /// All parts with their siblings. A list without siblings is as one that says nothing.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Parts {
--- /dev/null
+++ b/crates/grants/src/versions/cell.rs
@@ -0,0 +1,80 @@
+//! One part with all that is known of its changes.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::parts::{Part, PartKey};
+
+use super::clock::{Clock, Dot};
+
+/// What one change says. No part: that it is taken away.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Sibling {
+    pub dot: Dot,
+    pub part: Option<Part>,
+}
+
+/// The changes of a part that none known replaces, and a clock of all that are known.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Cell {
+    clock: Clock,
+    siblings: BTreeSet<Sibling>,
+}
+
+impl Cell {
+    /// The cell after a change that knew all of this one.
+    pub(super) fn changed(&self, dot: Dot, part: Option<Part>) -> Cell {
+        let mut clock = self.clock.clone();
+        clock.take(&dot);
+        Cell { clock, siblings: BTreeSet::from([Sibling { dot, part }]) }
+    }
+
+    /// What both know together. Commutative, associative, idempotent.
+    pub fn merge(&self, other: &Cell) -> Cell {
+        let mut clock = self.clock.clone();
+        clock.merge(&other.clock);
+        let siblings = self.stays(other).chain(other.stays(self)).cloned().collect();
+        Cell { clock, siblings }
+    }
+
+    /// Those that the other has as well, or never saw. One that the other has under the same dot with another
+    /// content (a life used twice) stays, too: neither is known to replace the other.
+    fn stays<'a>(&'a self, other: &'a Cell) -> impl Iterator<Item = &'a Sibling> {
+        self.siblings.iter().filter(|own| {
+            !other.clock.covers(&own.dot) || other.siblings.iter().any(|theirs| theirs.dot == own.dot)
+        })
+    }
+
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    pub fn siblings(&self) -> impl Iterator<Item = &Sibling> {
+        self.siblings.iter()
+    }
+
+    /// The differing contents of the siblings, sorted. Two changes that say the same are one.
+    pub fn contents(&self) -> BTreeSet<&Option<Part>> {
+        self.siblings.iter().map(|sibling| &sibling.part).collect()
+    }
+
+    /// Whether concurrent changes differ, which an admin has to settle by a change that knows both.
+    pub fn conflict(&self) -> bool {
+        self.contents().len() > 1
+    }
+
+    /// Dots that stand for more than one content.
+    pub fn forks(&self) -> BTreeSet<Dot> {
+        let mut seen = BTreeSet::new();
+        self.siblings.iter().map(|sibling| sibling.dot).filter(|dot| !seen.insert(*dot)).collect()
+    }
+
+    /// Whether every sibling is such as the key names, and its dot is in the clock.
+    pub(super) fn sound(&self, key: &PartKey) -> bool {
+        self.siblings.iter().all(|sibling| {
+            let fits = sibling.part.as_ref().is_none_or(|part| part.fits(key));
+            fits && self.clock.covers(&sibling.dot)
+        })
+    }
+}
--- /dev/null
+++ b/crates/grants/tests/versions.rs
@@ -0,0 +1,295 @@
+//! Merging loses nothing, whatever the order; what is restored does not win; conflicts allow less.
+
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use glenrail_grants::compiled::Table;
+use glenrail_grants::document::{Document, Fault};
+use glenrail_grants::parts::{PartKey, TeamPart};
+use glenrail_grants::versions::{ByteError, Dot, Entry, Ledger, LedgerError, Origin, FORMAT};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::select;
+
+const DOCUMENT: &str = r#"
+[[model]]
+name = "m"
+[[model]]
+name = "n"
+[[team]]
+name = "a"
+[[team]]
+name = "b"
+parents = ["a"]
+[[rule]]
+name = "both"
+effect = "allow"
+teams = ["a"]
+models = ["m", "n"]
+"#;
+
+fn ledger(member: u64, life: u64) -> Ledger {
+    Ledger::new(Origin { member, life })
+}
+
+fn team(name: &str) -> PartKey {
+    PartKey::Team(name.to_owned())
+}
+
+/// The first takes the document, and tells all.
+fn fleet(members: u64) -> Vec<Ledger> {
+    let mut all: Vec<Ledger> = (0..members).map(|member| ledger(member, 1)).collect();
+    let document = Document::from_toml(DOCUMENT).unwrap();
+    let version = all[0].version_of_all();
+    let proposal = all[0].propose_document(version, &document).unwrap();
+    all[0].apply(&proposal);
+    for other in 1..all.len() {
+        tell(&mut all, 0, other, None);
+    }
+    all
+}
+
+/// By way of bytes, one key or all. What it replaced.
+fn tell(all: &mut [Ledger], from: usize, to: usize, only: Option<&PartKey>) -> Vec<Dot> {
+    let mut replaced = Vec::new();
+    let cells: Vec<_> = all[from].cells().map(|(key, cell)| Entry::of(key, cell).unwrap()).collect();
+    for entry in cells {
+        let (key, cell) = entry.read().unwrap();
+        if only.is_none_or(|only| *only == key) {
+            replaced.extend(all[to].merge(&key, &cell).replaced);
+        }
+    }
+    replaced
+}
+
+fn change(ledger: &mut Ledger, name: &str, part: Option<TeamPart>) -> Result<Dot, LedgerError> {
+    let version = ledger.version(&team(name));
+    let proposal = ledger.propose(name, version, part)?;
+    ledger.apply(&proposal);
+    Ok(proposal.dots()[0])
+}
+
+fn only(model: &str) -> TeamPart {
+    let text = format!(r#"{{"rules": [{{"name": "own", "effect": "allow", "models": ["{model}"]}}]}}"#);
+    TeamPart::from_json("a", &text).unwrap()
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Change {
+        at: usize,
+        team: &'static str,
+        part: Option<TeamPart>,
+    },
+    Tell {
+        from: usize,
+        to: usize,
+        team: Option<&'static str>,
+    },
+    Keep {
+        at: usize,
+    },
+    /// The store of an earlier time is put back, under a new life.
+    PutBack {
+        at: usize,
+    },
+    /// The store is lost.
+    Lose {
+        at: usize,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let at = || 0..3usize;
+    let name = || select(&["a", "b"][..]);
+    let part = || select(&["m", "n", "*"][..]).prop_map(|model| Some(only(model)));
+    prop_oneof![
+        5 => (at(), prop_oneof![4 => part(), 1 => Just(None)])
+            .prop_map(|(at, part)| Step::Change { at, team: "a", part }),
+        2 => at().prop_map(|at| Step::Change { at, team: "b", part: Some(TeamPart::default()) }),
+        8 => (at(), at(), proptest::option::of(name())).prop_map(|(from, to, team)| Step::Tell { from, to, team }),
+        1 => at().prop_map(|at| Step::Keep { at }),
+        1 => at().prop_map(|at| Step::PutBack { at }),
+        1 => at().prop_map(|at| Step::Lose { at }),
+    ]
+}
+
+/// Plays the steps. All ledgers, and of each change by key the dots that it replaced.
+fn play(steps: Vec<Step>) -> (Vec<Ledger>, BTreeMap<(PartKey, Dot), Vec<Dot>>) {
+    let mut all = fleet(3);
+    let mut kept = all.clone();
+    let mut lives = 1;
+    let mut made = BTreeMap::new();
+    for step in steps {
+        match step {
+            Step::Change { at, team: name, part } => {
+                let key = team(name);
+                let knew: Vec<Dot> = all[at]
+                    .cell(&key)
+                    .map(|cell| cell.siblings().map(|it| it.dot).collect())
+                    .unwrap_or_default();
+                if let Ok(dot) = change(&mut all[at], name, part) {
+                    made.insert((key, dot), knew);
+                }
+            }
+            Step::Tell { from, to, team: name } => drop(tell(&mut all, from, to, name.map(team).as_ref())),
+            Step::Keep { at } => kept[at] = all[at].clone(),
+            Step::PutBack { at } | Step::Lose { at } => {
+                lives += 1;
+                let origin = Origin { member: at as u64, life: lives };
+                let cells: Vec<_> = match step {
+                    Step::Lose { .. } => Vec::new(),
+                    _ => kept[at].cells().map(|(key, cell)| (key.clone(), cell.clone())).collect(),
+                };
+                // What only it knew is lost with its store; so it tells one other first.
+                tell(&mut all, at, (at + 1) % 3, None);
+                all[at] = Ledger::restore(origin, cells).unwrap();
+            }
+        }
+    }
+    (all, made)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn merging_is_a_join(steps in vec(step(), 0..30)) {
+        let (all, _) = play(steps);
+        for name in ["a", "b"] {
+            let cells: Vec<_> = all.iter().map(|it| it.cell(&team(name)).cloned().unwrap_or_default()).collect();
+            let [a, b, c] = &cells[..] else { unreachable!() };
+            prop_assert_eq!(a.merge(b), b.merge(a));
+            prop_assert_eq!(a.merge(b).merge(c), a.merge(&b.merge(c)));
+            prop_assert_eq!(&a.merge(a), a);
+            prop_assert_eq!(a.merge(b).merge(b), a.merge(b));
+        }
+    }
+
+    #[test]
+    fn no_change_is_lost_and_all_show_the_same(steps in vec(step(), 0..40)) {
+        let (mut all, made) = play(steps);
+        for round in 0..2 {
+            for (from, to) in [(0, 1), (1, 2), (2, 0), (1, 0), (0, 2), (2, 1)] {
+                let replaced = tell(&mut all, from, to, None);
+                prop_assert!(round == 0 || replaced.is_empty());
+            }
+        }
+        prop_assert_eq!(all[0].version_of_all(), all[1].version_of_all());
+        prop_assert_eq!(all[0].parts(), all[1].parts());
+        prop_assert_eq!(all[0].parts(), all[2].parts());
+        // A change stands, unless one was made by an admin who saw it. And nothing else stands.
+        for name in ["a", "b"] {
+            let key = team(name);
+            let seen: BTreeSet<Dot> =
+                made.iter().filter(|((of, _), _)| *of == key).flat_map(|(_, knew)| knew).copied().collect();
+            let cell = all[0].cell(&key).unwrap();
+            let stand: BTreeSet<Dot> = cell.siblings().map(|it| it.dot).collect();
+            for (of, dot) in made.keys() {
+                prop_assert!(*of != key || stand.contains(dot) != seen.contains(dot), "{} {}", name, dot);
+            }
+            prop_assert!(stand.is_disjoint(&seen));
+            prop_assert!(cell.forks().is_empty());
+        }
+    }
+
+    #[test]
+    fn no_bytes_bring_it_down(bytes in vec(any::<u8>(), 0..60), key in "[cst][a-c]{0,2}") {
+        for value in [bytes.clone(), [vec![FORMAT], bytes.clone()].concat()] {
+            if let Ok((key, cell)) = (Entry { key: key.clone().into_bytes(), value }).read() {
+                let mut all = fleet(1);
+                all[0].merge(&key, &cell);
+                Table::compile(&all[0].parts());
+            }
+        }
+    }
+}
+
+#[test]
+fn two_admins_at_two_sides_allow_what_both_allow_until_one_settles_it() {
+    let mut all = fleet(3);
+    let (one, other) = (change(&mut all[0], "a", Some(only("m"))), change(&mut all[1], "a", Some(only("*"))));
+    for (from, to) in [(0, 1), (1, 0), (1, 2)] {
+        tell(&mut all, from, to, None);
+    }
+    for ledger in &all {
+        let table = Table::compile(&ledger.parts());
+        assert!(table.check_names("b", "m", 0).allowed);
+        assert!(!table.check_names("b", "n", 0).allowed);
+        let (key, standing) = ledger.conflicts().next().unwrap();
+        assert_eq!(*key, team("a"));
+        let dots: Vec<Dot> = standing.iter().map(|it| it.dot).collect();
+        assert_eq!(dots, [one.clone().unwrap(), other.clone().unwrap()]);
+    }
+    // An admin who saw only one side is told, with the present version.
+    let (seen, present) = (fleet(1)[0].version(&team("a")), all[2].version(&team("a")));
+    let refused = all[2].propose("a", seen, Some(only("n"))).unwrap_err();
+    assert_eq!(refused, LedgerError::Conflict { key: Some(team("a")), expected: seen, present });
+    // One who saw both settles it, everywhere.
+    change(&mut all[2], "a", Some(only("n"))).unwrap();
+    assert_eq!(tell(&mut all, 2, 0, None), dots_of(&[one, other]));
+    assert_eq!(all[0].conflicts().count(), 0);
+    assert!(Table::compile(&all[0].parts()).check_names("b", "n", 0).allowed);
+}
+
+fn dots_of(made: &[Result<Dot, LedgerError>]) -> Vec<Dot> {
+    made.iter().map(|dot| dot.clone().unwrap()).collect()
+}
+
+#[test]
+fn yesterdays_copy_does_not_win() {
+    let mut all = fleet(2);
+    let yesterday: Vec<_> = all[0].cells().map(|(key, cell)| (key.clone(), cell.clone())).collect();
+    change(&mut all[0], "a", Some(only("m"))).unwrap();
+    tell(&mut all, 0, 1, None);
+    let used = Ledger::restore(Origin { member: 0, life: 1 }, yesterday.clone()).unwrap_err();
+    assert_eq!(used, LedgerError::LifeUsed { origin: Origin { member: 0, life: 1 } });
+    all[0] = Ledger::restore(Origin { member: 0, life: 2 }, yesterday).unwrap();
+    let now = all[1].parts();
+    assert!(tell(&mut all, 0, 1, None).is_empty());
+    assert_eq!(all[1].parts(), now);
+    assert_eq!(tell(&mut all, 1, 0, None).len(), 1);
+    assert_eq!(all[0].parts(), now);
+}
+
+#[test]
+fn a_life_used_twice_is_found_and_both_changes_stand() {
+    let mut all = fleet(2);
+    let mut double = all[0].clone();
+    change(&mut all[0], "a", Some(only("m"))).unwrap();
+    let dot = change(&mut double, "a", Some(only("n"))).unwrap();
+    let became = all[0].merge(&team("a"), double.cell(&team("a")).unwrap());
+    assert_eq!((became.forked, became.conflict, became.usurped), (vec![dot], true, false));
+    change(&mut double, "a", Some(only("n"))).unwrap();
+    assert!(all[0].merge(&team("a"), double.cell(&team("a")).unwrap()).usurped);
+}
+
+#[test]
+fn a_change_that_names_what_is_not_there_changes_nothing() {
+    let mut all = fleet(1);
+    let before = all[0].version_of_all();
+    let text = "{\"rules\": [\n {\"name\": \"own\", \"effect\": \"deny\",\n  \"models\": [\"m\", \"zz\"]}]}";
+    let part = TeamPart::from_json("b", text).unwrap();
+    let Err(LedgerError::Document(error)) = change(&mut all[0], "b", Some(part)) else { panic!("taken") };
+    assert_eq!(
+        error.placed(text).to_string(),
+        "line 3, column 19: rules[0].models[1]: there is no model, alias or group `zz`"
+    );
+    // Its parent cannot go either, nor be under it.
+    let Err(LedgerError::Document(error)) = change(&mut all[0], "a", None) else { panic!("taken") };
+    assert!(matches!(error.fault, Fault::Unknown { .. }), "{error}");
+    let circle = TeamPart { parents: vec!["b".to_owned()], rules: Vec::new() };
+    let Err(LedgerError::Document(error)) = change(&mut all[0], "a", Some(circle)) else { panic!("taken") };
+    assert!(matches!(error.fault, Fault::Circle { .. }), "{error}");
+    assert_eq!(all[0].version_of_all(), before);
+}
+
+#[test]
+fn another_format_is_refused_by_name() {
+    let all = fleet(1);
+    let (key, cell) = all[0].cells().next().unwrap();
+    let mut entry = Entry::of(key, cell).unwrap();
+    entry.value[0] = FORMAT + 1;
+    assert_eq!(entry.read().unwrap_err(), ByteError::Format { format: FORMAT + 1, ours: FORMAT });
+}
