Say when a change of grants is fleet-wide, by leases of knowledge from voters

A revocation has to have an end that an admin can be told. Each member asks voters; an answer hands over all that the voter has and counts for the lease from when the question was sent. A change is held once enough voters confirm it, and fleet-wide once every lease from before has ended on any clock, or all lessees confirm. Members stale by then refuse restricted models, all, or none, as the operators' file says.

Played over cuts, pauses, restarts, lost stores, lost, doubled and overtaken messages, clocks a tenth apart. The property test found that with all voters needed to know, one holder was too few: its lost store lost the change; two hold it now.

--- a/crates/grants/src/lib.rs
+++ b/crates/grants/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod document;
 mod generations;
 pub mod parts;
+pub mod revocation;
 pub mod twin;
 pub mod versions;
--- /dev/null
+++ b/crates/grants/src/revocation/peer.rs
@@ -0,0 +1,66 @@
+//! What a member remembers of another one.
+
+use std::collections::BTreeMap;
+
+use super::talk::{Lessees, Mark};
+
+/// Questions to one member that wait for an answer; the oldest are given up.
+const MOST_ASKS: usize = 16;
+
+#[derive(Clone, Debug, Default)]
+pub struct Peer {
+    /// The latest life heard of.
+    pub life: u64,
+    /// How far its journal in that life is taken.
+    pub knows: u64,
+    /// Its latest question in that life.
+    pub heard: u64,
+    number: u64,
+    asks: BTreeMap<u64, u64>,
+    /// When the question was sent whose answer counts longest.
+    pub known_since: Option<u64>,
+    /// Until when on this member's clock it may know by this member's word.
+    pub lent_until: u64,
+    /// How much of this member's journal it enforces.
+    pub confirmed: u64,
+    /// Whether it said so with the same roster.
+    pub same_roster: bool,
+    pub lessees: Option<Lessees>,
+}
+
+impl Peer {
+    /// Whether the life is its present one. A later one is taken up: what the earlier one had may be lost.
+    pub fn lives(&mut self, life: u64) -> bool {
+        if life > self.life {
+            self.begin(life);
+        }
+        life == self.life
+    }
+
+    /// Forgets what it had. What was lent on either side ends by itself: an earlier life may still run, as during
+    /// a hand-over, and a question to it may be answered by the next.
+    pub fn begin(&mut self, life: u64) {
+        *self = Peer {
+            life,
+            lent_until: self.lent_until,
+            known_since: self.known_since,
+            number: self.number,
+            asks: std::mem::take(&mut self.asks),
+            ..Peer::default()
+        };
+    }
+
+    pub fn ask(&mut self, now: u64) -> (u64, Mark) {
+        self.number += 1;
+        self.asks.insert(self.number, now);
+        while self.asks.len() > MOST_ASKS {
+            self.asks.pop_first();
+        }
+        (self.number, Mark { life: self.life, sequence: self.knows })
+    }
+
+    /// When the question was sent, once.
+    pub fn sent(&mut self, number: u64) -> Option<u64> {
+        self.asks.remove(&number)
+    }
+}
--- /dev/null
+++ b/crates/grants/tests/revocation.rs
@@ -0,0 +1,228 @@
+//! Nobody admits against a change after it was fleet-wide, whatever fails; and it becomes so within its bound.
+
+#[path = "support/fleet.rs"]
+mod fleet;
+
+use fleet::{Fleet, DRIFT, LEASE};
+use glenrail_grants::revocation::{Bound, Needs, Stage, Start, Terms};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::select;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    Exchange(usize, usize),
+    Round,
+    Ask(usize, usize),
+    Deliver(usize, bool),
+    Lose(usize),
+    Change(usize),
+    Cut(usize, usize),
+    CutOff(usize),
+    Heal,
+    Pause(usize, bool),
+    Copy(usize),
+    Restart(usize, Start),
+}
+
+fn step(members: usize) -> impl Strategy<Value = Step> {
+    let at = move || 0..members;
+    prop_oneof![
+        6 => (1..400u64).prop_map(Step::Wait),
+        1 => (800..1_300u64).prop_map(Step::Wait),
+        8 => (at(), at()).prop_map(|(a, b)| Step::Exchange(a, b)),
+        3 => Just(Step::Round),
+        4 => (at(), at()).prop_map(|(a, b)| Step::Ask(a, b)),
+        6 => (0..200usize, any::<bool>()).prop_map(|(which, again)| Step::Deliver(which, again)),
+        1 => (0..200usize).prop_map(Step::Lose),
+        4 => at().prop_map(Step::Change),
+        2 => (at(), at()).prop_map(|(a, b)| Step::Cut(a, b)),
+        2 => at().prop_map(Step::CutOff),
+        1 => Just(Step::Heal),
+        2 => (at(), any::<bool>()).prop_map(|(at, paused)| Step::Pause(at, paused)),
+        1 => at().prop_map(Step::Copy),
+        2 => (at(), select(&[Start::Kept, Start::Empty, Start::Restored][..]))
+            .prop_map(|(at, start)| Step::Restart(at, start)),
+    ]
+}
+
+fn play(fleet: &mut Fleet, steps: Vec<Step>) -> Result<(), String> {
+    let members = fleet.nodes.len();
+    for step in steps {
+        match step {
+            Step::Wait(time) => fleet.now += time,
+            Step::Exchange(from, to) => fleet.exchange(from, to),
+            Step::Round => fleet.round(),
+            Step::Ask(from, to) => fleet.ask(from, to),
+            Step::Deliver(which, again) => fleet.deliver(which, again),
+            Step::Lose(which) => fleet.lose(which),
+            Step::Change(at) => drop(fleet.change(at)),
+            Step::Cut(from, to) => fleet.cut(from, to),
+            Step::CutOff(at) => (0..members).for_each(|other| {
+                fleet.cut(at, other);
+                fleet.cut(other, at);
+            }),
+            Step::Heal => fleet.heal(),
+            Step::Pause(at, paused) => fleet.pause(at, paused),
+            Step::Copy(at) => fleet.copy(at),
+            Step::Restart(at, start) => fleet.restart(at, start),
+        }
+        fleet.check()?;
+    }
+    Ok(())
+}
+
+fn quiet(fleet: &mut Fleet) {
+    fleet.heal();
+    for at in 0..fleet.nodes.len() {
+        fleet.pause(at, false);
+    }
+    for _ in 0..4 {
+        fleet.now += 10;
+        fleet.round();
+    }
+}
+
+/// More with PROPTEST_CASES.
+fn cases(usual: u32) -> u32 {
+    std::env::var("PROPTEST_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(usual)
+}
+
+const RATES: [u64; 4] = [910, 1_090, 1_000, 950];
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: cases(400), ..ProptestConfig::default() })]
+
+    #[test]
+    fn nobody_admits_against_what_is_fleet_wide(
+        steps in vec(step(4), 0..120), needs in select(&[Needs::Majority, Needs::Every][..]), turn in 0..4usize,
+    ) {
+        let mut rates = RATES;
+        rates.rotate_left(turn);
+        let mut fleet = Fleet::new(4, 3, needs, &rates);
+        fleet.round();
+        play(&mut fleet, steps).map_err(TestCaseError::fail)?;
+        // Once it is quiet, all know, all are the same, and a change comes through at once or by its bound.
+        quiet(&mut fleet);
+        fleet.check().map_err(TestCaseError::fail)?;
+        for at in 0..4 {
+            prop_assert!(fleet.admits(at), "{} does not know", at);
+            prop_assert_eq!(&fleet.nodes[at].kept, &fleet.nodes[0].kept);
+        }
+        let change = fleet.change(3).unwrap();
+        fleet.round();
+        fleet.round();
+        let progress = fleet.progress(3, change).unwrap();
+        prop_assert_eq!((progress.told, progress.of), (3, 3));
+        let after = Terms::new(LEASE, DRIFT, 0).unwrap().outlasts();
+        match progress.bound {
+            Bound::Done => {}
+            Bound::Within(time) => {
+                prop_assert!(time <= after);
+                fleet.now += after * 1_000 / 910 + 2;
+                prop_assert_eq!(fleet.progress(3, change).unwrap().stage, Stage::FleetWide);
+            }
+            Bound::OnceHeld { .. } => prop_assert!(false, "not held"),
+        }
+    }
+}
+
+#[test]
+fn a_member_cut_off_is_stale_and_the_change_is_fleet_wide_by_its_bound() {
+    let mut fleet = Fleet::new(5, 5, Needs::Majority, &[1_000]);
+    fleet.now += 5_000;
+    fleet.round();
+    for other in 0..4 {
+        fleet.cut(4, other);
+        fleet.cut(other, 4);
+    }
+    let change = fleet.change(0).unwrap();
+    assert_eq!(fleet.progress(0, change).unwrap().stage, Stage::Kept);
+    fleet.round();
+    fleet.round();
+    let progress = fleet.progress(0, change).unwrap();
+    let after = Terms::new(LEASE, DRIFT, 0).unwrap().outlasts();
+    assert_eq!((progress.stage, progress.told, progress.of), (Stage::Told, 3, 4));
+    assert_eq!((progress.missing.len(), progress.bound), (1, Bound::Within(after)));
+    assert!(fleet.admits(4));
+    fleet.now += after;
+    assert_eq!(fleet.progress(0, change).unwrap().stage, Stage::FleetWide);
+    assert!(!fleet.admits(4));
+    // The others went on asking, and know.
+    fleet.round();
+    assert!((0..4).all(|at| fleet.admits(at)));
+}
+
+#[test]
+fn the_smaller_side_is_told_that_nothing_bounds_its_change_and_by_every_it_is() {
+    for (needs, held) in [(Needs::Majority, false), (Needs::Every, true)] {
+        let mut fleet = Fleet::new(5, 5, needs, &[1_000]);
+        fleet.now += 5_000;
+        fleet.round();
+        for (one, other) in [0, 1].into_iter().flat_map(|one| (2..5).map(move |other| (one, other))) {
+            fleet.cut(one, other);
+            fleet.cut(other, one);
+        }
+        let change = fleet.change(0).unwrap();
+        fleet.round();
+        fleet.round();
+        let after = Terms::new(LEASE, DRIFT, 0).unwrap().outlasts();
+        fleet.now += after;
+        let progress = fleet.progress(0, change).unwrap();
+        match held {
+            false => assert_eq!(progress.bound, Bound::OnceHeld { after, missing: vec![102, 103, 104] }),
+            true => assert_eq!(progress.stage, Stage::FleetWide),
+        }
+        // A majority goes on; with every voter needed nobody does.
+        fleet.round();
+        assert_eq!(
+            (0..5).map(|at| fleet.admits(at)).collect::<Vec<_>>(),
+            match held {
+                false => [false, false, true, true, true],
+                true => [false; 5],
+            }
+        );
+    }
+}
+
+#[test]
+fn all_confirmed_is_fleet_wide_without_waiting() {
+    let mut fleet = Fleet::new(4, 3, Needs::Majority, &[1_000]);
+    fleet.now += 5_000;
+    fleet.round();
+    let change = fleet.change(3).unwrap();
+    fleet.round();
+    fleet.round();
+    assert_eq!(fleet.progress(3, change).unwrap().stage, Stage::FleetWide);
+}
+
+#[test]
+fn an_empty_member_is_ready_once_it_knows_or_has_waited() {
+    let mut fleet = Fleet::new(3, 3, Needs::Majority, &[1_000]);
+    let change = fleet.change(0).unwrap();
+    fleet.round();
+    fleet.restart(2, Start::Empty);
+    let ready = |fleet: &Fleet| fleet.nodes[2].member.ready(fleet.clock(2));
+    assert!(!ready(&fleet) && !fleet.admits(2));
+    fleet.exchange(2, 1);
+    assert!(!ready(&fleet), "one answer of two that are needed without its own");
+    fleet.exchange(2, 0);
+    assert!(ready(&fleet) && fleet.admits(2) && fleet.nodes[2].kept.contains(&change));
+    // Cut off from all, it is ready after the wait, and stale.
+    for other in 0..2 {
+        fleet.cut(2, other);
+        fleet.cut(other, 2);
+    }
+    fleet.restart(2, Start::Empty);
+    fleet.round();
+    assert!(!ready(&fleet));
+    fleet.now += 3_000;
+    assert!(ready(&fleet) && !fleet.admits(2));
+    // A fleet in which all begin with nothing has nothing to wait for.
+    let mut fleet = Fleet::new(3, 3, Needs::Majority, &[1_000]);
+    (0..3).for_each(|at| fleet.restart_unbounded(at, Start::Empty));
+    fleet.round();
+    fleet.round();
+    assert!((0..3).all(|at| fleet.admits(at)));
+}
--- /dev/null
+++ b/crates/grants/tests/support/fleet.rs
@@ -0,0 +1,265 @@
+//! A fleet under a simulated time: clocks that drift, messages that are lost, doubled and overtaken, cuts, pauses,
+//! restarts with a store, without one, and with yesterday's. The changes are numbers; a store is a set of them.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use glenrail_grants::compiled::{Decision, RuleId};
+use glenrail_grants::document::UnderWay;
+use glenrail_grants::revocation::{
+    Answer, Ask, Bound, Member, MemberId, Needs, Progress, Roster, Stage, Stale, Start, Terms,
+};
+
+pub const LEASE: u64 = 1_000;
+/// A tenth, far more than any clock drifts, so that a bound that forgets the drift is found.
+pub const DRIFT: u64 = 100_000;
+
+pub struct Node {
+    pub member: Member<u32>,
+    pub life: u64,
+    /// What it keeps on disk and enforces.
+    pub kept: BTreeSet<u32>,
+    copy: BTreeSet<u32>,
+    offset: u64,
+    /// Thousandths of true time.
+    rate: u64,
+    paused: bool,
+    /// Number by change, of those taken or followed in this life.
+    followed: BTreeMap<u32, u64>,
+}
+
+#[derive(Clone)]
+enum Message {
+    Ask { to: usize, ask: Ask },
+    Answer { to: usize, answer: Answer<u32>, cells: BTreeSet<u32> },
+}
+
+pub struct Fleet {
+    pub nodes: Vec<Node>,
+    pub now: u64,
+    roster: Roster,
+    wire: Vec<(usize, Message)>,
+    cut: BTreeSet<(usize, usize)>,
+    changes: u32,
+    /// Changes that some member showed as fleet-wide.
+    pub fleet_wide: BTreeSet<u32>,
+    /// A voter whose store went back, until it has caught up.
+    lost: Option<usize>,
+}
+
+impl Fleet {
+    pub fn new(members: usize, voters: usize, needs: Needs, rates: &[u64]) -> Fleet {
+        let roster = Roster::new((0..voters).map(id), needs).unwrap();
+        let mut fleet = Fleet {
+            nodes: Vec::new(),
+            now: 10_000,
+            roster,
+            wire: Vec::new(),
+            cut: BTreeSet::new(),
+            changes: 0,
+            fleet_wide: BTreeSet::new(),
+            lost: None,
+        };
+        for at in 0..members {
+            let (offset, rate) = (at as u64 * 777, rates[at % rates.len()]);
+            let kept = BTreeSet::new();
+            let clock = offset + fleet.now * rate / 1_000;
+            let member = member(at, 1, &fleet.roster, Start::Kept, &kept, clock);
+            let (copy, followed) = (BTreeSet::new(), BTreeMap::new());
+            fleet.nodes.push(Node { member, life: 1, kept, copy, offset, rate, paused: false, followed });
+        }
+        fleet
+    }
+
+    pub fn clock(&self, at: usize) -> u64 {
+        self.nodes[at].offset + self.now * self.nodes[at].rate / 1_000
+    }
+
+    pub fn others(&self, at: usize) -> BTreeSet<MemberId> {
+        (0..self.nodes.len()).filter(|&other| other != at).map(id).collect()
+    }
+
+    pub fn ask(&mut self, from: usize, to: usize) {
+        let clock = self.clock(from);
+        if from != to && !self.nodes[from].paused {
+            let ask = self.nodes[from].member.ask(id(to), clock);
+            self.wire.push((from, Message::Ask { to, ask }));
+        }
+    }
+
+    /// Delivers one message of those on the way, or loses it. It may come again.
+    pub fn deliver(&mut self, which: usize, again: bool) {
+        if self.wire.is_empty() {
+            return;
+        }
+        let which = which % self.wire.len();
+        let (from, message) = match again {
+            true => self.wire[which].clone(),
+            false => self.wire.swap_remove(which),
+        };
+        let (Message::Ask { to, .. } | Message::Answer { to, .. }) = message;
+        if self.cut.contains(&(from, to)) || self.nodes[to].paused {
+            return;
+        }
+        let clock = self.clock(to);
+        let node = &mut self.nodes[to];
+        match message {
+            Message::Ask { ask, .. } => {
+                if let Some(answer) = node.member.asked(&ask, clock) {
+                    let cells = answer.keys.iter().copied().filter(|key| node.kept.contains(key)).collect();
+                    self.wire.push((to, Message::Answer { to: from, answer, cells }));
+                }
+            }
+            Message::Answer { answer, cells, .. } => {
+                for change in cells {
+                    if node.kept.insert(change) {
+                        node.member.changed(change);
+                    }
+                }
+                node.member.answered(&answer);
+            }
+        }
+        if self.wire.len() > 200 {
+            self.wire.remove(0);
+        }
+    }
+
+    pub fn lose(&mut self, which: usize) {
+        if !self.wire.is_empty() {
+            self.wire.swap_remove(which % self.wire.len());
+        }
+    }
+
+    /// A question and its answer at once, where nothing is in between.
+    pub fn exchange(&mut self, from: usize, to: usize) {
+        let waiting = std::mem::take(&mut self.wire);
+        self.ask(from, to);
+        self.deliver(0, false);
+        self.deliver(0, false);
+        self.wire = waiting;
+    }
+
+    pub fn round(&mut self) {
+        for from in 0..self.nodes.len() {
+            for to in 0..self.nodes.len() {
+                self.exchange(from, to);
+            }
+        }
+    }
+
+    pub fn change(&mut self, at: usize) -> Option<u32> {
+        if self.nodes[at].paused {
+            return None;
+        }
+        self.changes += 1;
+        let (change, clock) = (self.changes, self.clock(at));
+        let node = &mut self.nodes[at];
+        node.kept.insert(change);
+        let number = node.member.changed(change);
+        node.member.track(number, clock);
+        node.followed.insert(change, number);
+        Some(change)
+    }
+
+    pub fn cut(&mut self, from: usize, to: usize) {
+        self.cut.insert((from, to));
+    }
+
+    pub fn heal(&mut self) {
+        self.cut.clear();
+    }
+
+    pub fn pause(&mut self, at: usize, paused: bool) {
+        self.nodes[at].paused = paused;
+    }
+
+    pub fn copy(&mut self, at: usize) {
+        self.nodes[at].copy = self.nodes[at].kept.clone();
+    }
+
+    /// At most one voter at a time loses what it kept: more is outside of what is promised.
+    pub fn restart(&mut self, at: usize, start: Start) {
+        let voter = self.roster.is_voter(id(at));
+        let goes_back = start != Start::Kept;
+        if voter && goes_back && self.lost.is_some_and(|other| other != at) {
+            return;
+        }
+        // One that went back and has not caught up is not to be trusted by its next start either.
+        if voter && !goes_back && self.lost == Some(at) {
+            return;
+        }
+        self.restart_unbounded(at, start);
+        if voter && goes_back {
+            self.lost = Some(at);
+        }
+    }
+
+    pub fn restart_unbounded(&mut self, at: usize, start: Start) {
+        let clock = self.clock(at);
+        let node = &mut self.nodes[at];
+        match start {
+            Start::Kept => {}
+            Start::Empty => node.kept.clear(),
+            Start::Restored => node.kept = node.copy.clone(),
+        }
+        node.life += 1;
+        node.paused = false;
+        node.member = member(at, node.life, &self.roster, start, &node.kept, clock);
+        node.followed.clear();
+    }
+
+    pub fn progress(&mut self, at: usize, change: u32) -> Option<Progress> {
+        let (others, clock) = (self.others(at), self.clock(at));
+        let number = *self.nodes[at].followed.get(&change)?;
+        self.nodes[at].member.progress(number, &others, clock)
+    }
+
+    /// Whether the member would let in a request for a restricted model.
+    pub fn admits(&self, at: usize) -> bool {
+        let allowed = Decision { allowed: true, rule: RuleId::Rule(0), streams: UnderWay::Finish };
+        !self.nodes[at].paused && self.nodes[at].member.lease().gate(allowed, true, self.clock(at)).allowed
+    }
+
+    /// Looks what is fleet-wide by now, then for a member that lets in against it.
+    pub fn check(&mut self) -> Result<(), String> {
+        if let Some(at) = self.lost {
+            // It has caught up once it lends again: then its answers are full, and trusted.
+            if self.nodes[at].member.caught_up() {
+                self.lost = None;
+            }
+        }
+        for at in 0..self.nodes.len() {
+            if self.nodes[at].paused {
+                continue;
+            }
+            for change in self.nodes[at].followed.keys().copied().collect::<Vec<_>>() {
+                let progress = self.progress(at, change);
+                if progress.is_some_and(|it| it.stage == Stage::FleetWide && it.bound == Bound::Done) {
+                    self.fleet_wide.insert(change);
+                }
+            }
+        }
+        for at in 0..self.nodes.len() {
+            if let Some(change) = self.fleet_wide.difference(&self.nodes[at].kept).next() {
+                if self.admits(at) {
+                    return Err(format!(
+                        "at {} member {at} admits against {change}, which is fleet-wide",
+                        self.now
+                    ));
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
+fn id(at: usize) -> MemberId {
+    at as MemberId + 100
+}
+
+fn member(
+    at: usize, life: u64, roster: &Roster, start: Start, kept: &BTreeSet<u32>, clock: u64,
+) -> Member<u32> {
+    let terms = Terms::new(LEASE, DRIFT, 3_000).unwrap();
+    let kept = kept.iter().copied();
+    Member::new((id(at), life), terms, Stale::RefuseRestricted, roster.clone(), start, kept, clock)
+}
