Change voters by way of both, and count an earlier process as one that may still know

A process that hands over goes on admitting by what it knew, and a change of voters leaves leases from voters that are none any more. Lessees are told with their life, and nothing is settled by lessees alone until what was lent under the last roster has ended. Both were found by the simulated fleet once it had earlier processes and changing rosters; the third find, a fleet that cannot go on after voters were let go too soon, is mended by going back to both.

--- a/crates/grants/src/compiled/rows.rs
+++ b/crates/grants/src/compiled/rows.rs
@@ -9,6 +9,9 @@
 /// Cells a block. One word of a set of models.
 const BLOCK: usize = 64;
 
+/// Clauses in the order in which they decide, with whether they deny.
+type Order = Vec<(ClauseId, bool)>;
+
 /// What a team's row is made of.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RowPlan {
@@ -50,7 +53,7 @@
     let mut blocks: HashMap<[u32; BLOCK], u32> = HashMap::new();
     // By word, default, and the clauses that say something of its cells: teams that differ by their own rules
     // alone share most blocks, which are then not made again.
-    let mut seen: HashMap<(usize, RuleId, Vec<(ClauseId, bool)>), u32> = HashMap::new();
+    let mut seen: HashMap<(usize, RuleId, Order), u32> = HashMap::new();
     for plan in plans {
         if let Some(&row) = known.get(&plan) {
             made.row_of.push(row);
@@ -76,8 +79,8 @@
     made
 }
 
-/// The clauses that say something of a block's cells, in order, with whether they deny.
-fn relevant(plan: &RowPlan, word: usize, clauses: &Clauses) -> Vec<(ClauseId, bool)> {
+/// The clauses that say something of a block's cells.
+fn relevant(plan: &RowPlan, word: usize, clauses: &Clauses) -> Order {
     let denies = plan.denies.iter().map(|&id| (id, true));
     let all = denies.chain(plan.allows.iter().map(|&id| (id, false)));
     all.filter(|&(id, _)| clauses.get(id).models.words()[word] != 0).collect()
--- a/crates/grants/src/revocation/member.rs
+++ b/crates/grants/src/revocation/member.rs
@@ -21,14 +21,17 @@
 #[derive(Clone, Debug)]
 pub struct Member<K> {
     pub(super) id: MemberId,
-    life: u64,
+    pub(super) life: u64,
     pub(super) terms: Terms,
     stale: Stale,
     pub(super) roster: Roster,
+    /// When it was taken.
+    pub(super) roster_since: u64,
     start: Start,
     started: u64,
     /// A voter's word counts once it surely has all that it ever confirmed.
     caught_up: bool,
+    retired: bool,
     /// Until then: the other voters heard of in full since the start, and whether they began with nothing.
     heard: BTreeMap<MemberId, bool>,
     pub(super) journal: Journal<K>,
@@ -54,9 +57,11 @@
             terms,
             stale,
             roster,
+            roster_since: now,
             start,
             started: now,
             caught_up,
+            retired: false,
             heard,
             journal,
             peers,
@@ -85,7 +90,7 @@
         let voter = self.roster.is_voter(self.id);
         let lent = now.saturating_add(self.terms.outlasts());
         let peer = self.peers.entry(ask.from).or_default();
-        if ask.from == self.id || !peer.lives(ask.life) {
+        if self.retired || ask.from == self.id || !peer.lives(ask.life) {
             return None;
         }
         let known = if ask.knows.life == self.life { ask.knows.sequence.min(self.journal.last()) } else { 0 };
@@ -99,7 +104,7 @@
         let (keys, reach, more) = self.journal.after(known, MOST_KEYS);
         let lends = voter && self.caught_up && same_roster && !more;
         if lends {
-            peer.lent_until = lent.max(peer.lent_until);
+            peer.lend(now, lent);
         }
         self.look(now);
         Some(Answer {
@@ -117,8 +122,16 @@
         })
     }
 
-    /// An answer, **after** the cells of its keys are merged, kept and enforced here. False for one that is of no
-    /// use: too late, told twice, of an earlier life.
+    /// This process answers nobody any more. To be called **before** the next process under this name starts: two
+    /// that answer could tell a change and lend knowledge without it. What it knows ends as all leases do; to
+    /// go on knowing while it drains, it asks as a member of its own that is no voter.
+    pub fn retire(&mut self) {
+        self.retired = true;
+    }
+
+    /// An answer, **after** the cells of its keys are merged, kept and enforced here. One of which a cell could not
+    /// be read or kept must not come here: this member then goes stale, and nobody counts on it. False for
+    /// one that is of no use: too late, told twice, of an earlier life.
     pub fn answered(&mut self, answer: &Answer<K>) -> bool {
         let same_roster = answer.roster == self.roster.stamp();
         let voter = self.roster.is_voter(answer.from);
@@ -147,6 +160,7 @@
             self.peers.values_mut().for_each(|peer| peer.same_roster = false);
             self.heard.clear();
             self.roster = next;
+            self.roster_since = now;
         }
         Ok(())
     }
@@ -209,10 +223,13 @@
         self.caught_up = self.caught_up || all || self.roster.know(&full);
     }
 
-    pub(super) fn own_lessees(&self, now: u64) -> Option<Vec<MemberId>> {
+    pub(super) fn own_lessees(&self, now: u64) -> Option<Vec<(MemberId, u64)>> {
         let since = self.started.saturating_add(self.terms.outlasts());
-        let lent = self.peers.iter().filter(|(_, peer)| peer.lent_until > now);
-        (now >= since).then(|| lent.map(|(&id, _)| id).collect())
+        let lent = self
+            .peers
+            .iter()
+            .flat_map(|(&id, peer)| peer.lent.iter().map(move |(&life, end)| (id, life, end)));
+        (now >= since).then(|| lent.filter(|it| *it.2 > now).map(|(id, life, _)| (id, life)).collect())
     }
 
     fn lessees(&self, now: u64) -> Lessees {
--- a/crates/grants/src/revocation/peer.rs
+++ b/crates/grants/src/revocation/peer.rs
@@ -19,8 +19,8 @@
     asks: BTreeMap<u64, u64>,
     /// When the question was sent whose answer counts longest.
     pub known_since: Option<u64>,
-    /// Until when on this member's clock it may know by this member's word.
-    pub lent_until: u64,
+    /// Until when on this member's clock each of its lives may know by this member's word.
+    pub lent: BTreeMap<u64, u64>,
     /// How much of this member's journal it enforces.
     pub confirmed: u64,
     /// Whether it said so with the same roster.
@@ -42,7 +42,7 @@
     pub fn begin(&mut self, life: u64) {
         *self = Peer {
             life,
-            lent_until: self.lent_until,
+            lent: std::mem::take(&mut self.lent),
             known_since: self.known_since,
             number: self.number,
             asks: std::mem::take(&mut self.asks),
@@ -50,6 +50,13 @@
         };
     }
 
+    /// Its present life may know by this member's word until then.
+    pub fn lend(&mut self, now: u64, until: u64) {
+        self.lent.retain(|_, end| *end > now);
+        let end = self.lent.entry(self.life).or_default();
+        *end = until.max(*end);
+    }
+
     pub fn ask(&mut self, now: u64) -> (u64, Mark) {
         self.number += 1;
         self.asks.insert(self.number, now);
--- a/crates/grants/src/revocation/progress.rs
+++ b/crates/grants/src/revocation/progress.rs
@@ -61,37 +61,38 @@
 pub(super) struct Standing<'a> {
     peers: &'a BTreeMap<MemberId, Peer>,
     roster: &'a Roster,
-    own: MemberId,
-    own_lessees: Option<Vec<MemberId>>,
+    own: (MemberId, u64),
+    own_lessees: Option<Vec<(MemberId, u64)>>,
+    /// Whether lessees alone may settle it: a member that did not follow to this roster may know by the last one,
+    /// from voters that are none any more, until that has ended.
+    early: bool,
 }
 
 impl<'a> Standing<'a> {
-    pub fn of(
-        peers: &'a BTreeMap<MemberId, Peer>, roster: &'a Roster, own: MemberId,
-        own_lessees: Option<Vec<MemberId>>,
-    ) -> Standing<'a> {
-        Standing { peers, roster, own, own_lessees }
-    }
-
     fn confirmed(&self, member: MemberId, sequence: u64) -> bool {
-        member == self.own || self.peers.get(&member).is_some_and(|peer| peer.confirmed >= sequence)
+        member == self.own.0 || self.peers.get(&member).is_some_and(|peer| peer.confirmed >= sequence)
     }
 
     /// The voters that hold it, this member included where it is one.
     fn holders(&self, sequence: u64) -> BTreeSet<MemberId> {
         let same = |id: &MemberId| self.peers.get(id).is_some_and(|peer| peer.same_roster);
         let voters = self.roster.voters().into_iter();
-        voters.filter(|&id| self.confirmed(id, sequence) && (id == self.own || same(&id))).collect()
+        voters.filter(|&id| self.confirmed(id, sequence) && (id == self.own.0 || same(&id))).collect()
     }
 
     /// Whether all to whom this holder may have lent knowledge from before the change confirm it.
     fn settled(&self, holder: MemberId, sequence: u64) -> bool {
         let lessees = match self.peers.get(&holder).map(|peer| &peer.lessees) {
-            _ if holder == self.own => self.own_lessees.as_ref(),
+            _ if holder == self.own.0 => self.own_lessees.as_ref(),
             Some(Some(Lessees::These(lessees))) => Some(lessees),
             _ => None,
         };
-        lessees.is_some_and(|all| all.iter().all(|&lessee| self.confirmed(lessee, sequence)))
+        // An earlier life of one that confirms may still run, as during a hand-over, and knows what it knew.
+        let lives = |id: MemberId, life: u64| self.peers.get(&id).is_some_and(|peer| peer.life == life);
+        let confirms = |&(id, life): &(MemberId, u64)| {
+            (id, life) == self.own || id != self.own.0 && lives(id, life) && self.confirmed(id, sequence)
+        };
+        lessees.is_some_and(|all| all.iter().all(confirms))
     }
 }
 
@@ -105,7 +106,7 @@
             }
             let settled = holders.into_iter().filter(|&id| standing.settled(id, sequence)).collect();
             let ended = track.held_at.is_some_and(|at| now >= at.saturating_add(terms.outlasts()));
-            track.fleet_wide = ended || standing.roster.hold(&settled);
+            track.fleet_wide = ended || standing.early && standing.roster.hold(&settled);
         }
     }
 }
@@ -125,7 +126,7 @@
     pub fn progress(&mut self, sequence: u64, members: &BTreeSet<MemberId>, now: u64) -> Option<Progress> {
         self.look(now);
         let track = *self.tracks.0.get(&sequence)?;
-        let standing = Standing::of(&self.peers, &self.roster, self.id, None);
+        let standing = self.standing(now);
         let others = members.iter().copied().filter(|&id| id != self.id);
         let (told, missing): (Vec<_>, Vec<_>) = others.partition(|&id| standing.confirmed(id, sequence));
         let after = self.terms.outlasts();
@@ -147,7 +148,18 @@
     }
 
     pub(super) fn look(&mut self, now: u64) {
-        let own = self.own_lessees(now);
-        self.tracks.look(&Standing::of(&self.peers, &self.roster, self.id, own), &self.terms, now);
+        let mut tracks = std::mem::take(&mut self.tracks);
+        tracks.look(&self.standing(now), &self.terms, now);
+        self.tracks = tracks;
+    }
+
+    fn standing(&self, now: u64) -> Standing<'_> {
+        Standing {
+            peers: &self.peers,
+            roster: &self.roster,
+            own: (self.id, self.life),
+            own_lessees: self.own_lessees(now),
+            early: now >= self.roster_since.saturating_add(self.terms.outlasts()),
+        }
     }
 }
--- a/crates/grants/src/revocation/roster.rs
+++ b/crates/grants/src/revocation/roster.rs
@@ -47,7 +47,7 @@
                 "first give all members the new voters with the former beside them, then without"
             }
             RosterError::TooSoon => {
-                "wait until every member has taken the file with both, and shows no `stale`"
+                "wait until every member has taken the file with both and none is stale; go back to it if one is"
             }
         }
     }
@@ -67,15 +67,17 @@
         Roster { former: Some((last.voters.clone(), last.needs)), ..self }
     }
 
-    /// Whether the next roster may follow this one; `knows` is whether this member does now.
+    /// Whether the next roster may follow this one; `knows` is whether this member does now. Taking former voters in
+    /// beside these is safe at any time, for it asks for more; letting them go is not.
     pub(super) fn step(&self, next: &Roster, knows: bool) -> Result<(), RosterError> {
-        let both = next.former.as_ref().is_some_and(|former| *former == (self.voters.clone(), self.needs));
-        let done = next.former.is_none() && next.voters == self.voters && next.needs == self.needs;
-        match (self.former.is_some(), done, both) {
+        let now = (&self.voters, self.needs);
+        let same = now == (&next.voters, next.needs);
+        let joins = next.former.as_ref().is_some_and(|former| now == (&former.0, former.1));
+        match (&self.former, &next.former) {
             _ if self == next => Ok(()),
-            (true, true, _) if knows => Ok(()),
-            (true, true, _) => Err(RosterError::TooSoon),
-            (false, _, true) => Ok(()),
+            (None, Some(_)) if joins || same => Ok(()),
+            (Some(_), None) if same && knows => Ok(()),
+            (Some(_), None) if same => Err(RosterError::TooSoon),
             _ => Err(RosterError::Step),
         }
     }
--- a/crates/grants/src/revocation/talk.rs
+++ b/crates/grants/src/revocation/talk.rs
@@ -14,7 +14,8 @@
 /// To whom knowledge is lent that may not have ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Lessees {
-    These(Vec<MemberId>),
+    /// With the life that it was lent to.
+    These(Vec<(MemberId, u64)>),
     /// So short after its start a member cannot say what its last life lent.
     Unknown,
 }
--- a/crates/grants/tests/revocation.rs
+++ b/crates/grants/tests/revocation.rs
@@ -4,7 +4,7 @@
 mod fleet;
 
 use fleet::{Fleet, DRIFT, LEASE};
-use glenrail_grants::revocation::{Bound, Needs, Stage, Start, Terms};
+use glenrail_grants::revocation::{Bound, Needs, Roster, RosterError, Stage, Start, Terms};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::select;
@@ -24,6 +24,8 @@
     Pause(usize, bool),
     Copy(usize),
     Restart(usize, Start),
+    NextRoster(usize),
+    LastRoster(usize),
 }
 
 fn step(members: usize) -> impl Strategy<Value = Step> {
@@ -42,6 +44,8 @@
         1 => Just(Step::Heal),
         2 => (at(), any::<bool>()).prop_map(|(at, paused)| Step::Pause(at, paused)),
         1 => at().prop_map(Step::Copy),
+        1 => at().prop_map(Step::NextRoster),
+        1 => at().prop_map(Step::LastRoster),
         2 => (at(), select(&[Start::Kept, Start::Empty, Start::Restored][..]))
             .prop_map(|(at, start)| Step::Restart(at, start)),
     ]
@@ -66,6 +70,8 @@
             Step::Heal => fleet.heal(),
             Step::Pause(at, paused) => fleet.pause(at, paused),
             Step::Copy(at) => fleet.copy(at),
+            Step::NextRoster(at) => fleet.next_roster(at),
+            Step::LastRoster(at) => fleet.last_roster(at),
             Step::Restart(at, start) => fleet.restart(at, start),
         }
         fleet.check()?;
@@ -77,10 +83,18 @@
     fleet.heal();
     for at in 0..fleet.nodes.len() {
         fleet.pause(at, false);
+        fleet.last_roster(at);
     }
-    for _ in 0..4 {
-        fleet.now += 10;
-        fleet.round();
+    for stage in 0..3 {
+        for _ in 0..4 {
+            fleet.now += 10;
+            fleet.round();
+        }
+        for at in 0..fleet.nodes.len() {
+            if fleet.nodes[at].stage <= stage {
+                fleet.next_roster(at);
+            }
+        }
     }
 }
 
@@ -186,6 +200,27 @@
     }
 }
 
+#[test]
+fn voters_change_by_way_of_both() {
+    let mut fleet = Fleet::new(4, 3, Needs::Majority, &[1_000]);
+    fleet.round();
+    let next = || Roster::new(101..104, Needs::Majority).unwrap();
+    let both = next().after(&Roster::new(100..103, Needs::Majority).unwrap());
+    let member = &mut fleet.nodes[0].member;
+    assert_eq!(member.set_roster(next(), 0), Err(RosterError::Step));
+    assert_eq!(member.set_roster(both, 0), Ok(()));
+    assert_eq!(member.set_roster(next(), 0), Err(RosterError::TooSoon));
+    assert_eq!(Roster::new([], Needs::Every).unwrap_err(), RosterError::None);
+}
+
+#[test]
+fn a_retired_process_lends_nothing() {
+    let mut fleet = Fleet::new(2, 1, Needs::Majority, &[1_000]);
+    fleet.nodes[0].member.retire();
+    fleet.round();
+    assert!(!fleet.admits(1));
+}
+
 #[test]
 fn all_confirmed_is_fleet_wide_without_waiting() {
     let mut fleet = Fleet::new(4, 3, Needs::Majority, &[1_000]);
--- a/crates/grants/tests/support/fleet.rs
+++ b/crates/grants/tests/support/fleet.rs
@@ -6,7 +6,7 @@
 use glenrail_grants::compiled::{Decision, RuleId};
 use glenrail_grants::document::UnderWay;
 use glenrail_grants::revocation::{
-    Answer, Ask, Bound, Member, MemberId, Needs, Progress, Roster, Stage, Stale, Start, Terms,
+    Answer, Ask, Bound, Lease, Member, MemberId, Needs, Progress, Roster, Stage, Stale, Start, Terms,
 };
 
 pub const LEASE: u64 = 1_000;
@@ -23,6 +23,8 @@
     /// Thousandths of true time.
     rate: u64,
     paused: bool,
+    /// Which of the rosters it has taken.
+    pub stage: usize,
     /// Number by change, of those taken or followed in this life.
     followed: BTreeMap<u32, u64>,
 }
@@ -36,10 +38,13 @@
 pub struct Fleet {
     pub nodes: Vec<Node>,
     pub now: u64,
-    roster: Roster,
+    /// The first voters, both, and the next: the same number, shifted by one.
+    rosters: [Roster; 3],
     wire: Vec<(usize, Message)>,
     cut: BTreeSet<(usize, usize)>,
     changes: u32,
+    /// Processes that a next one took over from, and that still take requests: which, what they knew, what they had.
+    before: Vec<(usize, Lease, BTreeSet<u32>)>,
     /// Changes that some member showed as fleet-wide.
     pub fleet_wide: BTreeSet<u32>,
     /// A voter whose store went back, until it has caught up.
@@ -48,14 +53,16 @@
 
 impl Fleet {
     pub fn new(members: usize, voters: usize, needs: Needs, rates: &[u64]) -> Fleet {
-        let roster = Roster::new((0..voters).map(id), needs).unwrap();
+        let first = Roster::new((0..voters).map(id), needs).unwrap();
+        let last = Roster::new((members - voters..members).map(id), needs).unwrap();
         let mut fleet = Fleet {
             nodes: Vec::new(),
             now: 10_000,
-            roster,
+            rosters: [first.clone(), last.clone().after(&first), last],
             wire: Vec::new(),
             cut: BTreeSet::new(),
             changes: 0,
+            before: Vec::new(),
             fleet_wide: BTreeSet::new(),
             lost: None,
         };
@@ -63,9 +70,19 @@
             let (offset, rate) = (at as u64 * 777, rates[at % rates.len()]);
             let kept = BTreeSet::new();
             let clock = offset + fleet.now * rate / 1_000;
-            let member = member(at, 1, &fleet.roster, Start::Kept, &kept, clock);
+            let member = member(at, 1, &fleet.rosters[0], Start::Kept, &kept, clock);
             let (copy, followed) = (BTreeSet::new(), BTreeMap::new());
-            fleet.nodes.push(Node { member, life: 1, kept, copy, offset, rate, paused: false, followed });
+            fleet.nodes.push(Node {
+                member,
+                life: 1,
+                kept,
+                copy,
+                offset,
+                rate,
+                paused: false,
+                stage: 0,
+                followed,
+            });
         }
         fleet
     }
@@ -160,6 +177,26 @@
         Some(change)
     }
 
+    /// The member takes the next roster, if it may.
+    pub fn next_roster(&mut self, at: usize) {
+        let clock = self.clock(at);
+        let node = &mut self.nodes[at];
+        let next = self.rosters.get(node.stage + 1).cloned();
+        if next.is_some_and(|next| !node.paused && node.member.set_roster(next, clock).is_ok()) {
+            node.stage += 1;
+        }
+    }
+
+    /// Back to both from the next, which is always allowed.
+    pub fn last_roster(&mut self, at: usize) {
+        let clock = self.clock(at);
+        let node = &mut self.nodes[at];
+        if node.stage == 2 {
+            node.member.set_roster(self.rosters[1].clone(), clock).unwrap();
+            node.stage = 1;
+        }
+    }
+
     pub fn cut(&mut self, from: usize, to: usize) {
         self.cut.insert((from, to));
     }
@@ -176,19 +213,18 @@
         self.nodes[at].copy = self.nodes[at].kept.clone();
     }
 
-    /// At most one voter at a time loses what it kept: more is outside of what is promised.
+    /// At most one at a time loses what it kept: of voters, more is outside of what is promised.
     pub fn restart(&mut self, at: usize, start: Start) {
-        let voter = self.roster.is_voter(id(at));
         let goes_back = start != Start::Kept;
-        if voter && goes_back && self.lost.is_some_and(|other| other != at) {
+        if goes_back && self.lost.is_some_and(|other| other != at) {
             return;
         }
         // One that went back and has not caught up is not to be trusted by its next start either.
-        if voter && !goes_back && self.lost == Some(at) {
+        if !goes_back && self.lost == Some(at) {
             return;
         }
         self.restart_unbounded(at, start);
-        if voter && goes_back {
+        if goes_back {
             self.lost = Some(at);
         }
     }
@@ -197,13 +233,13 @@
         let clock = self.clock(at);
         let node = &mut self.nodes[at];
         match start {
-            Start::Kept => {}
+            Start::Kept => self.before.push((at, node.member.lease(), node.kept.clone())),
             Start::Empty => node.kept.clear(),
             Start::Restored => node.kept = node.copy.clone(),
         }
         node.life += 1;
         node.paused = false;
-        node.member = member(at, node.life, &self.roster, start, &node.kept, clock);
+        node.member = member(at, node.life, &self.rosters[node.stage], start, &node.kept, clock);
         node.followed.clear();
     }
 
@@ -215,8 +251,7 @@
 
     /// Whether the member would let in a request for a restricted model.
     pub fn admits(&self, at: usize) -> bool {
-        let allowed = Decision { allowed: true, rule: RuleId::Rule(0), streams: UnderWay::Finish };
-        !self.nodes[at].paused && self.nodes[at].member.lease().gate(allowed, true, self.clock(at)).allowed
+        !self.nodes[at].paused && lets_in(self.nodes[at].member.lease(), self.clock(at))
     }
 
     /// Looks what is fleet-wide by now, then for a member that lets in against it.
@@ -248,10 +283,23 @@
                 }
             }
         }
+        for (at, lease, had) in &self.before {
+            if lets_in(*lease, self.clock(*at)) && !self.fleet_wide.is_subset(had) {
+                return Err(format!(
+                    "at {} an earlier process of {at} admits against what is fleet-wide",
+                    self.now
+                ));
+            }
+        }
         Ok(())
     }
 }
 
+fn lets_in(lease: Lease, clock: u64) -> bool {
+    let allowed = Decision { allowed: true, rule: RuleId::Rule(0), streams: UnderWay::Finish };
+    lease.gate(allowed, true, clock).allowed
+}
+
 fn id(at: usize) -> MemberId {
     at as MemberId + 100
 }
