--- a/crates/grants/src/compiled/mod.rs
+++ b/crates/grants/src/compiled/mod.rs
@@ -24,6 +24,7 @@
 mod clauses;
 mod models;
 mod rows;
+mod said;
 mod verdicts;
 
 use std::collections::HashMap;
@@ -34,6 +35,7 @@
 
 pub use build::Trouble;
 use rows::Rows;
+pub use said::Said;
 use verdicts::Verdict;
 
 /// A team of one table. Of no use with another one.
--- a/crates/grants/src/revocation/lease.rs
+++ b/crates/grants/src/revocation/lease.rs
@@ -21,8 +21,9 @@
         now < self.until
     }
 
-    /// The table's decision as far as this member may go by it. `now` is the time of the leases, ms, taken **after**
-    /// the table was read and not before, so that a pause between both refuses and never admits.
+    /// The table's decision as far as this member may go by it. A driver takes **the lease first, then the table,
+    /// then the time** (`now`, ms on the clock of the leases): the table is then at least as new as what the lease
+    /// rests on, and a pause in between refuses and never admits.
     pub fn gate(&self, decision: Decision, restricted: bool, now: u64) -> Decision {
         let refuses = match self.stale {
             Stale::RefuseRestricted => restricted,
--- a/crates/grants/src/revocation/member.rs
+++ b/crates/grants/src/revocation/member.rs
@@ -79,7 +79,8 @@
 
     /// The next question to another member. To be asked of every member that is not known to have left.
     pub fn ask(&mut self, to: MemberId, now: u64) -> Ask {
-        let lessees = self.lessees(now);
+        let follows = self.peers.get(&to).is_some_and(|peer| peer.follows);
+        let lessees = if follows { self.lessees(now) } else { Lessees::Unknown };
         let (number, knows) = self.peers.entry(to).or_default().ask(now);
         Ask { from: self.id, life: self.life, roster: self.roster.stamp(), number, knows, lessees }
     }
@@ -118,6 +119,7 @@
             keys,
             more,
             lends,
+            follows: self.tracks.any_open(),
             empty: self.start == Start::Empty && !self.caught_up,
         })
     }
@@ -141,6 +143,7 @@
         }
         let Some(sent) = peer.sent(answer.number) else { return false };
         peer.knows = answer.reach.max(peer.knows);
+        peer.follows = answer.follows;
         if !answer.more && same_roster && voter {
             if answer.lends {
                 peer.known_since = peer.known_since.max(Some(sent));
--- a/crates/grants/src/revocation/peer.rs
+++ b/crates/grants/src/revocation/peer.rs
@@ -26,6 +26,8 @@
     /// Whether it said so with the same roster.
     pub same_roster: bool,
     pub lessees: Option<Lessees>,
+    /// Whether it needs this member's.
+    pub follows: bool,
 }
 
 impl Peer {
--- a/crates/grants/src/revocation/progress.rs
+++ b/crates/grants/src/revocation/progress.rs
@@ -97,6 +97,10 @@
 }
 
 impl Tracks {
+    pub fn any_open(&self) -> bool {
+        self.0.values().any(|track| !track.fleet_wide)
+    }
+
     /// Brings all that are followed up to date.
     pub fn look(&mut self, standing: &Standing<'_>, terms: &Terms, now: u64) {
         for (&sequence, track) in self.0.iter_mut().filter(|(_, track)| !track.fleet_wide) {
--- a/crates/grants/src/revocation/talk.rs
+++ b/crates/grants/src/revocation/talk.rs
@@ -16,7 +16,7 @@
 pub enum Lessees {
     /// With the life that it was lent to.
     These(Vec<(MemberId, u64)>),
-    /// So short after its start a member cannot say what its last life lent.
+    /// Not asked for ([`Answer::follows`]); or, so short after its start, a member cannot say what its last life lent.
     Unknown,
 }
 
@@ -51,6 +51,8 @@
     pub more: bool,
     /// Whether it counts as a voter's word that lends knowledge.
     pub lends: bool,
+    /// The answerer follows a change that is not fleet-wide yet, and needs the asker's lessees.
+    pub follows: bool,
     /// The answerer began with nothing and has not caught up: its word says nothing about what was held.
     pub empty: bool,
 }
--- a/crates/grants/tests/dry_run.rs
+++ b/crates/grants/tests/dry_run.rs
@@ -26,6 +26,7 @@
     let (model, decision) = &run.teams["b"].loses[0];
     assert_eq!((model.as_str(), after.rule(decision.rule).unwrap().rule.as_str()), ("m", "no"));
     assert_eq!(run.teams["a"].loses[0].1.rule, RuleId::Default);
+    assert_eq!(after.say(decision.rule).to_string(), "rule `no` of team `b`");
     // The team `a` loses all, and does not call.
     assert_eq!(run.confirm(false), Err(Unconfirmed { teams: vec!["b".to_owned()] }));
     assert_eq!(run.confirm(true), Ok(()));
--- a/crates/grants/tests/revocation.rs
+++ b/crates/grants/tests/revocation.rs
@@ -3,8 +3,10 @@
 #[path = "support/fleet.rs"]
 mod fleet;
 
+use std::collections::BTreeSet;
+
 use fleet::{Fleet, DRIFT, LEASE};
-use glenrail_grants::revocation::{Bound, Needs, Roster, RosterError, Stage, Start, Terms};
+use glenrail_grants::revocation::{Bound, Member, Needs, Roster, RosterError, Stage, Stale, Start, Terms};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::select;
@@ -261,3 +263,27 @@
     fleet.round();
     assert!((0..3).all(|at| fleet.admits(at)));
 }
+
+#[test]
+fn nobody_knows_before_all_is_handed_over() {
+    let terms = Terms::new(LEASE, DRIFT, 0).unwrap();
+    let roster = || Roster::new([1], Needs::Majority).unwrap();
+    let mut voter = Member::new((1, 1), terms, Stale::RefuseAll, roster(), Start::Kept, 0..600u32, 0);
+    let mut other = Member::new((2, 1), terms, Stale::RefuseAll, roster(), Start::Empty, [], 0);
+    let mut keys = BTreeSet::new();
+    for (turn, last) in [(0, false), (1, false), (2, true)] {
+        let ask = other.ask(1, turn);
+        let answer = voter.asked(&ask, turn).unwrap();
+        assert_eq!((answer.more, answer.lends), (!last, last));
+        keys.extend(answer.keys.iter().copied());
+        assert!(other.answered(&answer));
+        assert!(!other.answered(&answer), "told twice");
+        assert_eq!(other.knows(turn), last);
+    }
+    assert_eq!(keys.len(), 600);
+    // A question without news is answered in a few bytes.
+    let ask = other.ask(1, 3);
+    let answer = voter.asked(&ask, 3).unwrap();
+    assert!(postcard::to_stdvec(&ask).unwrap().len() <= 64);
+    assert!(postcard::to_stdvec(&answer).unwrap().len() <= 64);
+}
