Test that a late question takes no lessee back and a member that begins anew is not told

Two faults planted in the lease machine went unseen by the simulated fleet: a question overtaken by a later one took the place of it, and a confirmation outlived the life that gave it. Each has a test that fails with it.

--- a/crates/grants/tests/revocation.rs
+++ b/crates/grants/tests/revocation.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeSet;
 
 use fleet::{Fleet, DRIFT, LEASE};
-use glenrail_grants::revocation::{Bound, Member, Needs, Roster, RosterError, Stage, Stale, Start, Terms};
+use glenrail_grants::revocation::{
+    Ask, Bound, Lessees, Mark, Member, Needs, Roster, RosterError, Stage, Stale, Start, Terms,
+};
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::sample::select;
@@ -287,3 +289,38 @@
     assert!(postcard::to_stdvec(&ask).unwrap().len() <= 64);
     assert!(postcard::to_stdvec(&answer).unwrap().len() <= 64);
 }
+
+#[test]
+fn a_question_that_comes_late_does_not_take_back_whom_was_lent_to() {
+    let terms = Terms::new(LEASE, DRIFT, 0).unwrap();
+    let member = |id| {
+        let roster = Roster::new([1, 2, 3], Needs::Majority).unwrap();
+        Member::<u32>::new((id, 1), terms, Stale::RefuseAll, roster, Start::Kept, [], 0)
+    };
+    let (mut one, mut other, now) = (member(1), member(2), terms.outlasts());
+    let change = one.changed(7);
+    one.track(change, now);
+    let early = Ask { lessees: Lessees::These(Vec::new()), ..other.ask(1, now) };
+    let knows = Mark { life: 1, sequence: change };
+    let late = Ask { knows, lessees: Lessees::These(vec![(4, 1)]), ..other.ask(1, now) };
+    for ask in [&late, &early] {
+        one.asked(ask, now).unwrap();
+        let progress = one.progress(change, &BTreeSet::from([2, 4]), now).unwrap();
+        assert_eq!((progress.stage, progress.told), (Stage::Told, 1));
+    }
+}
+
+#[test]
+fn one_that_begins_anew_has_not_been_told() {
+    let mut fleet = Fleet::new(3, 2, Needs::Majority, &[1_000]);
+    fleet.round();
+    let change = fleet.change(0).unwrap();
+    fleet.round();
+    fleet.round();
+    assert_eq!(fleet.progress(0, change).unwrap().told, 2);
+    fleet.restart(2, Start::Empty);
+    fleet.ask(2, 0);
+    fleet.deliver(0, false);
+    let progress = fleet.progress(0, change).unwrap();
+    assert_eq!((progress.told, progress.missing), (1, vec![102]));
+}
