--- a/crates/grants/tests/revocation.rs
+++ b/crates/grants/tests/revocation.rs
@@ -324,3 +324,17 @@
     let progress = fleet.progress(0, change).unwrap();
     assert_eq!((progress.told, progress.missing), (1, vec![102]));
 }
+
+#[test]
+fn an_answer_under_the_last_roster_lends_nothing_under_the_next() {
+    let terms = Terms::new(LEASE, DRIFT, 0).unwrap();
+    let roster = |needs| Roster::new([1], needs).unwrap();
+    let member = |id| {
+        Member::<u32>::new((id, 1), terms, Stale::RefuseAll, roster(Needs::Majority), Start::Kept, [], 0)
+    };
+    let (mut voter, mut other) = (member(1), member(2));
+    let answers = [0, 1].map(|now| voter.asked(&other.ask(1, now), now).unwrap());
+    assert!(other.answered(&answers[0]) && other.knows(2));
+    other.set_roster(roster(Needs::Every).after(&roster(Needs::Majority)), 2).unwrap();
+    assert!(other.answered(&answers[1]) && !other.knows(2));
+}
