--- /dev/null
+++ b/crates/overload/src/order/mod.rs
@@ -0,0 +1,22 @@
+//! Who goes first at a level. Requests fall into bands by what they are worth a unit of work, then whether they may
+//! not be repeated, then whether their tenant is within its share ([`band`]); the level's share of the work is taken
+//! from the lowest bands, and of the band in which it ends by a hash of owner and session ([`Cut`]). The hash is the
+//! same at all gateways, so a session that is refused here is refused everywhere, and coming back or shopping around
+//! gains nothing. [`Admission`] adds what a gateway remembers of sessions it has served.
+
+mod admission;
+mod band;
+mod cut;
+mod place;
+mod retry_after;
+mod served;
+
+pub use admission::{Admission, Request, Verdict};
+pub use band::{band, Repeat};
+pub use cut::Cut;
+pub use place::Place;
+pub use retry_after::RetryAfter;
+pub use served::Served;
+
+#[cfg(test)]
+mod tests;
