--- a/crates/overload/src/budget/held.rs
+++ b/crates/overload/src/budget/held.rs
@@ -88,7 +88,8 @@
     /// came before the lender's promise, and no earlier than `from`; `any` takes every grant. Faults use both.
     pub fn take(&mut self, from: Ms, lender: Member, grant: &Grant, any: bool) -> Result<(), HearError> {
         let side = self.sides.get_mut(&lender).ok_or(HearError::OldGrant)?;
-        if !any && !(side.waits && side.asked == grant.number) {
+        let answers = side.waits && side.asked == grant.number;
+        if !(answers || any) {
             return Err(HearError::OldGrant);
         }
         let until = from.max(side.asked_at).saturating_add(grant.length);
--- a/crates/overload/src/budget/lent.rs
+++ b/crates/overload/src/budget/lent.rs
@@ -53,7 +53,7 @@
     /// Takes an ask into the books. What was promised to it already is answered again as it was; otherwise nothing
     /// is promised yet.
     pub fn ask(&mut self, now: Ms, from: Member, ask: &Ask, keep: Ms) -> Result<Option<Units>, HearError> {
-        self.books.retain(|_, book| book.kept > now || book.aside(now) > 0);
+        self.prune(now);
         if self.books.len() >= MOST_BORROWERS && !self.books.contains_key(&(from, ask.life)) {
             return Err(HearError::TooManyBorrowers { from, most: MOST_BORROWERS });
         }
@@ -71,6 +71,14 @@
         Ok(None)
     }
 
+    /// Forgets what has ended.
+    pub fn prune(&mut self, now: Ms) {
+        for book in self.books.values_mut() {
+            book.promises.retain(|p| p.until > now);
+        }
+        self.books.retain(|_, book| book.kept > now || !book.promises.is_empty());
+    }
+
     pub fn promise(&mut self, from: Member, ask: &Ask, amount: Units, until: Ms) {
         let book = self.books.entry((from, ask.life)).or_default();
         book.promises.push(Promise { number: ask.number, amount, until });
--- a/crates/overload/src/budget/machine.rs
+++ b/crates/overload/src/budget/machine.rs
@@ -69,6 +69,22 @@
         }
     }
 
+    /// For the explorer: forgets what has ended and what makes no difference to parts any more, so that what behaves
+    /// alike is alike. Its clocks never go back, and it looks at parts, not at what is saved up of them.
+    #[cfg(feature = "mutants")]
+    pub fn forget_past(&mut self, now: Ms) {
+        self.purse = Purse::new(0);
+        if self.fault == Some(Fault::TrustsOldClock) {
+            return;
+        }
+        self.held.prune(now, self.terms.lease);
+        self.lent.prune(now);
+        self.at = 0;
+        if self.whole_at <= now {
+            self.whole_at = 0;
+        }
+    }
+
     /// What of its own share this member may spend.
     pub fn own(&self, now: Ms) -> Units {
         #[cfg(feature = "mutants")]
@@ -113,6 +129,7 @@
     /// An ask to a lender for so much in all; for nothing, what is held from it is given back.
     pub fn ask(&mut self, now: Ms, lender: Member, want: Units) -> Ask {
         let now = self.pass(now);
+        #[cfg(not(feature = "mutants"))]
         let keep = false;
         #[cfg(feature = "mutants")]
         let keep = self.fault == Some(Fault::KeepsGivenBack);
--- a/explore/src/check.rs
+++ b/explore/src/check.rs
@@ -4,11 +4,12 @@
 
 use glenrail_lifecycle::request::{Fault, Repeat};
 use glenrail_lifecycle::{client as client_machine, server as server_machine};
+use glenrail_overload::budget as budget_machine;
 use stateright::{Checker, HasDiscoveries, Model};
 
 use crate::rules::Rule;
 use crate::world::{Explored, Setting, ENDS, HOLDS};
-use crate::{client, request, server};
+use crate::{budget, client, request, server};
 
 /// What exploring one world gave.
 pub struct Explore<A> {
@@ -27,7 +28,7 @@
     let checker = checker.spawn_bfs().join();
     let broken = [HOLDS, ENDS].into_iter().find_map(|property| {
         let path = checker.discovery(property)?;
-        let rule = S::violated(path.last_state()).unwrap_or(Rule::EveryRequestEnds);
+        let rule = S::violated(path.last_state()).unwrap_or(S::REST);
         Some((rule, path.into_actions()))
     });
     Explore {
@@ -139,6 +140,32 @@
     Case { name: "a server's connection, three requests", setup: server::Setup { requests: 3, fault: None } }
 }
 
+/// The worlds of leased budgets: clocks that run as far apart as they may, from their first ask to after a restart.
+pub fn budgets(reach: Reach) -> Vec<Case<budget::Setup>> {
+    let base = budget::Setup { asks: 2, ticks: 5, troubles: 0, fault: None };
+    let quick = vec![
+        Case { name: "a budget of three, two asks, five ticks, messages lost and reordered", setup: base },
+        Case {
+            name: "a budget of three, one ask, six ticks, two troubles",
+            setup: budget::Setup { asks: 1, ticks: 6, troubles: 2, ..base },
+        },
+    ];
+    let whole = vec![
+        Case {
+            name: "a budget of three, one ask, eight ticks, three troubles",
+            setup: budget::Setup { asks: 1, ticks: 8, troubles: 3, ..base },
+        },
+        Case {
+            name: "a budget of three, two asks, six ticks, one trouble",
+            setup: budget::Setup { ticks: 6, troubles: 1, ..base },
+        },
+    ];
+    match reach {
+        Reach::Quick => quick,
+        Reach::Whole => quick.into_iter().chain(whole).collect(),
+    }
+}
+
 /// A planted fault, and the rule that it was planted to break.
 pub struct Mutant<F> {
     pub fault: F,
@@ -186,8 +213,24 @@
     KeepsAfterUnread => NoRequestInBody,
 });
 
+mutants!(BUDGET_FAULTS: budget_machine::Fault {
+    CountsFromArrival => EndedNotSpent,
+    WaitsBareLength => SumWithinBudget,
+    ForgetsAtRestart => SumWithinBudget,
+    TakesOldGrant => SumWithinBudget,
+    TrustsOldClock => EndedNotSpent,
+    ForgetsFormerGrant => SumWithinBudget,
+    SpendsLent => SumWithinBudget,
+    KeepsGivenBack => SumWithinBudget,
+});
+
 /// The world in which a request's fault is looked for: small, with places and a second writer.
 pub fn faulty(fault: Fault) -> request::Setup {
     let holds = u8::from(fault == Fault::ForgetsPlace);
     request::Setup { fault: Some(fault), troubles: 2, holds, ..BASE }
 }
+
+/// The world in which a budget's fault is looked for.
+pub fn faulty_budget(fault: budget_machine::Fault) -> budget::Setup {
+    budget::Setup { asks: 2, ticks: 5, troubles: 1, fault: Some(fault) }
+}
--- a/explore/src/lib.rs
+++ b/explore/src/lib.rs
@@ -1,7 +1,8 @@
-//! Explores the machines of `glenrail-lifecycle` exhaustively in small worlds: every order of events, with every
+//! Explores the machines of `glenrail-lifecycle`, and that of the fleet's leased budgets, exhaustively in small worlds: every order of events, with every
 //! set of so many troubles among them. What is explored is what the gateway runs; `docs/lifecycle.md` has the
-//! properties and the measured sizes.
+//! properties and the measured sizes, and `docs/one-fleet.md` those of budgets.
 
+pub mod budget;
 pub mod check;
 pub mod client;
 pub mod corners;
--- a/explore/src/main.rs
+++ b/explore/src/main.rs
@@ -95,6 +95,9 @@
 fn all(reach: Reach, threads: usize, traces: &std::path::Path) -> Result<bool> {
     let mut well = one(&check::clients(), threads, traces)?;
     well &= one(&check::servers(), threads, traces)?;
+    for case in check::budgets(reach) {
+        well &= one(&case, threads, traces)?;
+    }
     for case in check::requests(reach) {
         well &= one(&case, threads, traces)?;
     }
@@ -119,6 +122,10 @@
         let setup = client::Setup { fault: Some(*fault), ..check::clients().setup };
         well &= planted(format!("{fault:?}"), *rule, &setup, &traces)?;
     }
+    for Mutant { fault, rule } in check::BUDGET_FAULTS {
+        let setup = check::faulty_budget(*fault);
+        well &= planted(format!("{fault:?}"), *rule, &setup, &traces)?;
+    }
     Ok(well)
 }
 
--- a/explore/src/rules.rs
+++ b/explore/src/rules.rs
@@ -56,4 +56,10 @@
     HandedOverClean,
     /// No request is read from where an earlier one's body may still go on.
     NoRequestInBody,
+    /// The sum of the parts that members may spend at any moment is at most the fleet's budget.
+    SumWithinBudget,
+    /// A lease that has ended by true time, at the slowest clock that is allowed, is not spent.
+    EndedNotSpent,
+    /// Once all is quiet for the time of a lease, each living member has the whole of its own share again.
+    PartsComeBack,
 }
--- a/explore/src/trace.rs
+++ b/explore/src/trace.rs
@@ -70,6 +70,7 @@
         }
         Named::Client(setup) => in_world(setup, head, &lines, 0),
         Named::Server(setup) => in_world(setup, head, &lines, 0),
+        Named::Budget(setup) => in_world(setup, head, &lines, 0),
     }
 }
 
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -1,4 +1,4 @@
-//! The three worlds as one, for the checker and for traces.
+//! The worlds as one, for the checker and for traces.
 
 use std::hash::Hash;
 
@@ -8,13 +8,16 @@
 
 use crate::request::Log;
 use crate::rules::Rule;
-use crate::{client, request, server};
+use crate::{budget, client, request, server};
 
 /// What may be explored: a start, and what may happen from there.
 pub trait Setting: Clone + Send + Sync + 'static {
     type World: Clone + Eq + Hash + std::fmt::Debug + Send + Sync;
     type Act: Copy + PartialEq + std::fmt::Debug + Serialize + DeserializeOwned + Send + Sync;
 
+    /// The rule that is broken where a world is at rest and not well.
+    const REST: Rule = Rule::EveryRequestEnds;
+
     fn begin(&self) -> Self::World;
     fn acts(&self, world: &Self::World, out: &mut Vec<Self::Act>);
     fn apply(&self, world: &mut Self::World, act: Self::Act, log: &mut Log);
@@ -32,6 +35,7 @@
     Request(request::Setup),
     Client(client::Setup),
     Server(server::Setup),
+    Budget(budget::Setup),
 }
 
 impl Setting for request::Setup {
@@ -61,8 +65,9 @@
 }
 
 macro_rules! setting {
-    ($world:ident, $name:ident) => {
+    ($world:ident, $name:ident, $rest:ident) => {
         impl Setting for $world::Setup {
+            const REST: Rule = Rule::$rest;
             type World = $world::World;
             type Act = $world::Act;
             fn begin(&self) -> $world::World {
@@ -89,8 +94,9 @@
         }
     };
 }
-setting!(client, Client);
-setting!(server, Server);
+setting!(client, Client, EveryRequestEnds);
+setting!(server, Server, EveryRequestEnds);
+setting!(budget, Budget, PartsComeBack);
 
 /// A setting as the checker takes it.
 #[derive(Clone)]
--- a/explore/tests/explore.rs
+++ b/explore/tests/explore.rs
@@ -4,7 +4,8 @@
 
 use glenrail_explore::check::{self, explore};
 use glenrail_explore::rules::Rule;
-use glenrail_explore::{client, corners, request, server, trace};
+use glenrail_explore::{budget, client, corners, request, server, trace};
+use glenrail_overload::budget as budget_machine;
 
 fn traces() -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join("traces")
@@ -28,6 +29,12 @@
         let setup = client::Setup { fault: Some(mutant.fault), ..check::clients().setup };
         assert_eq!(explore(&setup, 1).broken.map(|b| b.0), Some(mutant.rule), "{:?}", mutant.fault);
     }
+    let sound = budget::Setup { asks: 1, ticks: 4, troubles: 1, fault: None };
+    assert!(explore(&sound, 2).broken.is_none());
+    let spends_lent = check::BUDGET_FAULTS.iter().find(|m| m.fault == budget_machine::Fault::SpendsLent);
+    let mutant = spends_lent.expect("it is planted");
+    let setup = budget::Setup { fault: Some(mutant.fault), ..sound };
+    assert_eq!(explore(&setup, 1).broken.map(|b| b.0), Some(mutant.rule));
 }
 
 /// Guards the corners that must be explored, and the counterexamples that were mended: each is a path of its world
