Tell clients that press to come later, retire a process whose name goes on, print what decisions cost

Need: where tries a turn rise, the level alone left the window of returns as it was; a process that hands its name over spent its share beside the new one.

--- a/crates/overload/examples/figures/main.rs
+++ b/crates/overload/examples/figures/main.rs
@@ -3,6 +3,7 @@
 //!
 //! `cargo run --release -p glenrail-overload --example figures`
 
+mod cost;
 mod gates;
 mod lone;
 mod talking;
@@ -39,4 +40,5 @@
             );
         }
     }
+    cost::print();
 }
--- a/crates/overload/examples/figures/talking.rs
+++ b/crates/overload/examples/figures/talking.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use glenrail_overload::alone::Alone;
-use glenrail_overload::amplification::Guard;
+use glenrail_overload::amplification::{Amplification, Guard};
 use glenrail_overload::budget::{Budget, Message, Spare, Terms};
 use glenrail_overload::level::{Class, Fleet, Heard, Level, RoleWait, Wish, Word};
 use glenrail_overload::order::{Admission, Request, RetryAfter, Served, Verdict};
@@ -142,7 +142,8 @@
         gateway.bands.values_mut().for_each(|w| *w = *w * 4 / 5);
         if !self.talk {
             let level = gateway.alone.step(now, &word);
-            gateway.admission.set(level, gateway.alone.bands());
+            let own = [Heard { member: 0, age: 0, word }];
+            gateway.admission.set(level, Amplification::of(&own).returns(), gateway.alone.bands());
             return;
         }
         gateway.heard.insert(n, (now, word.clone()));
@@ -151,9 +152,10 @@
             age: now - told,
             word: word.clone(),
         });
-        gateway.fleet = Fleet::of(&heard.collect::<Vec<_>>());
+        let heard: Vec<Heard> = heard.collect();
+        gateway.fleet = Fleet::of(&heard);
         let level = gateway.level.step(now, gateway.fleet.level);
-        gateway.admission.set(level, &gateway.fleet.bands);
+        gateway.admission.set(level, Amplification::of(&heard).returns(), &gateway.fleet.bands);
         let spare = |(from, (told, word)): (&usize, &(Ms, Word))| {
             let units = word.spare.first().copied().filter(|_| *from != n && now - told < 1_500)?;
             Some(Spare { member: *from as u64, units })
--- a/crates/overload/src/amplification.rs
+++ b/crates/overload/src/amplification.rs
@@ -24,6 +24,13 @@
     }
 }
 
+impl Amplification {
+    /// How much clients press, in thousandths: nothing at one try a turn, all of it at five.
+    pub fn returns(&self) -> PerMille {
+        (self.tries.saturating_sub(WHOLE) / 4).min(WHOLE)
+    }
+}
+
 fn a_whole(of: u64, each: u64) -> PerMille {
     if each == 0 {
         return WHOLE;
@@ -111,6 +118,7 @@
             let found = Amplification::of(&heard);
             prop_assert_eq!(found.attempts, (first + more) * 1_000 / first);
             prop_assert_eq!(found.tries, (first + marked) * 1_000 / first);
+            prop_assert!(found.returns() <= 1_000 && (found.returns() == 0) == (found.tries < 1_004));
         }
     }
 }
--- a/crates/overload/src/budget/machine.rs
+++ b/crates/overload/src/budget/machine.rs
@@ -39,6 +39,7 @@
     lent: Lent,
     pub(super) held: Held,
     pub(super) purse: Purse,
+    retired: bool,
     #[cfg(feature = "mutants")]
     fault: Option<Fault>,
 }
@@ -56,6 +57,7 @@
             lent: Lent::default(),
             held: Held::default(),
             purse: Purse::new(now),
+            retired: false,
             #[cfg(feature = "mutants")]
             fault: None,
         })
@@ -180,7 +182,7 @@
     }
 
     fn take(&mut self, now: Ms, from: Member, grant: &Grant) -> Result<(), HearError> {
-        if grant.life != self.life {
+        if grant.life != self.life || self.retired {
             return Err(HearError::OtherLife);
         }
         let grant = Grant { length: grant.length.min(self.terms.lease), ..*grant };
@@ -220,10 +222,24 @@
         now
     }
 
+    /// Gives up all for good: nothing is spent, lent or asked for any more. For a process whose name goes on in another
+    /// one, before that one makes its own [`Budget`], which waits for what was lent here until now.
+    pub fn retire(&mut self, now: Ms) {
+        let now = self.pass(now);
+        self.terms.seated = false;
+        self.held = Held::default();
+        self.purse = Purse::new(now);
+        // No grant that is still under way is for this life any more.
+        self.retired = true;
+    }
+
     /// Asks that are due: renewals of what is still needed, what is needed no more given back, and the rest from
     /// those who told the most to spare. To be called a few times in the length of a lease.
     pub fn plan(&mut self, now: Ms, spares: &[Spare]) -> Vec<(Member, Ask)> {
         let now = self.pass(now);
+        if self.retired {
+            return Vec::new();
+        }
         self.held.prune(now, self.terms.lease);
         let wants = self.wants(now, spares);
         wants.into_iter().map(|(lender, want)| (lender, self.ask(now, lender, want))).collect()
--- a/crates/overload/src/budget/tests.rs
+++ b/crates/overload/src/budget/tests.rs
@@ -215,3 +215,16 @@
     b.hear(now + 3, 1, &newer, 0).unwrap();
     assert_eq!(b.hear(now + 4, 1, &ask, 1_000), Err(HearError::OldAsk));
 }
+
+#[test]
+fn who_has_retired_spends_lends_and_takes_nothing() {
+    let (mut a, mut b, now) = two();
+    let ask = Message::Ask(a.ask(now, 2, 5_000));
+    let grant = b.hear(now, 1, &ask, 0).unwrap().unwrap();
+    a.retire(now + 1);
+    assert_eq!(a.hear(now + 2, 2, &grant, 0), Err(HearError::OtherLife));
+    assert!(a.part(now + 900) == 0 && a.spend(now + 900).is_none());
+    assert!(a.plan(now + 900, &[Spare { member: 2, units: 9_000 }]).is_empty());
+    let ask = Message::Ask(b.ask(now + 900, 1, 5_000));
+    assert!(matches!(a.hear(now + 900, 2, &ask, 1_000), Ok(Some(Message::Grant(Grant { amount: 0, .. })))));
+}
--- a/crates/overload/src/level/tests.rs
+++ b/crates/overload/src/level/tests.rs
@@ -114,6 +114,12 @@
     assert!(fleet(10).level <= 265, "{}", fleet(10).level);
 }
 
+#[test]
+fn without_engines_reports_a_liar_counts_three_times_the_middle() {
+    let told = |n: u64| Told { member: n, own: if n == 0 { 1_000_000 } else { 50_000 }, seen: None };
+    assert_eq!(capped(&(0..10).map(told).collect::<Vec<_>>())[..2], [150_000, 50_000]);
+}
+
 #[test]
 fn a_word_that_none_of_ours_tells_is_refused() {
     let good = word(10, 10, None);
--- a/crates/overload/src/order/admission.rs
+++ b/crates/overload/src/order/admission.rs
@@ -38,17 +38,20 @@
     served: Served,
     bounds: RetryAfter,
     level: PerMille,
+    returns: PerMille,
     cut: Cut,
 }
 
 impl Admission {
     pub fn new(bounds: RetryAfter, served: Served) -> Self {
-        Admission { served, bounds, level: 0, cut: Cut::NONE }
+        Admission { served, bounds, level: 0, returns: 0, cut: Cut::NONE }
     }
 
-    /// The level and the fleet's work by band are these now.
-    pub fn set(&mut self, level: PerMille, bands: &[(u8, u64)]) {
-        (self.level, self.cut) = (level, Cut::at(level, bands));
+    /// The level and the fleet's work by band are these now, and clients come back so much
+    /// ([`Amplification::returns`](crate::amplification::Amplification::returns)): where they press, the refused are told
+    /// to come later than the level alone would have it.
+    pub fn set(&mut self, level: PerMille, returns: PerMille, bands: &[(u8, u64)]) {
+        (self.level, self.returns, self.cut) = (level, returns, Cut::at(level, bands));
     }
 
     /// Whether a request goes on. A later turn of a session that was served here always does, unless everything is
@@ -61,7 +64,12 @@
         if known || !self.cut.refuses(request.counts_in(), rank) {
             return Verdict::Admitted;
         }
-        Verdict::Refused { after: self.bounds.at(self.level, place) }
+        Verdict::Refused { after: self.bounds.at(self.level.max(self.returns), place) }
+    }
+
+    /// What the settings allow clients to be told.
+    pub fn bounds(&self) -> &RetryAfter {
+        &self.bounds
     }
 
     /// A turn of a session was served.
--- a/crates/overload/src/order/tests.rs
+++ b/crates/overload/src/order/tests.rs
@@ -11,7 +11,7 @@
 
 fn gateway(level: PerMille, bands: &[(u8, u64)]) -> Admission {
     let mut admission = Admission::new(BOUNDS, Served::new(100, 60_000, 0));
-    admission.set(level, bands);
+    admission.set(level, 0, bands);
     admission
 }
 
@@ -60,7 +60,7 @@
         if admits(&mut here, 0, &first) {
             prop_assert!(admits(&mut gateway(level, &bands), 0, &next));
             here.served(0, first.place);
-            here.set(other, &bands);
+            here.set(other, 0, &bands);
             prop_assert!(admits(&mut here, 1_000, &next));
         }
     }
@@ -105,3 +105,14 @@
         prop_assert!(!served.has(40_000, place(sessions - 1)));
     }
 }
+
+#[test]
+fn who_presses_is_told_to_come_later() {
+    let request = Request { band: 9, place: place(3), later: false };
+    let mut gateway = gateway(1_000, &[(9, 1)]);
+    let Verdict::Refused { after } = gateway.judge(0, &request) else { panic!("all is refused") };
+    gateway.set(400, 0, &[(9, 1)]);
+    let calm = gateway.bounds().at(400, request.place);
+    gateway.set(400, 1_000, &[(20, 1), (21, 1)]);
+    assert!(calm < after && gateway.judge(0, &request) == Verdict::Refused { after });
+}
