--- a/crates/overload/src/level/tests.rs
+++ b/crates/overload/src/level/tests.rs
@@ -128,6 +128,28 @@
     assert_eq!(twice.check(), Err(WordError::ClassTwice { class: 0 }));
     let many = Word { bands: vec![(1, 1); 49], ..good.clone() };
     assert!(matches!(many.check(), Err(WordError::TooMany { .. })));
+    let largest = Word {
+        life: u64::MAX,
+        number: u64::MAX,
+        wish: 1_000,
+        pressure: u32::MAX,
+        waits: vec![RoleWait { role: 255, wait: u64::MAX, aim: u64::MAX }; 8],
+        classes: (236..=255)
+            .map(|class| Class {
+                class,
+                arrived: u32::MAX,
+                marked: u32::MAX,
+                refused: u32::MAX,
+                first: u32::MAX,
+                attempts: u32::MAX,
+            })
+            .collect(),
+        bands: vec![(255, u32::MAX); 48],
+        seen: Some(u32::MAX),
+        spare: vec![u32::MAX; 8],
+    };
+    assert_eq!(largest.check(), Ok(()));
+    assert_eq!(wire::decode(&wire::encode(&largest).unwrap()), Ok(largest));
     let mut bytes = wire::encode(&good).unwrap();
     bytes[0] = 9;
     assert_eq!(wire::decode::<Word>(&bytes), Err(wire::WireError::UnknownFormat { found: 9 }));
--- a/crates/overload/src/level/word.rs
+++ b/crates/overload/src/level/word.rs
@@ -5,9 +5,11 @@
 
 use crate::{budget::Units, Life, Ms, PerMille, WHOLE};
 
-/// Most classes and bands that a word has room for.
-const MOST_CLASSES: usize = 24;
+/// Most that a word has room for, so that the largest goes into one datagram.
+const MOST_CLASSES: usize = 20;
 const MOST_BANDS: usize = 48;
+const MOST_ROLES: usize = 8;
+const MOST_BUDGETS: usize = 8;
 
 /// Counts of one class in a member's last seconds, each in thousandths a second.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -66,8 +68,8 @@
 /// Why a word is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum WordError {
-    #[error("a member's word names {classes} classes and {bands} bands; {MOST_CLASSES} and {MOST_BANDS} are the most")]
-    TooMany { classes: usize, bands: usize },
+    #[error("a member's word names {found} {what}, and {most} are the most")]
+    TooMany { what: &'static str, found: usize, most: usize },
     #[error("a member's word would have {wish} thousandths of the work turned away")]
     WishAboveWhole { wish: PerMille },
     #[error("a member's word names the class {class} twice")]
@@ -78,7 +80,7 @@
     /// What an operator can do about it.
     pub fn advice(&self) -> &'static str {
         match self {
-            WordError::TooMany { .. } => "Give all gateways the same settings, with fewer classes than that.",
+            WordError::TooMany { .. } => "Give all gateways the same settings, with no more than that.",
             WordError::WishAboveWhole { .. } | WordError::ClassTwice { .. } => {
                 "The member is not a build of this program, or its key is in other hands: take it out and change the key."
             }
@@ -89,9 +91,14 @@
 impl Word {
     /// Whether it can be a word at all; to be asked of whatever is decoded.
     pub fn check(&self) -> Result<(), WordError> {
-        let (classes, bands) = (self.classes.len(), self.bands.len());
-        if classes > MOST_CLASSES || bands > MOST_BANDS {
-            return Err(WordError::TooMany { classes, bands });
+        let counts = [
+            ("classes", self.classes.len(), MOST_CLASSES),
+            ("bands", self.bands.len(), MOST_BANDS),
+            ("roles", self.waits.len(), MOST_ROLES),
+            ("budgets", self.spare.len(), MOST_BUDGETS),
+        ];
+        if let Some((what, found, most)) = counts.into_iter().find(|(_, found, most)| found > most) {
+            return Err(WordError::TooMany { what, found, most });
         }
         if self.wish > WHOLE {
             return Err(WordError::WishAboveWhole { wish: self.wish });
