Let what a dead member owned be inherited, by witnesses' words

Seen: with shares owned for good, what a dead member owned lay idle until it was back. Ruled out: votes of a majority, which leave the smaller side of a cut with nothing. An owner now needs r witnesses' words, an heir n - r: no two such sets are apart. Four more faults are planted and found; witnesses = 0 is as before.

--- a/crates/overload/examples/figures/talking.rs
+++ b/crates/overload/examples/figures/talking.rs
@@ -5,7 +5,7 @@
 use glenrail_overload::alone::Alone;
 use glenrail_overload::amplification::{Amplification, Guard};
 use glenrail_overload::budget::{Budget, Message, Spare, Terms};
-use glenrail_overload::level::{Class, Fleet, Heard, Level, RoleWait, Wish, Word};
+use glenrail_overload::level::{Class, Fleet, Heard, Level, RoleWait, Wish, Word, GONE};
 use glenrail_overload::order::{Admission, Request, RetryAfter, Served, Verdict};
 use glenrail_overload::{wire, Ms, PerMille};
 use rand::rngs::StdRng;
@@ -54,12 +54,13 @@
 impl Talking {
     pub fn new(talk: bool, seed: u64) -> Self {
         let seats = GATEWAYS as u32;
+        let (total, lease) = (RETRIES, 2_000);
         let terms =
-            Terms { total: RETRIES, seats, seated: true, floor: 250, lease: 3_000, drift: 100, burst: 1_000 };
+            Terms { total, seats, seated: true, floor: 250, lease, drift: 100, witnesses: 1, burst: 1_000 };
         let bounds = RetryAfter { told: true, least: 200, most: 5_000 };
-        let gateway = |_| {
+        let gateway = |n| {
             let alone = Alone::new(seats, 0);
-            let budget = if talk { Budget::new(terms, 1, 0) } else { alone.budget(RETRIES, 1_000, 0) }
+            let budget = if talk { Budget::new(terms, n, 1, 0) } else { alone.budget(RETRIES, 1_000, 0) }
                 .expect("good terms");
             Gateway {
                 alive: true,
@@ -76,7 +77,7 @@
                 fleet: Fleet::default(),
             }
         };
-        let gateways = (0..GATEWAYS).map(gateway).collect();
+        let gateways = (0..GATEWAYS as u64).map(gateway).collect();
         Talking { talk, random: StdRng::seed_from_u64(seed), gateways, net: Vec::new() }
     }
 
@@ -163,9 +164,17 @@
         let spares: Vec<Spare> = gateway.heard.iter().filter_map(spare).collect();
         let asks = gateway.budget.plan(now, &spares);
         let bytes = wire::encode(&word).expect("few classes");
-        for (to, ask) in asks {
-            let ask = wire::encode(&Message::Ask(ask)).expect("a small message");
-            self.send(now, to as usize, Sent::Budget(n, ask));
+        // Whoever has told nothing for as long as a word counts is gone.
+        let others = (0..GATEWAYS).filter(|other| *other != n);
+        let (living, gone): (Vec<usize>, Vec<usize>) =
+            others.partition(|other| gateway.heard.get(other).is_some_and(|(told, _)| now - told < GONE));
+        let members = |of: Vec<usize>| of.into_iter().map(|m| m as u64).collect::<Vec<_>>();
+        let holds = gateway.budget.holds(now, &members(living), &members(gone));
+        let asks = asks.into_iter().map(|(to, ask)| (to, Message::Ask(ask)));
+        let holds = holds.into_iter().map(|(to, hold)| (to, Message::Hold(hold)));
+        for (to, message) in asks.chain(holds).collect::<Vec<_>>() {
+            let message = wire::encode(&message).expect("a small message");
+            self.send(now, to as usize, Sent::Budget(n, message));
         }
         for to in (0..GATEWAYS).filter(|to| *to != n) {
             self.send(now, to, Sent::Word(n, now, bytes.clone()));
--- a/crates/overload/src/alone.rs
+++ b/crates/overload/src/alone.rs
@@ -44,9 +44,9 @@
     /// This gateway's part of a budget: an n-th, whatever others do. It lends nothing, since it is all floor.
     pub fn budget(&self, total: Units, burst: Ms, now: Ms) -> Result<Budget, TermsError> {
         let floor = WHOLE;
-        let terms =
-            Terms { total, seats: self.routers, seated: true, floor, lease: 5_000, drift: 100, burst };
-        Budget::new(terms, 0, now)
+        let (seats, lease) = (self.routers, 5_000);
+        let terms = Terms { total, seats, seated: true, floor, lease, drift: 100, witnesses: 0, burst };
+        Budget::new(terms, 0, 0, now)
     }
 
     /// Moves the bands by so many thousandths to what is seen now, each on a scale of a million.
--- a/crates/overload/src/budget/error.rs
+++ b/crates/overload/src/budget/error.rs
@@ -13,6 +13,8 @@
     LeaseOutOfBounds { lease: u64 },
     #[error("a clock drift of {drift} of 10000 is not under 5000")]
     DriftOutOfBounds { drift: u32 },
+    #[error("{witnesses} witnesses are more than half of {seats} seats")]
+    TooManyWitnesses { witnesses: u32, seats: u32 },
 }
 
 impl TermsError {
@@ -22,6 +24,9 @@
             TermsError::NoSeats => "Name the gateways, or their number, in the operators' file.",
             TermsError::FloorAboveShare { .. } => "Set the floor to 1000 thousandths or less; 250 is usual.",
             TermsError::LeaseOutOfBounds { .. } => "Set the lease to a few seconds; 5000 ms is usual.",
+            TermsError::TooManyWitnesses { .. } => {
+                "Set the witnesses to the number of gateways that may be gone at once, or to 0 for none."
+            }
             TermsError::DriftOutOfBounds { .. } => {
                 "Set the drift that clocks may have; 100 of 10000 is usual."
             }
@@ -40,6 +45,8 @@
     OtherLife,
     #[error("the member {from:016x} asks while {most} others hold leases from here")]
     TooManyBorrowers { from: u64, most: usize },
+    #[error("the share of member {estate:016x} is in other hands, or nobody here may speak for it yet")]
+    InOtherHands { estate: u64 },
 }
 
 impl HearError {
@@ -50,6 +57,9 @@
                 "Nothing: late and doubled datagrams are usual. If they are many, look at the network between gateways."
             }
             HearError::OtherLife => "Nothing: the member was restarted while a datagram was under way.",
+            HearError::InOtherHands { .. } => {
+                "Nothing: the share changes hands within two leases. If it goes on, look which gateways are cut off."
+            }
             HearError::TooManyBorrowers { .. } => "Check that members keep their names over restarts.",
         }
     }
--- a/crates/overload/src/budget/fault.rs
+++ b/crates/overload/src/budget/fault.rs
@@ -20,4 +20,12 @@
     SpendsLent,
     /// A borrower that asks for less goes on spending what it says it no longer holds.
     KeepsGivenBack,
+    /// An heir is content with one voter's word less.
+    InheritsByTooFew,
+    /// A voter promises an estate to an heir while its pledge to the owner holds.
+    ForgetsPledge,
+    /// A voter renews the owner while its promise to an heir holds.
+    ForgetsPromise,
+    /// A lender lends for longer than it holds what it lends of.
+    LendsBeyondTenure,
 }
--- a/crates/overload/src/budget/lent.rs
+++ b/crates/overload/src/budget/lent.rs
@@ -12,6 +12,8 @@
 struct Promise {
     number: u32,
     amount: Units,
+    /// On its borrower's clock, from its asking.
+    length: Ms,
     /// On the lender's clock: from here on it has surely ended at its borrower.
     until: Ms,
 }
@@ -52,7 +54,9 @@
 
     /// Takes an ask into the books. What was promised to it already is answered again as it was; otherwise nothing
     /// is promised yet.
-    pub fn ask(&mut self, now: Ms, from: Member, ask: &Ask, keep: Ms) -> Result<Option<Units>, HearError> {
+    pub fn ask(
+        &mut self, now: Ms, from: Member, ask: &Ask, keep: Ms,
+    ) -> Result<Option<(Units, Ms)>, HearError> {
         self.prune(now);
         if self.books.len() >= MOST_BORROWERS && !self.books.contains_key(&(from, ask.life)) {
             return Err(HearError::TooManyBorrowers { from, most: MOST_BORROWERS });
@@ -63,7 +67,7 @@
         }
         if ask.number == book.asked {
             let again = book.promises.iter().find(|p| p.number == ask.number && p.until > now);
-            return again.map(|p| Some(p.amount)).ok_or(HearError::OldAsk);
+            return again.map(|p| Some((p.amount, p.length))).ok_or(HearError::OldAsk);
         }
         (book.asked, book.kept) = (ask.number, now.saturating_add(keep));
         // Whatever was granted before this ask and is not held now will never be taken.
@@ -79,9 +83,9 @@
         self.books.retain(|_, book| book.kept > now || !book.promises.is_empty());
     }
 
-    pub fn promise(&mut self, from: Member, ask: &Ask, amount: Units, until: Ms) {
+    pub fn promise(&mut self, from: Member, ask: &Ask, amount: Units, length: Ms, until: Ms) {
         let book = self.books.entry((from, ask.life)).or_default();
-        book.promises.push(Promise { number: ask.number, amount, until });
+        book.promises.push(Promise { number: ask.number, amount, length, until });
     }
 
     /// Forgets all but the newest promise to a life of a member.
--- a/crates/overload/src/budget/machine.rs
+++ b/crates/overload/src/budget/machine.rs
@@ -2,9 +2,11 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::held::Held as Leases;
+use super::tenure::{Estates, Lax, Votes};
 #[cfg(feature = "mutants")]
 use super::Fault;
-use super::{held::Held, lent::Lent, purse::Purse, Ask, Grant, HearError, Spare, Terms, TermsError, Units};
+use super::{lent::Lent, purse::Purse, Ask, Grant, HearError, Held, Hold, Spare, Terms, TermsError, Units};
 use crate::{portion, Life, Member, Ms, PerMille, WHOLE};
 
 /// What travels between two members. Lost, doubled, late and reordered ones do no harm.
@@ -12,6 +14,8 @@
 pub enum Message {
     Ask(Ask),
     Grant(Grant),
+    Hold(Hold),
+    Held(Held),
 }
 
 /// Leave to spend one retry or probe now. Look again right before it is used: the process may have been stopped.
@@ -31,13 +35,16 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Budget {
     pub(super) terms: Terms,
+    pub(super) me: Member,
     pub(super) life: Life,
     /// From here on no lease of a former life is left anywhere.
     whole_at: Ms,
     /// The last moment that was seen.
     at: Ms,
     lent: Lent,
-    pub(super) held: Held,
+    pub(super) held: Leases,
+    votes: Votes,
+    pub(super) estates: Estates,
     pub(super) purse: Purse,
     retired: bool,
     #[cfg(feature = "mutants")]
@@ -45,17 +52,21 @@
 }
 
 impl Budget {
-    /// A new life of a member. It may have lent in a former one, and does not remember: for the time of a lease it
-    /// has the floor of its share alone, and lends nothing.
-    pub fn new(terms: Terms, life: Life, now: Ms) -> Result<Self, TermsError> {
+    /// A new life of a member. It may have lent and voted in a former one, and does not remember: until that has ended it
+    /// has the floor of its share alone, lends nothing, and speaks for nobody's.
+    pub fn new(terms: Terms, me: Member, life: Life, now: Ms) -> Result<Self, TermsError> {
         terms.check()?;
+        let longest = if terms.witnessed() { terms.tenure() } else { terms.lease };
         Ok(Budget {
             terms,
+            me,
             life,
-            whole_at: now.saturating_add(terms.wait(terms.lease)),
+            whole_at: now.saturating_add(terms.wait(longest)),
             at: now,
             lent: Lent::default(),
-            held: Held::default(),
+            held: Leases::default(),
+            votes: Votes::default(),
+            estates: Estates::default(),
             purse: Purse::new(now),
             retired: false,
             #[cfg(feature = "mutants")]
@@ -81,23 +92,21 @@
         }
         self.held.prune(now, self.terms.lease);
         self.lent.prune(now);
+        self.votes.prune(now);
+        self.estates.prune(now, self.terms.tenure());
         self.at = 0;
         if self.whole_at <= now {
             self.whole_at = 0;
         }
     }
 
-    /// What of its own share this member may spend.
+    /// What this member may spend of what it owns or has inherited.
     pub fn own(&self, now: Ms) -> Units {
-        #[cfg(feature = "mutants")]
-        if self.fault == Some(Fault::SpendsLent) {
-            return self.terms.home();
-        }
         let now = now.max(self.at);
-        if now < self.whole_at {
-            return self.terms.home() - self.terms.lendable();
-        }
-        self.terms.home().saturating_sub(self.lent.aside(now))
+        let aside = self.lent.aside(now);
+        #[cfg(feature = "mutants")]
+        let aside = if self.fault == Some(Fault::SpendsLent) { 0 } else { aside };
+        self.floor().saturating_add(self.lendable(now).saturating_sub(aside))
     }
 
     /// What it may spend of others' shares.
@@ -109,6 +118,17 @@
         self.held.sum(now.max(self.at))
     }
 
+    /// Whether a member's lendable share is in these hands: its own, or another's that is gone.
+    pub fn has(&self, now: Ms, estate: Member) -> bool {
+        self.tenure_of(estate) > now.max(self.at)
+    }
+
+    /// What it may spend of one lender's share.
+    pub fn borrowed_from(&self, now: Ms, lender: Member) -> Units {
+        let leases = self.held.leases(now.max(self.at));
+        leases.filter(|(from, _)| *from == lender).map(|(_, lease)| lease.amount).sum()
+    }
+
     /// What may be spent here a second, now. Summed over all members it never exceeds the budget.
     pub fn part(&self, now: Ms) -> Units {
         self.own(now).saturating_add(self.borrowed(now))
@@ -148,43 +168,58 @@
         let now = self.pass(now);
         let answer = match message {
             Message::Ask(ask) => Some(Message::Grant(self.lend(now, from, ask, share)?)),
+            Message::Hold(hold) => {
+                self.vote(now, from, hold.estate)?;
+                let Hold { life, number, estate } = *hold;
+                Some(Message::Held(Held { life, number, estate, length: self.terms.tenure() }))
+            }
+            Message::Grant(Grant { life, .. }) | Message::Held(Held { life, .. })
+                if *life != self.life || self.retired =>
+            {
+                return Err(HearError::OtherLife);
+            }
             Message::Grant(grant) => {
                 self.take(now, from, grant)?;
                 None
             }
+            Message::Held(held) => {
+                let length = held.length.min(self.terms.tenure());
+                self.estates.take(from, &Held { length, ..*held })?;
+                None
+            }
         };
         self.purse.pass(now, 0, self.part(now), self.terms.burst);
         Ok(answer)
     }
 
     fn lend(&mut self, now: Ms, from: Member, ask: &Ask, share: PerMille) -> Result<Grant, HearError> {
-        let length = self.terms.lease;
-        let grant = |amount| Grant { life: ask.life, number: ask.number, amount, length };
-        let wait = self.terms.wait(length);
-        if let Some(again) = self.lent.ask(now, from, ask, wait)? {
-            return Ok(grant(again));
+        let grant = |amount, length| Grant { life: ask.life, number: ask.number, amount, length };
+        if let Some((amount, length)) = self.lent.ask(now, from, ask, self.terms.wait(self.terms.lease))? {
+            return Ok(grant(amount, length));
         }
-        let free = self.lendable(now).saturating_sub(self.lent.aside_but(now, (from, ask.life)));
-        let lendable = u64::from(self.terms.lendable());
-        let fair = portion(lendable, u64::from(share.min(WHOLE)), u64::from(WHOLE));
+        let lendable = self.lendable(now);
+        let free = lendable.saturating_sub(self.lent.aside_but(now, (from, ask.life)));
+        let fair = portion(u64::from(lendable), u64::from(share.min(WHOLE)), u64::from(WHOLE));
         let most = self.unused(now, free).max(u32::try_from(fair).unwrap_or(u32::MAX));
         let amount = ask.want.min(free).min(most);
+        // Nothing is lent for longer than all of what is lent of is held.
+        let length = self.terms.lease.min(self.holds_until(now).saturating_sub(now));
+        #[cfg(feature = "mutants")]
+        let length = if self.fault == Some(Fault::LendsBeyondTenure) { self.terms.lease } else { length };
+        let wait = self.terms.wait(length);
         #[cfg(feature = "mutants")]
         let wait = if self.fault == Some(Fault::WaitsBareLength) { length } else { wait };
         if amount > 0 {
-            self.lent.promise(from, ask, amount, now.saturating_add(wait));
+            self.lent.promise(from, ask, amount, length, now.saturating_add(wait));
         }
         #[cfg(feature = "mutants")]
         if self.fault == Some(Fault::ForgetsFormerGrant) {
             self.lent.forget_former((from, ask.life));
         }
-        Ok(grant(amount))
+        Ok(grant(amount, length))
     }
 
     fn take(&mut self, now: Ms, from: Member, grant: &Grant) -> Result<(), HearError> {
-        if grant.life != self.life || self.retired {
-            return Err(HearError::OtherLife);
-        }
         let grant = Grant { length: grant.length.min(self.terms.lease), ..*grant };
         let (counted, any) = (0, false);
         #[cfg(feature = "mutants")]
@@ -198,25 +233,69 @@
         Ok(())
     }
 
+    /// This member's word on whether another may hold an estate.
+    pub(super) fn vote(&mut self, now: Ms, from: Member, estate: Member) -> Result<(), HearError> {
+        let may = self.terms.seated && self.terms.witnessed() && now >= self.whole_at && estate != self.me;
+        if !may {
+            return Err(HearError::InOtherHands { estate });
+        }
+        #[cfg(not(feature = "mutants"))]
+        let lax = Lax::default();
+        #[cfg(feature = "mutants")]
+        let lax = Lax {
+            pledge: self.fault == Some(Fault::ForgetsPledge),
+            promise: self.fault == Some(Fault::ForgetsPromise),
+        };
+        self.votes.vote(now, from, estate, self.terms.wait(self.terms.tenure()), lax)
+    }
+
+    /// Until when an estate is held here.
+    pub(super) fn tenure_of(&self, estate: Member) -> Ms {
+        if estate == self.me && !self.terms.witnessed() {
+            return Ms::MAX;
+        }
+        let needed = self.terms.needed(estate == self.me);
+        #[cfg(feature = "mutants")]
+        let needed = needed - usize::from(estate != self.me && self.fault == Some(Fault::InheritsByTooFew));
+        self.estates.until(estate, needed)
+    }
+
+    /// Tenures of all estates that are held now, the own one among them.
+    fn tenures(&self, now: Ms) -> impl Iterator<Item = Ms> + '_ {
+        let others = self.estates.known().filter(|estate| *estate != self.me);
+        others.chain([self.me]).map(|estate| self.tenure_of(estate)).filter(move |until| *until > now)
+    }
+
+    /// The first moment at which any of them ends.
+    fn holds_until(&self, now: Ms) -> Ms {
+        self.tenures(now).min().unwrap_or(now)
+    }
+
+    /// What is never lent.
+    fn floor(&self) -> Units {
+        self.terms.home() - self.terms.lendable()
+    }
+
     /// What this member may lend in all, by now.
     fn lendable(&self, now: Ms) -> Units {
         if now < self.whole_at {
-            0
-        } else {
-            self.terms.lendable()
+            return 0;
         }
+        let estates = u32::try_from(self.tenures(now).count()).unwrap_or(u32::MAX);
+        self.terms.lendable().saturating_mul(estates)
     }
 
     /// What is left of that after this member's own need.
     fn unused(&mut self, now: Ms, free: Units) -> Units {
-        let floor = self.terms.home() - self.terms.lendable();
-        free.saturating_sub(self.purse.need(now).saturating_sub(floor))
+        free.saturating_sub(self.purse.need(now).saturating_sub(self.floor()))
     }
 
-    /// Lets time pass. Between two steps what is owned only grows, and what is held only ends.
+    /// Lets time pass. Between two steps estates and leases only end, and what is set aside only comes back: the least
+    /// that the part can have been is what is left of the former beside all of the latter.
     pub(super) fn pass(&mut self, now: Ms) -> Ms {
         let now = now.max(self.at);
-        let least = self.own(self.at).saturating_add(self.borrowed(now));
+        let estates = self.lendable(now).min(self.lendable(self.at)).saturating_sub(self.lent.aside(self.at));
+        let least = self.floor().saturating_add(estates).saturating_add(self.borrowed(now));
         self.purse.pass(now, least, self.part(now), self.terms.burst);
         self.at = now;
         now
@@ -227,7 +306,8 @@
     pub fn retire(&mut self, now: Ms) {
         let now = self.pass(now);
         self.terms.seated = false;
-        self.held = Held::default();
+        self.held = Leases::default();
+        self.estates = Estates::default();
         self.purse = Purse::new(now);
         // No grant that is still under way is for this life any more.
         self.retired = true;
--- a/crates/overload/src/budget/mod.rs
+++ b/crates/overload/src/budget/mod.rs
@@ -3,8 +3,8 @@
 //! Each seated member owns an equal share by the operators' list, and lends of it by leases. What is lent is set
 //! aside at its owner until the borrower has said that it no longer holds it, or until its lease has surely ended
 //! there by both clocks. So the sum of all parts never exceeds the budget, with no leader and no vote, whatever is
-//! lost, doubled, late, stopped or dead; both sides of a cut go on with what they own. What a dead member owns lies
-//! idle until it is back. [`Budget`] is the machine; [`Ask`] and [`Grant`] travel between members.
+//! lost, doubled, late, stopped or dead. What a dead member owned is inherited where the terms name witnesses, and lies
+//! idle until it is back where they do not. [`Budget`] is the machine; a [`Message`] is what travels between members.
 
 mod error;
 #[cfg(feature = "mutants")]
@@ -14,6 +14,7 @@
 mod machine;
 mod plan;
 mod purse;
+mod tenure;
 mod terms;
 
 pub use error::{HearError, TermsError};
@@ -22,6 +23,7 @@
 pub use held::{Ask, Grant};
 pub use machine::{Budget, Message, Permit};
 pub use plan::Spare;
+pub use tenure::{Held, Hold};
 pub use terms::Terms;
 
 /// A rate of spending: thousandths of a retry or probe a second.
--- a/crates/overload/src/budget/plan.rs
+++ b/crates/overload/src/budget/plan.rs
@@ -1,6 +1,6 @@
 //! Whom a member asks for how much. Nothing here bears on the safety of the budget, only on how well it is used.
 
-use super::{Budget, Units};
+use super::{Budget, Hold, Units};
 use crate::{Member, Ms};
 
 /// Most members that are asked for something new at a time.
@@ -14,6 +14,52 @@
 }
 
 impl Budget {
+    /// Asks a voter for an estate: the own one, or a gone member's. The own word as a voter is taken at once, and needs
+    /// no message.
+    pub fn hold(&mut self, now: Ms, estate: Member, voter: Member) -> Option<Hold> {
+        let now = self.pass(now);
+        if estate == voter || !self.terms.seated || !self.terms.witnessed() {
+            return None;
+        }
+        let hold = self.estates.ask(now, self.life, estate, voter);
+        if voter != self.me {
+            return Some(hold);
+        }
+        if self.vote(now, voter, estate).is_ok() {
+            let Hold { life, number, estate } = hold;
+            let held = super::Held { life, number, estate, length: self.terms.tenure() };
+            _ = self.estates.take(voter, &held);
+        }
+        None
+    }
+
+    /// Asks for estates that are due: the own one, and of the seats that are gone those that fall to this member by
+    /// rendezvous among the living. `living`: the other seated members that are. To be called a few times a lease.
+    pub fn holds(&mut self, now: Ms, living: &[Member], gone: &[Member]) -> Vec<(Member, Hold)> {
+        let now = self.pass(now);
+        let (tenure, me) = (self.terms.tenure(), self.me);
+        self.estates.prune(now, tenure);
+        let heir =
+            |estate: Member| living.iter().copied().chain([me]).max_by_key(|m| turn(estate, *m)) == Some(me);
+        let estates = gone.iter().copied().filter(|e| *e != me && heir(*e)).chain([me]);
+        let mut asks = Vec::new();
+        for estate in estates.collect::<Vec<_>>() {
+            let left = self.tenure_of(estate).saturating_sub(now);
+            if left >= tenure / 2 {
+                continue;
+            }
+            let mut voters: Vec<Member> = living.iter().copied().chain([me]).collect();
+            voters.sort_by_key(|voter| turn(estate, *voter));
+            if estate == me && left > tenure / 4 {
+                // One to spare, so that a lost datagram costs nothing; all of them when time runs short.
+                voters.retain(|voter| *voter != me);
+                voters.truncate(self.terms.needed(true) + 1);
+            }
+            asks.extend(voters.into_iter().filter_map(|voter| Some((voter, self.hold(now, estate, voter)?))));
+        }
+        asks
+    }
+
     /// How much to ask of whom, by what is needed beyond the own share.
     pub(super) fn wants(&mut self, now: Ms, spares: &[Spare]) -> Vec<(Member, Units)> {
         let need = self.purse.need(now);
@@ -46,3 +92,12 @@
         wants
     }
 }
+
+/// A member's turn at an estate, the same at all members.
+fn turn(estate: Member, member: Member) -> u64 {
+    // A plain mix of two hashes.
+    (estate.rotate_left(23) ^ member)
+        .wrapping_mul(0x9e37_79b9_7f4a_7c15)
+        .rotate_left(29)
+        .wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
--- a/crates/overload/src/budget/terms.rs
+++ b/crates/overload/src/budget/terms.rs
@@ -19,6 +19,10 @@
     pub lease: Ms,
     /// How far a clock may run from true time: parts of 10,000.
     pub drift: u32,
+    /// Others that must have pledged a seat's lendable share to its owner lately; with none, it is the owner's for good,
+    /// and lies idle when the owner is gone. With so many, as many members may be gone at once and what they owned
+    /// is inherited; a piece of a cut fleet needs one more than that to keep its own. At most half of the seats.
+    pub witnesses: u32,
     /// How long a member may save up its part.
     pub burst: Ms,
 }
@@ -37,6 +41,9 @@
         if self.drift >= 5_000 {
             return Err(TermsError::DriftOutOfBounds { drift: self.drift });
         }
+        if u64::from(self.witnesses) * 2 > u64::from(self.seats) {
+            return Err(TermsError::TooManyWitnesses { witnesses: self.witnesses, seats: self.seats });
+        }
         Ok(())
     }
 
--- a/crates/overload/src/budget/tests.rs
+++ b/crates/overload/src/budget/tests.rs
@@ -9,7 +9,16 @@
 const BEGINNING: Ms = 77_777;
 
 fn terms(total: Units, floor: u32, drift: u32) -> Terms {
-    Terms { total, seats: MEMBERS as u32, seated: true, floor, lease: 1_000, drift, burst: 1_000 }
+    Terms {
+        total,
+        seats: MEMBERS as u32,
+        seated: true,
+        floor,
+        lease: 1_000,
+        drift,
+        witnesses: 0,
+        burst: 1_000,
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -17,6 +26,7 @@
     Pass(Ms),
     Ask(usize, usize, Units),
     Plan(usize),
+    Holds(usize, usize),
     Deliver(usize, bool),
     Lose(usize),
     Restart(usize),
@@ -30,6 +40,7 @@
         4 => (1u64..700).prop_map(Act::Pass),
         3 => (who.clone(), who.clone(), 0u32..40_000).prop_map(|(a, b, want)| Act::Ask(a, b, want)),
         2 => who.clone().prop_map(Act::Plan),
+        3 => (who.clone(), 0..=MEMBERS).prop_map(|(a, gone)| Act::Holds(a, gone)),
         8 => (any::<usize>(), any::<bool>()).prop_map(|(n, keep)| Act::Deliver(n, keep)),
         1 => any::<usize>().prop_map(Act::Lose),
         1 => who.clone().prop_map(Act::Restart),
@@ -52,7 +63,7 @@
 
 impl Fleet {
     fn new(terms: Terms, rates: [u64; MEMBERS]) -> Self {
-        let members = (0..MEMBERS as u64).map(|n| Budget::new(terms, n, n * BEGINNING).unwrap()).collect();
+        let members = (0..MEMBERS as u64).map(|n| Budget::new(terms, n, n, n * BEGINNING).unwrap()).collect();
         let stopped = [false; MEMBERS];
         Fleet { terms, at: 0, rates, members, stopped, lives: 9, net: Vec::new(), spent: 0 }
     }
@@ -80,7 +91,7 @@
             Act::Restart(n) => {
                 self.lives += 1;
                 self.stopped[n] = false;
-                self.members[n] = Budget::new(self.terms, self.lives, self.now(n)).unwrap();
+                self.members[n] = Budget::new(self.terms, n as Member, self.lives, self.now(n)).unwrap();
             }
             Act::Stop(n, stop) => self.stopped[n] = stop,
             Act::Ask(a, b, want) if a != b && !self.stopped[a] => {
@@ -96,6 +107,14 @@
                 let asks = self.members[a].plan(now, &spares);
                 self.net.extend(asks.into_iter().map(|(b, ask)| (a, b as usize, Message::Ask(ask))));
             }
+            Act::Holds(a, gone) if !self.stopped[a] => {
+                let others = |b: &Member| *b != a as Member;
+                let (gone, living): (Vec<Member>, Vec<Member>) =
+                    (0..MEMBERS as Member).filter(others).partition(|b| *b == gone as Member);
+                let now = self.now(a);
+                let holds = self.members[a].holds(now, &living, &gone);
+                self.net.extend(holds.into_iter().map(|(b, hold)| (a, b as usize, Message::Hold(hold))));
+            }
             Act::Spend(n, times) if !self.stopped[n] => {
                 let now = self.now(n);
                 let given = (0..times).filter(|_| self.members[n].spend(now).is_some()).count();
@@ -118,9 +137,9 @@
     #[test]
     fn the_sum_of_parts_stays_within_the_budget(
         acts in prop::collection::vec(act(), 1..160), total in 1_000u32..200_000, floor in 0u32..=1_000,
-        drift in 0u32..1_000, quick in prop::array::uniform4(any::<bool>()),
+        drift in 0u32..1_000, witnesses in 0u32..=2, quick in prop::array::uniform4(any::<bool>()),
     ) {
-        let terms = terms(total, floor, drift);
+        let terms = Terms { witnesses, ..terms(total, floor, drift) };
         let rates = quick.map(|q| if q { 10_000 + u64::from(drift) } else { 10_000 - u64::from(drift) });
         let mut fleet = Fleet::new(terms, rates);
         for act in &acts {
@@ -158,7 +177,7 @@
 fn two() -> (Budget, Budget, Ms) {
     let terms = Terms { seats: 2, ..terms(20_000, 250, 100) };
     let after = terms.wait(terms.lease);
-    (Budget::new(terms, 1, 0).unwrap(), Budget::new(terms, 2, 0).unwrap(), after)
+    (Budget::new(terms, 1, 1, 0).unwrap(), Budget::new(terms, 2, 2, 0).unwrap(), after)
 }
 
 /// A has what it needs from B, who needs nothing.
@@ -228,3 +247,45 @@
     let ask = Message::Ask(b.ask(now + 900, 1, 5_000));
     assert!(matches!(a.hear(now + 900, 2, &ask, 1_000), Ok(Some(Message::Grant(Grant { amount: 0, .. })))));
 }
+
+#[test]
+fn what_a_dead_member_owned_is_inherited_and_goes_back() {
+    let terms = Terms { total: 30_000, seats: 3, witnesses: 1, ..terms(1, 0, 100) };
+    let mut members: Vec<Budget> = (0..3).map(|n| Budget::new(terms, n, n, 0).unwrap()).collect();
+    let round = |members: &mut Vec<Budget>, now: Ms, living: &[Member], gone: &[Member]| {
+        for n in living {
+            let others: Vec<Member> = living.iter().copied().filter(|o| o != n).collect();
+            for (to, hold) in members[*n as usize].holds(now, &others, gone) {
+                let answer = members[to as usize].hear(now, *n, &Message::Hold(hold), 0);
+                if let Some(held) = answer.ok().flatten() {
+                    members[*n as usize].hear(now, to, &held, 0).unwrap();
+                }
+            }
+        }
+        members.iter().map(|m| m.part(now)).collect::<Vec<Units>>()
+    };
+    let begin = terms.wait(terms.tenure());
+    assert_eq!(round(&mut members, begin - 1, &[0, 1, 2], &[]), [0, 0, 0]);
+    assert_eq!(round(&mut members, begin, &[0, 1, 2], &[]), [10_000; 3]);
+    // The third dies: its share is nobody's until all that was pledged to it has ended, then one of the others has it.
+    let mut now = begin;
+    while now < begin + terms.wait(terms.tenure()) {
+        assert_eq!(round(&mut members, now, &[0, 1], &[2])[..2], [10_000; 2]);
+        now += 300;
+    }
+    let parts = round(&mut members, now, &[0, 1], &[2]);
+    assert_eq!(parts[0] + parts[1], 30_000);
+    // It is back, and the heir lets go within a tenure by the voters' clocks.
+    members[2] = Budget::new(terms, 2, 9, now).unwrap();
+    for _ in 0..20 {
+        now += 300;
+        let parts = round(&mut members, now, &[0, 1, 2], &[]);
+        assert!(parts.iter().sum::<Units>() <= 30_000);
+    }
+    assert_eq!(round(&mut members, now, &[0, 1, 2], &[]), [10_000; 3]);
+    // Alone it keeps its share for a tenure and no longer.
+    now += terms.tenure();
+    assert_eq!(members[2].part(now), 0);
+    let wrong = Terms { witnesses: 2, ..terms };
+    assert_eq!(wrong.check(), Err(TermsError::TooManyWitnesses { witnesses: 2, seats: 3 }));
+}
--- a/explore/src/check.rs
+++ b/explore/src/check.rs
@@ -142,13 +142,24 @@
 
 /// The worlds of leased budgets: clocks that run as far apart as they may, from their first ask to after a restart.
 pub fn budgets(reach: Reach) -> Vec<Case<budget::Setup>> {
-    let base = budget::Setup { asks: 2, ticks: 5, troubles: 0, fault: None };
+    let base = budget::Setup {
+        asks: 2,
+        ticks: 5,
+        troubles: 0,
+        witnessed: false,
+        holds: 0,
+        late: 0,
+        share: None,
+        fault: None,
+    };
+    let witnessed = budget::Setup { asks: 0, ticks: 7, holds: 2, witnessed: true, ..base };
     let quick = vec![
         Case { name: "a budget of three, two asks, five ticks, messages lost and reordered", setup: base },
         Case {
             name: "a budget of three, one ask, six ticks, two troubles",
             setup: budget::Setup { asks: 1, ticks: 6, troubles: 2, ..base },
         },
+        Case { name: "shares with a witness each, two words asked, seven ticks", setup: witnessed },
     ];
     let whole = vec![
         Case {
@@ -159,6 +170,18 @@
             name: "a budget of three, two asks, six ticks, one trouble",
             setup: budget::Setup { ticks: 6, troubles: 1, ..base },
         },
+        Case {
+            name: "a share with a witness, three words asked, eight ticks",
+            setup: budget::Setup { holds: 3, ticks: 8, share: Some(1), ..witnessed },
+        },
+        Case {
+            name: "a share with a witness, two words and a part asked, late, four ticks",
+            setup: budget::Setup { asks: 1, late: 3, ticks: 4, share: Some(1), ..witnessed },
+        },
+        Case {
+            name: "a share with a witness, three words asked, late, three ticks, one trouble",
+            setup: budget::Setup { holds: 3, late: 4, ticks: 3, troubles: 1, share: Some(1), ..witnessed },
+        },
     ];
     match reach {
         Reach::Quick => quick,
@@ -222,6 +245,10 @@
     ForgetsFormerGrant => SumWithinBudget,
     SpendsLent => SumWithinBudget,
     KeepsGivenBack => SumWithinBudget,
+    InheritsByTooFew => SumWithinBudget,
+    ForgetsPledge => SumWithinBudget,
+    ForgetsPromise => OneHolderAShare,
+    LendsBeyondTenure => OneHolderAShare,
 });
 
 /// The world in which a request's fault is looked for: small, with places and a second writer.
@@ -232,5 +259,14 @@
 
 /// The world in which a budget's fault is looked for.
 pub fn faulty_budget(fault: budget_machine::Fault) -> budget::Setup {
-    budget::Setup { asks: 2, ticks: 5, troubles: 1, fault: Some(fault) }
+    use budget_machine::Fault as F;
+    let owned = budget::Setup { ticks: 5, troubles: 1, fault: Some(fault), ..budgets(Reach::Quick)[0].setup };
+    let witnessed = budget::Setup { asks: 0, troubles: 0, witnessed: true, holds: 2, ..owned };
+    match fault {
+        F::InheritsByTooFew | F::ForgetsPledge => witnessed,
+        // A share has just been nobody's, or is about to be.
+        F::ForgetsPromise => budget::Setup { late: 6, ticks: 0, holds: 3, ..witnessed },
+        F::LendsBeyondTenure => budget::Setup { late: 4, ticks: 2, asks: 1, share: Some(1), ..witnessed },
+        _ => owned,
+    }
 }
--- a/explore/src/rules.rs
+++ b/explore/src/rules.rs
@@ -58,6 +58,8 @@
     NoRequestInBody,
     /// The sum of the parts that members may spend at any moment is at most the fleet's budget.
     SumWithinBudget,
+    /// A share is in one pair of hands: no two hold it at once, and an heir has it only when nothing lent of it is left.
+    OneHolderAShare,
     /// A lease that has ended by true time, at the slowest clock that is allowed, is not spent.
     EndedNotSpent,
     /// Once all is quiet for the time of a lease, each living member has the whole of its own share again.
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -65,9 +65,8 @@
 }
 
 macro_rules! setting {
-    ($world:ident, $name:ident, $rest:ident) => {
+    ($world:ident, $name:ident) => {
         impl Setting for $world::Setup {
-            const REST: Rule = Rule::$rest;
             type World = $world::World;
             type Act = $world::Act;
             fn begin(&self) -> $world::World {
@@ -94,9 +93,36 @@
         }
     };
 }
-setting!(client, Client, EveryRequestEnds);
-setting!(server, Server, EveryRequestEnds);
-setting!(budget, Budget, PartsComeBack);
+setting!(client, Client);
+setting!(server, Server);
+
+impl Setting for budget::Setup {
+    type World = budget::World;
+    type Act = budget::Act;
+    const REST: Rule = Rule::PartsComeBack;
+
+    fn begin(&self) -> budget::World {
+        self.start()
+    }
+    fn acts(&self, world: &budget::World, out: &mut Vec<budget::Act>) {
+        world.acts(self, out);
+    }
+    fn apply(&self, world: &mut budget::World, act: budget::Act, _: &mut Log) {
+        world.apply(act);
+    }
+    fn comes(world: &budget::World, act: budget::Act) -> bool {
+        world.comes(act)
+    }
+    fn violated(world: &budget::World) -> Option<Rule> {
+        world.violated
+    }
+    fn rests_well(world: &budget::World) -> bool {
+        world.rests_well()
+    }
+    fn named(&self) -> Named {
+        Named::Budget(*self)
+    }
+}
 
 /// A setting as the checker takes it.
 #[derive(Clone)]
--- a/explore/tests/explore.rs
+++ b/explore/tests/explore.rs
@@ -29,7 +29,8 @@
         let setup = client::Setup { fault: Some(mutant.fault), ..check::clients().setup };
         assert_eq!(explore(&setup, 1).broken.map(|b| b.0), Some(mutant.rule), "{:?}", mutant.fault);
     }
-    let sound = budget::Setup { asks: 1, ticks: 4, troubles: 1, fault: None };
+    let sound =
+        budget::Setup { asks: 1, ticks: 4, troubles: 1, ..check::budgets(check::Reach::Quick)[0].setup };
     assert!(explore(&sound, 2).broken.is_none());
     let spends_lent = check::BUDGET_FAULTS.iter().find(|m| m.fault == budget_machine::Fault::SpendsLent);
     let mutant = spends_lent.expect("it is planted");
