--- a/crates/overload/src/budget/machine.rs
+++ b/crates/overload/src/budget/machine.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::held::Held as Leases;
-use super::tenure::{Estates, Lax, Votes};
+use super::tenure::{Estates, Votes};
 #[cfg(feature = "mutants")]
 use super::Fault;
 use super::{lent::Lent, purse::Purse, Ask, Grant, HearError, Held, Hold, Spare, Terms, TermsError, Units};
@@ -38,17 +38,17 @@
     pub(super) me: Member,
     pub(super) life: Life,
     /// From here on no lease of a former life is left anywhere.
-    whole_at: Ms,
+    pub(super) whole_at: Ms,
     /// The last moment that was seen.
     at: Ms,
     lent: Lent,
     pub(super) held: Leases,
-    votes: Votes,
+    pub(super) votes: Votes,
     pub(super) estates: Estates,
     pub(super) purse: Purse,
     retired: bool,
     #[cfg(feature = "mutants")]
-    fault: Option<Fault>,
+    pub(super) fault: Option<Fault>,
 }
 
 impl Budget {
@@ -118,11 +118,6 @@
         self.held.sum(now.max(self.at))
     }
 
-    /// Whether a member's lendable share is in these hands: its own, or another's that is gone.
-    pub fn has(&self, now: Ms, estate: Member) -> bool {
-        self.tenure_of(estate) > now.max(self.at)
-    }
-
     /// What it may spend of one lender's share.
     pub fn borrowed_from(&self, now: Ms, lender: Member) -> Units {
         let leases = self.held.leases(now.max(self.at));
@@ -233,44 +228,6 @@
         Ok(())
     }
 
-    /// This member's word on whether another may hold an estate.
-    pub(super) fn vote(&mut self, now: Ms, from: Member, estate: Member) -> Result<(), HearError> {
-        let may = self.terms.seated && self.terms.witnessed() && now >= self.whole_at && estate != self.me;
-        if !may {
-            return Err(HearError::InOtherHands { estate });
-        }
-        #[cfg(not(feature = "mutants"))]
-        let lax = Lax::default();
-        #[cfg(feature = "mutants")]
-        let lax = Lax {
-            pledge: self.fault == Some(Fault::ForgetsPledge),
-            promise: self.fault == Some(Fault::ForgetsPromise),
-        };
-        self.votes.vote(now, from, estate, self.terms.wait(self.terms.tenure()), lax)
-    }
-
-    /// Until when an estate is held here.
-    pub(super) fn tenure_of(&self, estate: Member) -> Ms {
-        if estate == self.me && !self.terms.witnessed() {
-            return Ms::MAX;
-        }
-        let needed = self.terms.needed(estate == self.me);
-        #[cfg(feature = "mutants")]
-        let needed = needed - usize::from(estate != self.me && self.fault == Some(Fault::InheritsByTooFew));
-        self.estates.until(estate, needed)
-    }
-
-    /// Tenures of all estates that are held now, the own one among them.
-    fn tenures(&self, now: Ms) -> impl Iterator<Item = Ms> + '_ {
-        let others = self.estates.known().filter(|estate| *estate != self.me);
-        others.chain([self.me]).map(|estate| self.tenure_of(estate)).filter(move |until| *until > now)
-    }
-
-    /// The first moment at which any of them ends.
-    fn holds_until(&self, now: Ms) -> Ms {
-        self.tenures(now).min().unwrap_or(now)
-    }
-
     /// What is never lent.
     fn floor(&self) -> Units {
         self.terms.home() - self.terms.lendable()
--- a/crates/overload/src/budget/tenure.rs
+++ b/crates/overload/src/budget/tenure.rs
@@ -7,7 +7,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{HearError, Terms};
+#[cfg(feature = "mutants")]
+use super::Fault;
+use super::{Budget, HearError, Terms};
 use crate::{Life, Member, Ms};
 
 /// Most estates that a voter keeps books of.
@@ -156,3 +158,48 @@
         usize::try_from(needed).unwrap_or(usize::MAX)
     }
 }
+
+impl Budget {
+    /// Whether a member's lendable share is in these hands: its own, or another's that is gone.
+    pub fn has(&self, now: Ms, estate: Member) -> bool {
+        self.tenure_of(estate) > now
+    }
+
+    /// This member's word on whether another may hold an estate.
+    pub(super) fn vote(&mut self, now: Ms, from: Member, estate: Member) -> Result<(), HearError> {
+        let may = self.terms.seated && self.terms.witnessed() && now >= self.whole_at && estate != self.me;
+        if !may {
+            return Err(HearError::InOtherHands { estate });
+        }
+        #[cfg(not(feature = "mutants"))]
+        let lax = Lax::default();
+        #[cfg(feature = "mutants")]
+        let lax = Lax {
+            pledge: self.fault == Some(Fault::ForgetsPledge),
+            promise: self.fault == Some(Fault::ForgetsPromise),
+        };
+        self.votes.vote(now, from, estate, self.terms.wait(self.terms.tenure()), lax)
+    }
+
+    /// Until when an estate is held here.
+    pub(super) fn tenure_of(&self, estate: Member) -> Ms {
+        if estate == self.me && !self.terms.witnessed() {
+            return Ms::MAX;
+        }
+        let needed = self.terms.needed(estate == self.me);
+        #[cfg(feature = "mutants")]
+        let needed = needed - usize::from(estate != self.me && self.fault == Some(Fault::InheritsByTooFew));
+        self.estates.until(estate, needed)
+    }
+
+    /// Tenures of all estates that are held now, the own one among them.
+    pub(super) fn tenures(&self, now: Ms) -> impl Iterator<Item = Ms> + '_ {
+        let others = self.estates.known().filter(|estate| *estate != self.me);
+        others.chain([self.me]).map(|estate| self.tenure_of(estate)).filter(move |until| *until > now)
+    }
+
+    /// The first moment at which any of them ends.
+    pub(super) fn holds_until(&self, now: Ms) -> Ms {
+        self.tenures(now).min().unwrap_or(now)
+    }
+}
