--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,12 +44,14 @@
 
 mod api;
 mod crowd;
+mod estimate;
 mod list;
 mod log;
 mod memory;
 mod newest;
 mod order;
 mod policy;
+mod shares;
 mod state;
 mod warm;
 
--- a/src/policy/held.rs
+++ b/src/policy/held.rs
@@ -34,9 +34,19 @@
         }
     }
 
+    /// Lets go of a state that found no writer to connect to in time, while there is time to read it anew. One for
+    /// which there was no writer at all would find none the next time either.
+    pub(super) fn let_go_late(&self, job: &mut Job, out: &mut Vec<Action>) {
+        let tried = job.state_at.is_some() && job.idle_since > job.held_since;
+        if tried && !self.may_hold(job) {
+            job.state_at = None;
+            out.push(Action::Release { id: job.ask.id });
+        }
+    }
+
     /// Whether the state that is held for it, if any, may still be held when it looks again.
     pub(super) fn may_hold(&self, job: &Job) -> bool {
-        let until = job.idle_since + PIN_USED * self.settings.rules.pin_limit;
+        let until = job.held_since + PIN_USED * self.settings.rules.pin_limit;
         job.state_at.is_none() || self.now + LOOK_AGAIN <= until
     }
 }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -1,7 +1,7 @@
 //! The steps of a request, from its arrival to its first token.
 
 use super::{health::EJECT, retries::RETRY_EARN, retries::RETRY_SAVED, Router, ASKED_MEMORY};
-use crate::{api::*, state::*};
+use crate::{api::*, estimate, state::*};
 
 /// The pause before a request that found no server looks again (ms).
 pub const LOOK_AGAIN: Ms = 20.0;
@@ -27,9 +27,9 @@
         let now = self.now;
         for key in [None, Some(ask.beginning())] {
             let e = self.asked.get_or_insert_mut(key, || (0.0, now));
-            *e = (1.0 + decayed(*e, now, ASKED_MEMORY), now);
+            *e = (ask.prompt_tokens / self.learned.prompt.max(1.0) + decayed(*e, now, ASKED_MEMORY), now);
         }
-        let over_share = self.over_share(ask.tenant);
+        let over_share = self.shares.over(ask.tenant as usize, now);
         let job = Job { ask, class, arrived: now, deadline, idle_since: now, over_share, ..Job::default() };
         self.jobs.insert(id, job);
         let answer_by = (deadline - 2.0 * self.settings.tick).max(self.now);
@@ -42,6 +42,9 @@
         let Some(mut job) = self.jobs.remove(&id) else { return };
         let done = job.closed || job.begun() || job.any_out();
         let spent = job.attempts.len() as u32 >= self.settings.limits.max_attempts;
+        if !done && !spent {
+            self.let_go_late(&mut job, out);
+        }
         let target = if done || spent {
             None
         } else if job.state_at.is_some() {
@@ -78,9 +81,12 @@
     fn send(&mut self, id: RequestId, (to, stage, kept): Pick, out: &mut Vec<Action>) {
         let now = self.now;
         let credit = self.servers.get(&to).map_or(0.0, |s| self.credit(s));
+        let usual = estimate::usual_work(&self.learned);
         let (Some(job), Some(s)) = (self.jobs.get_mut(&id), self.servers.get_mut(&to)) else { return };
-        let own = job.work(if stage == Stage::Read { kept } else { 0.0 });
-        s.take_on(id, now, credit - 1.0, ASKED_MEMORY);
+        let own = job.work(kept);
+        // What fills a reader's memory is what it has not kept yet, so tokens count, not requests.
+        let weight = if s.role == Role::Writer { 1.0 } else { own / usual };
+        s.take_on(id, now, credit - 1.0, (own, weight, ASKED_MEMORY));
         if s.health.on_trial {
             // One trial at a time.
             s.health.until = now + EJECT;
@@ -121,11 +127,15 @@
         let per_work = sane(elapsed) / work;
         let whole = job.attempts.iter().all(|a| a.stage == Stage::Write);
         self.learned.pace[Stage::Write as usize].add(per_work);
+        let mut wait = sane(elapsed);
         if let Some(s) = self.servers.get_mut(&server) {
-            s.start.add(per_work);
+            if whole {
+                s.start.add(per_work);
+                wait = (wait - work * s.start.low).max(0.0);
+            }
             s.waiting.remove(&id);
         }
-        self.waited(server, sane(elapsed), sent);
+        self.waited(server, wait, sent);
         self.note_success(server);
         if whole {
             self.learn(id, server);
