--- a/explore/src/check.rs
+++ b/explore/src/check.rs
@@ -4,11 +4,12 @@
 
 use glenrail_lifecycle::request::{Fault, Repeat};
 use glenrail_lifecycle::{client as client_machine, server as server_machine};
+use glenrail_overload::budget as budget_machine;
 use stateright::{Checker, HasDiscoveries, Model};
 
 use crate::rules::Rule;
 use crate::world::{Explored, Setting, ENDS, HOLDS};
-use crate::{client, request, server};
+use crate::{budget, client, request, server};
 
 /// What exploring one world gave.
 pub struct Explore<A> {
@@ -27,7 +28,7 @@
     let checker = checker.spawn_bfs().join();
     let broken = [HOLDS, ENDS].into_iter().find_map(|property| {
         let path = checker.discovery(property)?;
-        let rule = S::violated(path.last_state()).unwrap_or(Rule::EveryRequestEnds);
+        let rule = S::violated(path.last_state()).unwrap_or(S::REST);
         Some((rule, path.into_actions()))
     });
     Explore {
@@ -139,6 +140,55 @@
     Case { name: "a server's connection, three requests", setup: server::Setup { requests: 3, fault: None } }
 }
 
+/// The worlds of leased budgets: clocks that run as far apart as they may, from their first ask to after a restart.
+pub fn budgets(reach: Reach) -> Vec<Case<budget::Setup>> {
+    let base = budget::Setup {
+        asks: 2,
+        ticks: 5,
+        troubles: 0,
+        witnessed: false,
+        holds: 0,
+        late: 0,
+        share: None,
+        fault: None,
+    };
+    let witnessed = budget::Setup { asks: 0, ticks: 7, holds: 2, witnessed: true, ..base };
+    let quick = vec![
+        Case { name: "a budget of three, two asks, five ticks, messages lost and reordered", setup: base },
+        Case {
+            name: "a budget of three, one ask, six ticks, two troubles",
+            setup: budget::Setup { asks: 1, ticks: 6, troubles: 2, ..base },
+        },
+        Case { name: "shares with a witness each, two words asked, seven ticks", setup: witnessed },
+    ];
+    let whole = vec![
+        Case {
+            name: "a budget of three, one ask, eight ticks, three troubles",
+            setup: budget::Setup { asks: 1, ticks: 8, troubles: 3, ..base },
+        },
+        Case {
+            name: "a budget of three, two asks, six ticks, one trouble",
+            setup: budget::Setup { ticks: 6, troubles: 1, ..base },
+        },
+        Case {
+            name: "a share with a witness, three words asked, eight ticks",
+            setup: budget::Setup { holds: 3, ticks: 8, share: Some(1), ..witnessed },
+        },
+        Case {
+            name: "a share with a witness, two words and a part asked, late, four ticks",
+            setup: budget::Setup { asks: 1, late: 3, ticks: 4, share: Some(1), ..witnessed },
+        },
+        Case {
+            name: "a share with a witness, three words asked, late, three ticks, one trouble",
+            setup: budget::Setup { holds: 3, late: 4, ticks: 3, troubles: 1, share: Some(1), ..witnessed },
+        },
+    ];
+    match reach {
+        Reach::Quick => quick,
+        Reach::Whole => quick.into_iter().chain(whole).collect(),
+    }
+}
+
 /// A planted fault, and the rule that it was planted to break.
 pub struct Mutant<F> {
     pub fault: F,
@@ -186,8 +236,37 @@
     KeepsAfterUnread => NoRequestInBody,
 });
 
+mutants!(BUDGET_FAULTS: budget_machine::Fault {
+    CountsFromArrival => EndedNotSpent,
+    WaitsBareLength => SumWithinBudget,
+    ForgetsAtRestart => SumWithinBudget,
+    TakesOldGrant => SumWithinBudget,
+    TrustsOldClock => EndedNotSpent,
+    ForgetsFormerGrant => SumWithinBudget,
+    SpendsLent => SumWithinBudget,
+    KeepsGivenBack => SumWithinBudget,
+    InheritsByTooFew => SumWithinBudget,
+    ForgetsPledge => SumWithinBudget,
+    ForgetsPromise => OneHolderAShare,
+    LendsBeyondTenure => OneHolderAShare,
+});
+
 /// The world in which a request's fault is looked for: small, with places and a second writer.
 pub fn faulty(fault: Fault) -> request::Setup {
     let holds = u8::from(fault == Fault::ForgetsPlace);
     request::Setup { fault: Some(fault), troubles: 2, holds, ..BASE }
 }
+
+/// The world in which a budget's fault is looked for.
+pub fn faulty_budget(fault: budget_machine::Fault) -> budget::Setup {
+    use budget_machine::Fault as F;
+    let owned = budget::Setup { ticks: 5, troubles: 1, fault: Some(fault), ..budgets(Reach::Quick)[0].setup };
+    let witnessed = budget::Setup { asks: 0, troubles: 0, witnessed: true, holds: 2, ..owned };
+    match fault {
+        F::InheritsByTooFew | F::ForgetsPledge => witnessed,
+        // A share has just been nobody's, or is about to be.
+        F::ForgetsPromise => budget::Setup { late: 6, ticks: 0, holds: 3, ..witnessed },
+        F::LendsBeyondTenure => budget::Setup { late: 4, ticks: 2, asks: 1, share: Some(1), ..witnessed },
+        _ => owned,
+    }
+}
--- a/explore/src/world.rs
+++ b/explore/src/world.rs
@@ -1,4 +1,4 @@
-//! The three worlds as one, for the checker and for traces.
+//! The worlds as one, for the checker and for traces.
 
 use std::hash::Hash;
 
@@ -8,13 +8,16 @@
 
 use crate::request::Log;
 use crate::rules::Rule;
-use crate::{client, request, server};
+use crate::{budget, client, request, server};
 
 /// What may be explored: a start, and what may happen from there.
 pub trait Setting: Clone + Send + Sync + 'static {
     type World: Clone + Eq + Hash + std::fmt::Debug + Send + Sync;
     type Act: Copy + PartialEq + std::fmt::Debug + Serialize + DeserializeOwned + Send + Sync;
 
+    /// The rule that is broken where a world is at rest and not well.
+    const REST: Rule = Rule::EveryRequestEnds;
+
     fn begin(&self) -> Self::World;
     fn acts(&self, world: &Self::World, out: &mut Vec<Self::Act>);
     fn apply(&self, world: &mut Self::World, act: Self::Act, log: &mut Log);
@@ -32,6 +35,7 @@
     Request(request::Setup),
     Client(client::Setup),
     Server(server::Setup),
+    Budget(budget::Setup),
 }
 
 impl Setting for request::Setup {
@@ -92,6 +96,34 @@
 setting!(client, Client);
 setting!(server, Server);
 
+impl Setting for budget::Setup {
+    type World = budget::World;
+    type Act = budget::Act;
+    const REST: Rule = Rule::PartsComeBack;
+
+    fn begin(&self) -> budget::World {
+        self.start()
+    }
+    fn acts(&self, world: &budget::World, out: &mut Vec<budget::Act>) {
+        world.acts(self, out);
+    }
+    fn apply(&self, world: &mut budget::World, act: budget::Act, _: &mut Log) {
+        world.apply(act);
+    }
+    fn comes(world: &budget::World, act: budget::Act) -> bool {
+        world.comes(act)
+    }
+    fn violated(world: &budget::World) -> Option<Rule> {
+        world.violated
+    }
+    fn rests_well(world: &budget::World) -> bool {
+        world.rests_well()
+    }
+    fn named(&self) -> Named {
+        Named::Budget(*self)
+    }
+}
+
 /// A setting as the checker takes it.
 #[derive(Clone)]
 pub struct Explored<S>(pub S);
