--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -83,6 +83,8 @@
     watch: AbortHandle,
     deadline: Instant,
     sent: Vec<Sent>,
+    /// When an attempt that had come to its server last ended: what is held waits since then.
+    idle: Instant,
     place: Option<AbortHandle>,
     retry_after: Duration,
     timers: Vec<(Due, Key)>,
@@ -94,6 +96,8 @@
 struct Listed {
     role: Role,
     state: ServerState,
+    /// Its zone, and its cell in that.
+    place: (u32, u32),
     started: Option<Ms>,
 }
 
@@ -200,7 +204,10 @@
                 let role = inner.roles.get(m.kind as usize).copied().unwrap_or(Role::Mixed);
                 match m.state {
                     ServerState::Gone => inner.members.remove(&m.server),
-                    state => inner.members.insert(m.server, Listed { role, state, started: m.started }),
+                    state => {
+                        let (place, started) = ((m.zone, m.cell), m.started);
+                        inner.members.insert(m.server, Listed { role, state, place, started })
+                    }
                 };
             }
         }
@@ -271,6 +278,7 @@
                 watch: watch.abort_handle(),
                 deadline,
                 sent: Vec::new(),
+                idle: arrived,
                 place: None,
                 retry_after: Duration::ZERO,
                 timers: Vec::new(),
@@ -363,7 +371,7 @@
             let stage = if listed.is_some_and(|l| l.role == Role::Reader) { Stage::Read } else { Stage::Run };
             let sent = inner.clock.at(now);
             let cold = listed.and_then(|l| l.started).is_some_and(|s| sent < s + inner.settings.rules.cold);
-            job.told.sent(server.0, stage, cold, sent);
+            job.told.sent(server.0, stage, listed.map(|l| l.place), cold, sent);
             let ready = listed.is_some_and(|l| l.state == ServerState::Ready);
             Input::Send { server: server.0, stage, may: ready && until > now }
         };
@@ -405,10 +413,13 @@
                 let (cancel, cancelled) = oneshot::channel();
                 job.sent[attempt].cancel = Some(cancel);
                 let server = ServerId(job.machine.attempts()[attempt].server);
+                // While no connection comes up, the time of what is held runs on.
+                let held = job.machine.holds().then(|| job.idle + inner.pin);
+                let connect = held.map(|until| until.saturating_duration_since(Instant::now()));
                 let (core, payload, until) = (self.clone(), job.payload.clone(), job.sent[attempt].until);
-                spawn_local(
-                    async move { core.attempt(id, attempt, server, payload, until, cancelled).await },
-                );
+                let wait = until.saturating_duration_since(Instant::now());
+                let call = Call::Attempt { server, payload, wait, connect };
+                spawn_local(async move { core.attempt(id, attempt, call, until, cancelled).await });
             }
             Effect::CallBack { attempt } => job.sent[attempt].cancel = None,
             Effect::Release { after_cut } => {
@@ -464,6 +475,9 @@
                 inner.queue.push_back(Event::FirstToken { id, attempt, server, elapsed });
             }
             Effect::TellOutcome { attempt, status, closed } => {
+                if !matches!(status, request::Status::Connect | request::Status::NotSent) {
+                    job.idle = Instant::now();
+                }
                 let outcome = Outcome {
                     id: RequestId(id),
                     attempt: attempt as u32,
@@ -559,15 +573,13 @@
 
     /// Sends an attempt once and feeds the machine with what becomes of it.
     async fn attempt(
-        &self, id: u64, attempt: usize, server: ServerId, payload: Rc<Payload>, until: Instant,
-        cancelled: oneshot::Receiver<()>,
+        &self, id: u64, attempt: usize, call: Call, until: Instant, cancelled: oneshot::Receiver<()>,
     ) {
-        let wait = until.saturating_duration_since(Instant::now());
-        if wait.is_zero() {
+        if until <= Instant::now() {
             // What was to be let go before took all its time.
             return self.input(id, Input::Replied { attempt, reply: request::Reply::NotSent });
         }
-        let call = self.upstream.clone().oneshot(Call::Attempt { server, payload, wait });
+        let call = self.upstream.clone().oneshot(call);
         let reply = tokio::select! {
             biased;
             _ = cancelled => return self.input(id, Input::Dropped { attempt }),
--- a/gateway/src/core/tests.rs
+++ b/gateway/src/core/tests.rs
@@ -37,6 +37,7 @@
     script: Rc<dyn Fn(usize, ServerId) -> (u64, Does)>,
     calls: Rc<RefCell<Vec<(&'static str, u64)>>>,
     waits: Rc<RefCell<Vec<Duration>>>,
+    connects: Rc<RefCell<Vec<Option<Duration>>>>,
     out: Rc<Cell<usize>>,
     most_out: Rc<Cell<usize>>,
 }
@@ -55,6 +56,7 @@
             script: Rc::new(script),
             calls: Rc::default(),
             waits: Rc::default(),
+            connects: Rc::default(),
             out: Rc::default(),
             most_out: Rc::default(),
         }
@@ -66,10 +68,11 @@
 
     async fn answer(self, call: Call) -> Result<Reply, Failed> {
         match call {
-            Call::Attempt { server, wait, .. } => {
+            Call::Attempt { server, wait, connect, .. } => {
                 let n = self.attempts(&[11, 12, 21, 22]);
                 self.calls.borrow_mut().push(("attempt", server.0));
                 self.waits.borrow_mut().push(wait);
+                self.connects.borrow_mut().push(connect);
                 self.out.set(self.out.get() + 1);
                 self.most_out.set(self.most_out.get().max(self.out.get()));
                 let out = Out(self.out.clone());
@@ -194,6 +197,32 @@
     });
 }
 
+/// Guards rule 5: while no connection to a writer comes up, the time of the state that waits for one runs on. Two
+/// writers, 250 ms each, would leave no time to let go of it; it is read anew instead.
+#[test]
+fn a_state_that_finds_no_writer_to_connect_to_is_let_go_in_time() {
+    paused(async {
+        let script = |n: usize, server: ServerId| match READERS.contains(&server.0) {
+            true => (20, Does::Read),
+            // As an engine does that is given less time than it usually has to connect.
+            false if n < 3 => (if n == 1 { 250 } else { 210 }, Does::Fail(Failed::Connect)),
+            false => (20, Does::Stream),
+        };
+        let servers = Servers::new(script);
+        let core = core(&servers);
+        let begun = Instant::now();
+        let pieces = all(core.submit(request(1, 12_000.0))).await;
+        assert_eq!(pieces.last(), Some(&Some(Piece::End)));
+        let calls: Vec<&str> = servers.calls.borrow().iter().map(|c| c.0).collect();
+        let whole = ["attempt", "attempt", "attempt", "release", "released", "attempt", "attempt"];
+        assert_eq!(calls, whole);
+        // Writers that could not be reached are left alone for 100 ms.
+        let connects: Vec<_> = servers.connects.borrow().iter().map(|c| c.map(|c| c.as_millis())).collect();
+        assert_eq!(connects, [None, Some(460), Some(210), None, Some(360)]);
+        assert!(begun.elapsed() < Duration::from_millis(900), "{:?}", begun.elapsed());
+    });
+}
+
 /// Guards rule 1 and the attempt's time: whatever the module asks for, it ends with the client's deadline.
 #[test]
 fn a_silent_server_ends_in_one_failure_at_the_deadline() {
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -42,6 +42,9 @@
         let Some(mut job) = self.jobs.remove(&id) else { return };
         let done = job.closed || job.begun() || job.any_out();
         let spent = job.attempts.len() as u32 >= self.settings.limits.max_attempts;
+        if !done && !spent {
+            self.let_go_late(&mut job, out);
+        }
         let target = if done || spent {
             None
         } else if job.state_at.is_some() {
