--- a/gateway/src/config.rs
+++ b/gateway/src/config.rs
@@ -30,28 +30,38 @@
 /// What the command line asks for.
 #[derive(Debug, PartialEq)]
 pub enum Command {
-    Serve { front: Option<PathBuf>, plugin: Option<PathBuf> },
+    Serve(Files),
     Import(PathBuf),
     Help,
 }
 
+/// Operators' files; what belongs to one that is not named is off.
+#[derive(Debug, Default, PartialEq)]
+pub struct Files {
+    pub front: Option<PathBuf>,
+    pub plugin: Option<PathBuf>,
+    pub fleet: Option<PathBuf>,
+}
+
 pub const USAGE: &str = "\
-usage: glenrail [--front FILE] [--plugin FILE]   serve: the platform's front where EDGE_CONFIG is set,
-                                                 the second front where FILE is given
-       glenrail import-haproxy FILE              an HAProxy configuration as the second front's file
+usage: glenrail [--front FILE] [--plugin FILE] [--fleet FILE]
+                                      serve: the platform's front where EDGE_CONFIG is set, the second front
+                                      where --front is given, as a member of a fleet where --fleet is
+       glenrail import-haproxy FILE   an HAProxy configuration as the second front's file
 ";
 
 pub fn command(args: impl IntoIterator<Item = String>) -> Result<Command, Error> {
     let mut args = args.into_iter();
-    let (mut front, mut plugin) = (None, None);
+    let mut files = Files::default();
     while let Some(arg) = args.next() {
         let mut file = || args.next().map(PathBuf::from).ok_or(());
         match arg.as_str() {
-            "--front" | "--plugin" | "import-haproxy" => {
+            "--front" | "--plugin" | "--fleet" | "import-haproxy" => {
                 let Ok(path) = file() else { return error(arg, "a file wanted") };
                 match arg.as_str() {
-                    "--front" => front = Some(path),
-                    "--plugin" => plugin = Some(path),
+                    "--front" => files.front = Some(path),
+                    "--plugin" => files.plugin = Some(path),
+                    "--fleet" => files.fleet = Some(path),
                     _ => return Ok(Command::Import(path)),
                 }
             }
@@ -59,7 +69,7 @@
             _ => return error(arg, "no such option"),
         }
     }
-    Ok(Command::Serve { front, plugin })
+    Ok(Command::Serve(files))
 }
 
 /// Descriptors and memory that the process may use, and how they are shared out.
@@ -92,6 +102,8 @@
 /// What the platform tells a gateway.
 #[derive(Debug)]
 pub struct Platform {
+    /// This gateway's, the same after a restart.
+    pub name: Option<String>,
     pub listen: SocketAddr,
     pub discovery: String,
     /// Where operators call; off where it is left out.
@@ -182,7 +194,12 @@
     }
     let price = |key: &str| raw["prices"][key].as_f64().unwrap_or(0.0);
     let idle = raw["policy-limits"]["conn-idle"].as_f64().filter(|ms| *ms > 0.0).unwrap_or(30_000.0);
+    let name = match v.get("name").is_some() || var("EDGE_NAME").is_some() {
+        true => Some(text("name", "EDGE_NAME")?),
+        false => None,
+    };
     Ok(Platform {
+        name,
         listen,
         discovery: text("discovery", "EDGE_DISCOVERY")?,
         ops,
@@ -425,6 +442,7 @@
             ("discovery", json!(7)),
             ("ops", json!("there")),
             ("ops", json!(9)),
+            ("name", json!(3)),
             ("seed", json!("xyz")),
             ("limits.sockets", json!({"sockets": "many"})),
             ("settings", json!(null)),
@@ -465,7 +483,9 @@
     #[test]
     fn the_command_line_is_read() {
         let parse = |line: &str| command(line.split_whitespace().map(str::to_string));
-        assert_eq!(parse(""), Ok(Command::Serve { front: None, plugin: None }));
+        assert_eq!(parse(""), Ok(Command::Serve(Files::default())));
+        let fleet = Files { fleet: Some("f".into()), ..Files::default() };
+        assert_eq!(parse("--fleet f"), Ok(Command::Serve(fleet)));
         assert_eq!(parse("import-haproxy f"), Ok(Command::Import("f".into())));
         assert_eq!(parse("--front").expect_err("an error").key, "--front");
         assert_eq!(parse("--nope").expect_err("an error").key, "--nope");
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use deckhub::Scope;
+use glenrail_fleet::Keyring;
 use glenrail_story::counts::{self, Counts, Prices};
 use serde::Deserialize;
 use tokio::net::TcpListener;
@@ -18,11 +19,12 @@
 use tokio::time::{sleep, Instant};
 
 use crate::budget::Budget;
-use crate::config::{self, Bounds};
+use crate::config::{self, Bounds, Files};
 use crate::core::duration;
 use crate::counters::Counters;
 use crate::discovery::{self, List, Names, Tally};
 use crate::engine::Limits;
+use crate::fleet::{self, FleetError, Start};
 use crate::front::server::{self, Door};
 use crate::front::{inference, platform};
 use crate::log;
@@ -47,16 +49,30 @@
 /// Releases under way are waited for in steps of this length.
 const SETTLE: Duration = Duration::from_millis(20);
 
-pub fn run(front: Option<PathBuf>, plugin: Option<PathBuf>) -> Result<(), String> {
+pub fn run(files: Files) -> Result<(), String> {
+    let Files { front, plugin, fleet } = files;
     let platform = config::platform(|name| std::env::var(name).ok()).map_err(|e| e.to_string())?;
     let second = front.as_deref().map(config::front).transpose().map_err(|e| e.to_string())?;
     if platform.is_none() && second.is_none() {
         return Err("configuration: EDGE_CONFIG: missing, and no --front is given".into());
     }
     let plugin = plugin.map(|p| Plugin::load(&p).map(Rc::new)).transpose()?;
+    let fleet = fleet.map(|f| Start::read(&f, platform.as_ref().map(of_fleet).as_ref())).transpose();
+    let fleet = fleet.map_err(|e| told(&e))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(platform, second.zip(front), plugin))
+    LocalSet::new().block_on(&runtime, serve(platform, second.zip(front), plugin, fleet))
+}
+
+/// What the fleet's driver is told of the platform.
+fn of_fleet(platform: &config::Platform) -> fleet::Platform {
+    let peers = platform.settings.limits.peers;
+    fleet::Platform { name: platform.name.clone(), peers, state: platform.state.clone() }
+}
+
+/// An error that ends the start, and what to do about it.
+fn told(error: &FleetError) -> String {
+    format!("configuration: {error}; {}", error.advice())
 }
 
 /// Listens at an address, or goes on with the listener of another process that is there already.
@@ -85,6 +101,7 @@
 
 async fn serve(
     platform: Option<config::Platform>, second: Option<(config::Front, PathBuf)>, plugin: Option<Rc<Plugin>>,
+    member: Option<(Start, Keyring)>,
 ) -> Result<(), String> {
     let bounds = platform.as_ref().map_or_else(Bounds::default, |p| p.bounds);
     let slots = Arc::new(Semaphore::new(bounds.server_connections));
@@ -223,8 +240,14 @@
         }));
     }
 
+    let member = member.map(|member| fleet::start(member, after.is_some(), &shutdown)).transpose();
+    let member = member.map_err(|e| told(&e))?;
+    if let Some(member) = member.clone() {
+        reloads.push(Box::new(move || member.reload()));
+    }
     if let Some((listener, ready, rotation)) = desk {
-        let desk = Desk { ready, counters, pools: pools.clone(), rotation, shutdown: shutdown.clone() };
+        let (pools, shutdown, fleet) = (pools.clone(), shutdown.clone(), member.clone());
+        let desk = Desk { ready, counters, pools, rotation, shutdown, fleet };
         // Operators are answered until the process ends.
         spawn_local(server::serve(listener, Ops::new(desk), ops::CONNECTIONS, Shutdown::default()));
     }
@@ -261,6 +284,10 @@
     });
     signals.end.recv().await;
     leave(&shutdown, &pools).await;
+    // Last: until here it serves, and the others must count on it.
+    if let Some(member) = member {
+        member.leave();
+    }
     Ok(())
 }
 
--- /dev/null
+++ b/gateway/src/fleet/exchange.rs
@@ -0,0 +1,104 @@
+//! Whole state over a stream: bounded in number and time; the machine bounds frames and bytes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use glenrail_fleet::{Exchange, MemberId};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+use super::driver::Driver;
+use super::error::WireError;
+use super::udp::PAUSE;
+
+/// Read at once.
+const READ: usize = 16 * 1024;
+
+/// Counts a stream that another opened while it runs.
+struct Taken(Rc<Driver>);
+
+impl Taken {
+    fn new(driver: &Rc<Driver>) -> Option<Taken> {
+        let taken = driver.taken.get();
+        (taken < driver.streams_most).then(|| {
+            driver.taken.set(taken + 1);
+            Taken(driver.clone())
+        })
+    }
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.0.taken.set(self.0.taken.get() - 1);
+    }
+}
+
+/// Takes streams that others open, until it is dropped. One too many is closed at once: a stream that says nothing
+/// must not keep members waiting in the queue behind it.
+pub(super) async fn accept(driver: &Rc<Driver>) {
+    loop {
+        match driver.listener.accept().await {
+            Ok((stream, with)) => match Taken::new(driver) {
+                Some(taken) => {
+                    driver.stream(async move {
+                        let run = run(&taken.0, stream, with, Exchange::accept(), Vec::new());
+                        bounded(&taken.0, with, run).await;
+                    });
+                }
+                None => driver.broke(&WireError::Crowded { with, most: driver.streams_most }),
+            },
+            Err(error) => {
+                driver.failed(&WireError::Accept(error));
+                sleep(PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Opens a stream to a member and exchanges whole state.
+pub(super) async fn open(driver: Rc<Driver>, with: MemberId, to: SocketAddr) {
+    let opened = async {
+        let broken = |error| WireError::Broken { with: to, error };
+        let stream = TcpStream::connect(to).await.map_err(broken)?;
+        // After connecting: a frame that waits long may be taken for an old one.
+        let opened = driver.step(|fleet, _, _| fleet.open_exchange(with));
+        let (exchange, first) = opened.map_err(|error| WireError::Exchange { with: to, error })?;
+        run(&driver, stream, to, exchange, first).await
+    };
+    bounded(&driver, to, opened).await;
+}
+
+async fn bounded(
+    driver: &Driver, with: SocketAddr, stream: impl std::future::Future<Output = Result<(), WireError>>,
+) {
+    let most = driver.stream_time;
+    let ended = timeout(Duration::from_millis(most), stream).await;
+    if let Err(error) = ended.unwrap_or(Err(WireError::Late { with, most })) {
+        driver.broke(&error);
+    }
+}
+
+/// Bytes in, bytes out, until the machine says that it is over.
+async fn run(
+    driver: &Rc<Driver>, mut stream: TcpStream, with: SocketAddr, mut exchange: Exchange, first: Vec<u8>,
+) -> Result<(), WireError> {
+    let broken = |error: io::Error| WireError::Broken { with, error };
+    stream.write_all(&first).await.map_err(broken)?;
+    let mut buffer = vec![0; READ];
+    loop {
+        let bytes = stream.read(&mut buffer).await.map_err(broken)?;
+        if bytes == 0 {
+            return Err(WireError::Ended { with });
+        }
+        let stepped =
+            driver.step(|fleet, now, out| fleet.exchange(now, &mut exchange, &buffer[..bytes], out));
+        let step = stepped.map_err(|error| WireError::Exchange { with, error })?;
+        stream.write_all(&step.write).await.map_err(broken)?;
+        if step.over {
+            return stream.shutdown().await.map_err(broken);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/fleet/figures.rs
@@ -0,0 +1,64 @@
+//! What operators see of the fleet.
+
+use glenrail_fleet::{Member, MemberState, Refused};
+use serde_json::{json, Value};
+
+use super::driver::Driver;
+
+/// A member's state in one word.
+pub fn word(state: MemberState) -> &'static str {
+    match state {
+        MemberState::Alive => "alive",
+        MemberState::Suspect => "suspect",
+        MemberState::Gone => "gone",
+        MemberState::Left => "left",
+    }
+}
+
+fn row(member: &Member, state: MemberState) -> Value {
+    json!({
+        "id": format!("{:016x}", member.id.0),
+        "life": member.life.0,
+        "returns": member.returns,
+        "address": member.address.to_string(),
+        "state": word(state),
+    })
+}
+
+/// This member, and all others that are known.
+pub(super) fn members(driver: &Driver) -> Value {
+    driver.look(|fleet| {
+        let others: Vec<_> = fleet.members().map(|(member, state)| row(member, state)).collect();
+        json!({"me": row(&fleet.me(), MemberState::Alive), "others": others})
+    })
+}
+
+/// Counters of this life. `key_reads` is of the process.
+pub(super) fn counters(driver: &Driver, key_reads: u64) -> Value {
+    let (unsent, broken) = driver.lost();
+    driver.look(|fleet| {
+        let count = |wanted| fleet.members().filter(|(_, state)| *state == wanted).count();
+        let counters = fleet.counters();
+        let refused = Refused::REASONS.iter().zip(counters.refused);
+        let refused = refused.map(|(reason, count)| (reason.to_string(), count.into()));
+        json!({
+            "alive": count(MemberState::Alive),
+            "suspect": count(MemberState::Suspect),
+            "gone": count(MemberState::Gone),
+            "left": count(MemberState::Left),
+            "entries": fleet.table().len(),
+            "refused": refused.collect::<serde_json::Map<String, Value>>(),
+            "datagrams_in": counters.datagrams_in,
+            "datagrams_out": counters.datagrams_out,
+            "bytes_in": counters.bytes_in,
+            "bytes_out": counters.bytes_out,
+            "unsent": unsent,
+            "by_second_key": counters.by_second_key,
+            "key_reads": key_reads,
+            "exchanges_asked": counters.exchanges_asked,
+            "exchanges_broken": broken,
+            "entries_over_bounds": counters.entries_over_bounds,
+            "late_timers": counters.late_timers,
+        })
+    })
+}
--- /dev/null
+++ b/gateway/src/fleet/life.rs
@@ -0,0 +1,62 @@
+//! The life of this run: from the clock, and above the last one that is known.
+
+use std::fs::{DirBuilder, File};
+use std::io::{self, Write};
+use std::os::unix::fs::DirBuilderExt;
+use std::path::Path;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use glenrail_fleet::Life;
+
+use super::error::LifeError;
+
+/// Milliseconds since 1970; 0 where the clock stands before it.
+pub fn clock() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
+/// A life later than any that `file` remembers, which remembers this one too before it is used. Guards against a
+/// clock that went back over a restart: the others would refuse all that the new run says.
+pub fn next(clock: u64, file: Option<&Path>) -> Result<Life, LifeError> {
+    let Some(file) = file else { return Ok(Life(clock)) };
+    let last = match std::fs::read_to_string(file) {
+        Ok(text) => text.trim().parse::<u64>().map_err(|_| LifeError::NotANumber)?,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => 0,
+        Err(e) => return Err(LifeError::Unreadable(e)),
+    };
+    let life = clock.max(last.checked_add(1).ok_or(LifeError::NotANumber)?);
+    keep(life, file).map_err(LifeError::Unwritable)?;
+    Ok(Life(life))
+}
+
+/// Written beside and renamed, so that no end of the process leaves half a number.
+fn keep(life: u64, file: &Path) -> io::Result<()> {
+    if let Some(directory) = file.parent().filter(|d| !d.as_os_str().is_empty()) {
+        DirBuilder::new().recursive(true).mode(0o700).create(directory)?;
+    }
+    let beside = file.with_extension("new");
+    let mut new = File::create(&beside)?;
+    new.write_all(format!("{life}\n").as_bytes())?;
+    new.sync_all()?;
+    std::fs::rename(beside, file)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_clock_that_goes_back_gives_a_later_life_all_the_same() {
+        let directory = std::env::temp_dir().join(format!("glenrail-life-{}", std::process::id()));
+        let file = directory.join("life");
+        let lives: Vec<_> =
+            [70, 90, 40, 91].map(|clock| next(clock, Some(&file)).expect("a life").0).to_vec();
+        assert_eq!(lives, [70, 90, 91, 92]);
+        for text in ["", "soon", "18446744073709551615"] {
+            std::fs::write(&file, text).expect("a file");
+            assert!(matches!(next(1, Some(&file)), Err(LifeError::NotANumber)), "{text}");
+        }
+        std::fs::remove_dir_all(&directory).expect("removed");
+        assert_eq!(next(7, None).expect("a life"), Life(7));
+    }
+}
--- /dev/null
+++ b/gateway/src/fleet/start.rs
@@ -0,0 +1,66 @@
+//! What a start of the fleet needs, read from the operators' file and the platform's word.
+
+use std::io;
+use std::path::{Path, PathBuf};
+
+use glenrail_fleet::{Keyring, Life};
+
+use super::config::{self, Section};
+use super::error::FleetError;
+use super::{keys, life};
+
+/// What the platform says of this gateway, where there is one.
+pub struct Platform {
+    pub name: Option<String>,
+    /// Whether its settings permit talk among gateways.
+    pub peers: bool,
+    /// A directory of this gateway's own.
+    pub state: PathBuf,
+}
+
+pub struct Start {
+    pub(super) file: PathBuf,
+    pub(super) section: Section,
+    /// This gateway's name.
+    pub(super) member: String,
+    life_file: Option<PathBuf>,
+}
+
+impl Start {
+    /// Reads the file, and refuses what the platform's settings forbid. Opens nothing.
+    pub fn read(file: &Path, platform: Option<&Platform>) -> Result<(Start, Keyring), FleetError> {
+        let section = config::read(file)?;
+        if platform.is_some_and(|platform| !platform.peers) {
+            return Err(FleetError::Forbidden { file: file.into() });
+        }
+        let named = platform.and_then(|platform| platform.name.clone()).or(section.member.clone());
+        let member = named.filter(|name| !name.is_empty());
+        let member = member.ok_or_else(|| FleetError::NoName { file: file.into() })?;
+        let keys = read_keys(&section, &section.name)?;
+        let in_state = || platform.map(|platform| platform.state.join("life"));
+        let life_file = section.life_file.clone().or_else(in_state);
+        Ok((Start { file: file.into(), section, member, life_file }, keys))
+    }
+
+    /// The keys that the files name now, for the fleet's name of the start.
+    pub(super) fn keys_anew(&self) -> Result<Keyring, FleetError> {
+        read_keys(&config::read(&self.file)?, &self.section.name)
+    }
+
+    pub(super) fn next_life(&self) -> Result<Life, FleetError> {
+        let file = self.life_file.as_deref();
+        life::next(life::clock(), file).map_err(|error| FleetError::Life {
+            file: file.map(Path::to_path_buf).unwrap_or_default(),
+            error,
+        })
+    }
+
+    pub(super) fn cannot_bind(&self, error: io::Error) -> FleetError {
+        FleetError::Bind { file: self.file.clone(), address: self.section.bind, error }
+    }
+}
+
+fn read_keys(section: &Section, fleet: &str) -> Result<Keyring, FleetError> {
+    let file = &section.key_file;
+    keys::read(file, fleet).map_err(|error| FleetError::Keys { file: file.clone(), error })
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod discovery;
 pub mod engine;
 pub mod exchange;
+pub mod fleet;
 pub mod front;
 pub mod handed;
 pub mod haproxy;
--- a/gateway/src/log.rs
+++ b/gateway/src/log.rs
@@ -36,14 +36,26 @@
     }
 }
 
+/// Writes one line to standard error, if its limit lets it pass.
+pub fn line(limit: &Limit, words: std::fmt::Arguments) {
+    if let Some(missed) = limit.pass(Instant::now()) {
+        write(missed, words);
+    }
+}
+
+/// Writes one line to standard error, and how many like it were left out before.
+pub fn write(missed: u32, words: std::fmt::Arguments) {
+    let more = if missed > 0 { format!(" ({missed} like it left out)") } else { String::new() };
+    eprintln!("glenrail: {words}{more}");
+}
+
 /// Writes one line to standard error, at most five in five seconds from each place that calls it.
 #[macro_export]
 macro_rules! log {
     ($($words:tt)*) => {{
         thread_local! { static LIMIT: $crate::log::Limit = const { $crate::log::Limit::new() }; }
         if let Some(missed) = LIMIT.with(|l| l.pass(std::time::Instant::now())) {
-            let more = if missed > 0 { format!(" ({missed} like it left out)") } else { String::new() };
-            eprintln!("glenrail: {}{more}", format_args!($($words)*));
+            $crate::log::write(missed, format_args!($($words)*));
         }
     }};
 }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -7,7 +7,7 @@
     match config::command(std::env::args().skip(1)).map_err(|e| e.to_string())? {
         Command::Help => print!("{}", config::USAGE),
         Command::Import(path) => haproxy::import(&path)?,
-        Command::Serve { front, plugin } => daemon::run(front, plugin)?,
+        Command::Serve(files) => daemon::run(files)?,
     }
     Ok(())
 }
--- a/gateway/src/ops.rs
+++ b/gateway/src/ops.rs
@@ -10,6 +10,7 @@
 
 use crate::core::Upstream;
 use crate::counters::{Counters, Counts, Tally};
+use crate::fleet;
 use crate::front::{response, Body, Front};
 use crate::pools::Pool;
 use crate::rotation::{Denied, Rotation};
@@ -25,6 +26,8 @@
     pub pools: Vec<Pool>,
     pub rotation: Rc<Rotation<U>>,
     pub shutdown: Shutdown,
+    /// `None`: no file names one.
+    pub fleet: Option<fleet::Handle>,
 }
 
 pub struct Ops<U>(Rc<Desk<U>>);
@@ -39,6 +42,12 @@
     response(status, format!("{what}\n"))
 }
 
+fn shown(figures: &Value) -> Response<Body> {
+    let mut answer = word(StatusCode::OK, &figures.to_string());
+    answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    answer
+}
+
 fn only(method: &'static str) -> Response<Body> {
     let mut answer = word(StatusCode::METHOD_NOT_ALLOWED, &format!("{method} wanted"));
     answer.headers_mut().insert(ALLOW, HeaderValue::from_static(method));
@@ -56,7 +65,7 @@
             desk.counters.all().iter().map(|(class, counts)| (class.clone(), count(counts).into())).collect()
         };
         let sum = |figure: fn(&Pool) -> usize| desk.pools.iter().map(figure).sum::<usize>();
-        json!({
+        let mut figures = json!({
             "fulfilled": by_class(|c| c.fulfilled),
             "throttled": by_class(|c| c.throttled),
             "faulted": by_class(|c| c.faulted),
@@ -64,7 +73,11 @@
             "open_requests": sum(Pool::open),
             "registry_entries": desk.rotation.listed(),
             "out_of_rotation": sum(|p| p.core.avoided()),
-        })
+        });
+        if let Some(fleet) = &desk.fleet {
+            figures["fleet"] = fleet.counters();
+        }
+        figures
     }
 
     fn order(&self, id: &str, order: &str) -> Response<Body> {
@@ -89,6 +102,7 @@
         let parts: Vec<&str> = path.strip_prefix("/control/").unwrap_or("").split('/').collect();
         let wanted = match parts[..] {
             ["ready" | "counters"] => "GET",
+            ["fleet"] if desk.fleet.is_some() => "GET",
             ["out-of-service" | "in-service"] => "POST",
             ["engines", id, "offline" | "online"] if !id.is_empty() => "POST",
             _ => return word(StatusCode::NOT_FOUND, "no such call"),
@@ -99,11 +113,8 @@
         match parts[..] {
             ["ready"] if (desk.ready)() => word(StatusCode::OK, "ready"),
             ["ready"] => word(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
-            ["counters"] => {
-                let mut answer = word(StatusCode::OK, &self.figures().to_string());
-                answer.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-                answer
-            }
+            ["counters"] => shown(&self.figures()),
+            ["fleet"] => shown(&desk.fleet.as_ref().map_or(Value::Null, fleet::Handle::members)),
             ["out-of-service"] => {
                 desk.shutdown.send_away();
                 word(StatusCode::OK, "out of service")
--- a/gateway/tests/ops.rs
+++ b/gateway/tests/ops.rs
@@ -64,6 +64,7 @@
         pools: vec![g.pool.clone()],
         rotation: rotation.clone(),
         shutdown: g.shutdown.clone(),
+        fleet: None,
     };
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let ops = listener.local_addr().expect("an address");
