--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod gateway;
+pub mod member;
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
