--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, OwnedFd};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -57,17 +57,21 @@
         return Err("configuration: EDGE_CONFIG: missing, and no --front is given".into());
     }
     let plugin = plugin.map(|p| Plugin::load(&p).map(Rc::new)).transpose()?;
-    let fleet = fleet.map(|f| Start::read(&f, platform.as_ref().map(of_fleet).as_ref())).transpose();
-    let fleet = fleet.map_err(|e| told(&e))?;
+    let fleet = fleet.map(|file| member(&file, platform.as_ref())).transpose().map_err(|e| told(&e))?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("cannot start: {e}"))?;
     LocalSet::new().block_on(&runtime, serve(platform, second.zip(front), plugin, fleet))
 }
 
-/// What the fleet's driver is told of the platform.
-fn of_fleet(platform: &config::Platform) -> fleet::Platform {
-    let peers = platform.settings.limits.peers;
-    fleet::Platform { name: platform.name.clone(), peers, state: platform.state.clone() }
+/// What the fleet's driver is told of this gateway.
+fn member(file: &Path, platform: Option<&config::Platform>) -> Result<(Start, Keyring), FleetError> {
+    let name = match platform {
+        Some(platform) => platform.name.clone(),
+        None => std::env::var("EDGE_NAME").ok(),
+    };
+    let told =
+        |p: &config::Platform| fleet::Platform { peers: p.settings.limits.peers, state: p.state.clone() };
+    Start::read(file, name, platform.map(told).as_ref())
 }
 
 /// An error that ends the start, and what to do about it.
--- a/gateway/src/fleet/mod.rs
+++ b/gateway/src/fleet/mod.rs
@@ -97,16 +97,17 @@
     async fn keep(self, shutdown: Shutdown) {
         let mut heirs = shutdown.heirs();
         while !self.0.ended.get() {
-            match (shutdown.superseded(), self.driver().is_some()) {
+            // Before the match: what it looks at lives as long as its arms, and a driver held there keeps the port.
+            let begun = self.driver().is_some();
+            match (shutdown.superseded(), begun) {
                 (true, true) => {
                     log!("fleet: the process that took over goes on as this member");
                     self.end();
                 }
                 (false, false) => match self.begin() {
                     Ok(()) => {}
-                    Err(FleetError::Bind { .. }) => sleep(AGAIN).await,
                     Err(e) => {
-                        log!("{e}; {}", e.advice());
+                        log!("{e}; {}; tried again", e.advice());
                         sleep(AGAIN).await;
                     }
                 },
--- a/gateway/src/fleet/start.rs
+++ b/gateway/src/fleet/start.rs
@@ -11,7 +11,6 @@
 
 /// What the platform says of this gateway, where there is one.
 pub struct Platform {
-    pub name: Option<String>,
     /// Whether its settings permit talk among gateways.
     pub peers: bool,
     /// A directory of this gateway's own.
@@ -27,14 +26,16 @@
 }
 
 impl Start {
-    /// Reads the file, and refuses what the platform's settings forbid. Opens nothing.
-    pub fn read(file: &Path, platform: Option<&Platform>) -> Result<(Start, Keyring), FleetError> {
+    /// Reads the file, and refuses what the platform's settings forbid. Opens nothing. `name`: this gateway's as the
+    /// platform or the environment gives it; it goes before the file's.
+    pub fn read(
+        file: &Path, name: Option<String>, platform: Option<&Platform>,
+    ) -> Result<(Start, Keyring), FleetError> {
         let section = config::read(file)?;
         if platform.is_some_and(|platform| !platform.peers) {
             return Err(FleetError::Forbidden { file: file.into() });
         }
-        let named = platform.and_then(|platform| platform.name.clone()).or(section.member.clone());
-        let member = named.filter(|name| !name.is_empty());
+        let member = name.or(section.member.clone()).filter(|name| !name.is_empty());
         let member = member.ok_or_else(|| FleetError::NoName { file: file.into() })?;
         let keys = read_keys(&section, &section.name)?;
         let in_state = || platform.map(|platform| platform.state.join("life"));
