--- /dev/null
+++ b/gateway/src/config/platform.rs
@@ -0,0 +1,207 @@
+//! What the platform tells: a JSON file, and variables of the environment.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use deckhub::Settings;
+use glenrail_story::counts::Prices;
+use serde_json::Value;
+
+use super::{error, read, Error};
+
+/// Descriptors and memory that the process may use, and how they are shared out.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    pub client_connections: usize,
+    pub server_connections: usize,
+    /// Bytes of request bodies held at once.
+    pub bodies: usize,
+}
+
+impl Bounds {
+    /// Some descriptors stay free for listeners, discovery, refusals and the runtime.
+    pub fn new(sockets: usize, memory_mb: usize) -> Self {
+        let usable = sockets.saturating_sub(64).max(16);
+        Bounds {
+            client_connections: usable / 2,
+            server_connections: usable / 2,
+            bodies: memory_mb.max(16) * (1 << 20) / 4,
+        }
+    }
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds::new(1024, 192)
+    }
+}
+
+/// What the platform tells a gateway.
+#[derive(Debug)]
+pub struct Platform {
+    /// This gateway's, the same after a restart.
+    pub name: Option<String>,
+    pub listen: SocketAddr,
+    pub discovery: String,
+    /// Where operators call; off where it is left out.
+    pub ops: Option<SocketAddr>,
+    /// A directory of this gateway's own, which a second process at the same address shares.
+    pub state: PathBuf,
+    pub seed: u64,
+    pub bounds: Bounds,
+    /// The last list, in discovery's form.
+    pub known: Value,
+    pub settings: Settings,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    pub tenants: Vec<String>,
+    /// Names of the classes, in the order of the settings.
+    pub classes: Vec<String>,
+    pub conn_idle: Duration,
+    /// What probes, connections and lists take off the deployment's result.
+    pub prices: Prices,
+}
+
+/// Reads the platform's part from the environment; `None` where there is none.
+pub fn platform(var: impl Fn(&str) -> Option<String>) -> Result<Option<Platform>, Error> {
+    let Some(path) = var("EDGE_CONFIG") else {
+        return match ["EDGE_LISTEN", "EDGE_DISCOVERY"].into_iter().find(|n| var(n).is_some()) {
+            Some(_) => error("EDGE_CONFIG", "missing, though other EDGE variables are set"),
+            None => Ok(None),
+        };
+    };
+    let text = read(Path::new(&path), "EDGE_CONFIG")?;
+    let v: Value = serde_json::from_str(&text)
+        .map_err(|e| Error { key: "EDGE_CONFIG".into(), what: format!("not JSON: {e}") })?;
+    from_json(&v, &var).map(Some)
+}
+
+fn from_json(v: &Value, var: &impl Fn(&str) -> Option<String>) -> Result<Platform, Error> {
+    let text = |key: &str, name: &str| match v.get(key) {
+        Some(Value::String(s)) => Ok(s.clone()),
+        Some(_) => error(key, "text wanted"),
+        None => var(name).ok_or(Error { key: key.into(), what: format!("missing, as is {name}") }),
+    };
+    let listen = text("listen", "EDGE_LISTEN")?;
+    let address = |key: &str, text: &str| -> Result<SocketAddr, Error> {
+        text.parse().or_else(|_| error(key, format!("{text:?} is no address:port")))
+    };
+    let listen = address("listen", &listen)?;
+    let ops = match v.get("ops").is_some() || var("EDGE_OPS").is_some() {
+        true => Some(address("ops", &text("ops", "EDGE_OPS")?)?),
+        false => None,
+    };
+    let scratch = var("TMPDIR").map_or_else(std::env::temp_dir, PathBuf::from);
+    let seed = match v.get("seed") {
+        None => 0,
+        Some(Value::String(s)) => {
+            u64::from_str_radix(s, 16).or_else(|_| error("seed", "hexadecimal digits wanted"))?
+        }
+        Some(n) => n.as_u64().map_or_else(|| error("seed", "a number wanted"), Ok)?,
+    };
+    let limit = |key: &str, default: u64| match v.get("limits").and_then(|l| l.get(key)) {
+        None => Ok(default as usize),
+        Some(n) => match n.as_f64() {
+            Some(n) if n >= 1.0 => Ok(n as usize),
+            _ => error(format!("limits.{key}"), "a number of at least 1 wanted"),
+        },
+    };
+    let Some(raw) = v.get("settings").filter(|s| s.is_object()) else {
+        return error("settings", "an object wanted");
+    };
+    let names = |key: &str| -> Vec<String> {
+        let name = |v: &Value| v.as_str().or_else(|| v.get("name")?.as_str()).map(str::to_string);
+        glenrail_settings::list(raw, key).iter().map(|v| name(v).unwrap_or_default()).collect()
+    };
+    let settings = glenrail_settings::settings(raw);
+    for (key, empty) in [
+        ("settings.services", settings.classes.is_empty()),
+        ("settings.domain.stage-of-kind", settings.kinds.is_empty()),
+    ] {
+        if empty {
+            return error(key, "at least one entry wanted");
+        }
+    }
+    if let Some(i) = settings.classes.iter().position(|c| c.deadline <= 0.0) {
+        return error(format!("settings.services[{i}].deadline"), "milliseconds above 0 wanted");
+    }
+    let price = |key: &str| raw["prices"][key].as_f64().unwrap_or(0.0);
+    let idle = raw["policy-limits"]["conn-idle"].as_f64().filter(|ms| *ms > 0.0).unwrap_or(30_000.0);
+    let name = match v.get("name").is_some() || var("EDGE_NAME").is_some() {
+        true => Some(text("name", "EDGE_NAME")?),
+        false => None,
+    };
+    Ok(Platform {
+        name,
+        listen,
+        discovery: text("discovery", "EDGE_DISCOVERY")?,
+        ops,
+        state: scratch.join(format!("glenrail-{}", listen.to_string().replace(':', "-"))),
+        seed,
+        bounds: Bounds::new(limit("sockets", 1024)?, limit("memory_mb", 192)?),
+        known: v.get("known").cloned().unwrap_or(Value::Null),
+        zones: names("zones"),
+        kinds: names("kinds"),
+        tenants: names("tenants"),
+        classes: names("services"),
+        conn_idle: crate::core::duration(idle),
+        prices: Prices {
+            probe: price("probe"),
+            handshake: price("handshake"),
+            discovery: price("discovery"),
+            moved: settings.prices.moved,
+            waste: price("waste"),
+        },
+        settings,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    fn whole() -> Value {
+        json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "8c1f30d27a5be964",
+            "limits": {"memory_mb": 192, "sockets": 1024},
+            "settings": {"services": [{"name": "a", "deadline": 4000.0}], "kinds": ["r"],
+                "domain": {"stage-of-kind": ["both"]}, "policy-limits": {"conn-idle": 9000.0}}})
+    }
+
+    #[test]
+    fn the_platforms_configuration_is_read() {
+        let read = from_json(&whole(), &|_| None).expect("a configuration");
+        assert_eq!((read.seed, read.classes[0].as_str()), (0x8c1f_30d2_7a5b_e964, "a"));
+        assert_eq!(read.conn_idle, Duration::from_secs(9));
+        let b = read.bounds;
+        assert!(b.client_connections + b.server_connections + 40 <= 1024 && b.bodies <= 64 << 20);
+    }
+
+    #[test]
+    fn a_faulty_key_is_named() {
+        for (key, value) in [
+            ("listen", json!("here")),
+            ("listen", json!(1)),
+            ("discovery", json!(7)),
+            ("ops", json!("there")),
+            ("ops", json!(9)),
+            ("name", json!(3)),
+            ("seed", json!("xyz")),
+            ("limits.sockets", json!({"sockets": "many"})),
+            ("settings", json!(null)),
+            ("settings.services", json!({"domain": {"stage-of-kind": ["read"]}})),
+            (
+                "settings.services[0].deadline",
+                json!({"services": [{}], "domain": {"stage-of-kind": ["read"]}}),
+            ),
+        ] {
+            let mut v = whole();
+            v[key.split('.').next().expect("a key")] = value;
+            assert_eq!(from_json(&v, &|_| None).expect_err(key).key, key);
+        }
+        let only = |n: &str| (n == "EDGE_LISTEN").then(|| "127.0.0.1:1".to_string());
+        assert_eq!(platform(only).expect_err("an error").key, "EDGE_CONFIG");
+        assert!(platform(|_| None).expect("nothing set").is_none());
+    }
+}
