--- a/gateway/src/fleet/driver.rs
+++ b/gateway/src/fleet/driver.rs
@@ -9,7 +9,6 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::watch;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 use super::config::Section;
 use super::error::{FleetError, WireError};
@@ -19,10 +18,18 @@
 use crate::log;
 use crate::log::Limit;
 
+/// Milliseconds on a clock that never goes back, and goes on while the process is stopped and the machine sleeps: what
+/// others let go of in that time must have ended here too. The runtime's own clock stands still in a sleep.
+fn boot_clock() -> u64 {
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    now.tv_sec as u64 * 1_000 + now.tv_nsec as u64 / 1_000_000
+}
+
 /// Shared by the tasks of one life. Nothing of it is held over an `await`.
 pub struct Driver {
     fleet: RefCell<Fleet>,
-    began: Instant,
+    /// On [`boot_clock`].
+    began: u64,
     pub(super) timers: Timers,
     pub(super) socket: UdpSocket,
     /// The same socket without the runtime, which lets nothing out before it has first looked at a socket: greetings
@@ -65,7 +72,7 @@
         log!("fleet: {} is member {me:016x}, life {}, at {address}, bound to {at}", start.member, life.0);
         let driver = Rc::new(Driver {
             fleet: RefCell::new(fleet),
-            began: Instant::now(),
+            began: boot_clock(),
             timers: Timers::default(),
             socket,
             sender,
@@ -89,13 +96,9 @@
         tokio::join!(udp::receive(&self), self.timers.run(&self), exchange::accept(&self));
     }
 
-    /// Milliseconds since the start. Goes on while the process is stopped, as `Fleet` wants it.
+    /// Milliseconds since the start.
     pub(super) fn now(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64
-    }
-
-    pub(super) fn instant(&self, now: u64) -> Instant {
-        self.began + std::time::Duration::from_millis(now)
+        boot_clock().saturating_sub(self.began)
     }
 
     /// One step of the machine, and what comes of it.
--- a/gateway/src/fleet/timers.rs
+++ b/gateway/src/fleet/timers.rs
@@ -3,9 +3,10 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::sync::Notify;
-use tokio::time::sleep_until;
+use tokio::time::sleep;
 
 use super::driver::Driver;
 
@@ -35,11 +36,11 @@
     /// Until it is dropped.
     pub(super) async fn run(&self, driver: &Rc<Driver>) {
         loop {
-            let next = self.due.borrow().first().map(|(at, _)| driver.instant(*at));
+            let next = self.due.borrow().first().map(|(at, _)| at.saturating_sub(driver.now()));
             tokio::select! {
                 () = async {
                     match next {
-                        Some(next) => sleep_until(next).await,
+                        Some(next) => sleep(Duration::from_millis(next)).await,
                         None => std::future::pending().await,
                     }
                 } => {}
