Add the decisions of warm cut-over: what is hot, plans, readers, pace, slices

A replacement starts with an empty cache and learns from the requests that it slows. The crate decides, without I/O or clock, what is read there before traffic moves.

--- /dev/null
+++ b/crates/warming/benches/sketch.rs
@@ -0,0 +1,59 @@
+//! The sketch beside a plain exact map: an ask, and the hottest 64, over 100,000 beginnings of which few are hot.
+//! `cargo bench -p glenrail-warming`
+
+use std::collections::HashMap;
+
+use divan::{black_box, Bencher};
+use glenrail_warming::sketch::Sketch;
+use glenrail_warming::{Beginning, Model, Node, Team};
+
+const ASKS: usize = 200_000;
+const BEGINNINGS: f64 = 100_000.0;
+
+fn main() {
+    divan::main();
+}
+
+/// Beginnings by Zipf's law (the inverse of its continuous form), the same each time.
+fn asks() -> Vec<(Beginning, u32)> {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let rank = |unit: f64| BEGINNINGS.powf(unit) as u64;
+    let one = |prefix: u64| {
+        (
+            Beginning { team: Team(prefix % 100), model: Model(prefix % 7), prefix },
+            500 + (prefix * 37 % 6000) as u32,
+        )
+    };
+    (0..ASKS).map(|_| one(rank(rng.f64()))).collect()
+}
+
+#[divan::bench(args = [64, 256, 1024], items_count = ASKS)]
+fn sketch(bencher: Bencher, capacity: usize) {
+    let asks = asks();
+    bencher.bench(|| {
+        let mut sketch = Sketch::new(capacity, 30_000, 0);
+        for (at, (beginning, tokens)) in asks.iter().enumerate() {
+            // A second is told every 1,000 asks, as a driver does.
+            sketch.asked(*beginning, *tokens, Some(Node(1)), (at / 1000 * 1000) as u64);
+        }
+        black_box(sketch.hottest(64).len())
+    });
+}
+
+/// The plain twin: one exact decayed count a beginning, never let go.
+#[divan::bench(items_count = ASKS)]
+fn exact(bencher: Bencher) {
+    let asks = asks();
+    bencher.bench(|| {
+        let mut exact: HashMap<Beginning, (f64, u64)> = HashMap::new();
+        for (at, (beginning, tokens)) in asks.iter().enumerate() {
+            let now = (at / 1000 * 1000) as u64;
+            let (weight, asked) = exact.entry(*beginning).or_insert((0.0, now));
+            *weight = *weight * (-((now - *asked) as f64) / 30_000.0).exp2() + f64::from(*tokens);
+            *asked = now;
+        }
+        let mut all: Vec<_> = exact.into_iter().collect();
+        all.sort_by(|a, b| b.1 .0.total_cmp(&a.1 .0));
+        black_box(all.len())
+    });
+}
--- /dev/null
+++ b/crates/warming/src/rendezvous.rs
@@ -0,0 +1,18 @@
+//! Rendezvous hashing over members: the same order at all of them for the same names, and the death of one moves nothing
+//! but what was its own.
+
+use crate::terms::{Beginning, Member, Node};
+
+/// A mix of 64 bits (the finaliser of SplitMix64, Steele et al. 2014), written out because the order must be alike in all builds.
+pub fn mix(value: u64) -> u64 {
+    let a = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    let b = (a ^ (a >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let c = (b ^ (b >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    c ^ (c >> 31)
+}
+
+/// A member's place for a reading, the highest first.
+pub fn place(member: Member, node: Node, beginning: &Beginning) -> u64 {
+    let parts = [member.0, node.0, beginning.team.0, beginning.model.0, beginning.prefix];
+    parts.into_iter().fold(0, |h, part| mix(h ^ part))
+}
