--- a/crates/warming/src/lib.rs
+++ b/crates/warming/src/lib.rs
@@ -6,6 +6,7 @@
 //! back. Whether a team may call a model is a function argument throughout. `docs/one-fleet.md` has the promises and
 //! their limits.
 
+pub mod bytes;
 pub mod cutover;
 pub mod hot;
 pub mod pace;
--- a/crates/warming/src/pace.rs
+++ b/crates/warming/src/pace.rs
@@ -99,14 +99,15 @@
     node: Node,
     limits: Limits,
     running: Vec<Beginning>,
-    tokens: i64,
+    /// Thousandths of tokens that may be spent; below zero: a debt.
+    saved: i64,
     filled: Ms,
     calm_from: Ms,
 }
 
 impl Pace {
     pub fn new(node: Node, limits: Limits, now: Ms) -> Pace {
-        Pace { node, limits, running: Vec::new(), tokens: 0, filled: now, calm_from: now }
+        Pace { node, limits, running: Vec::new(), saved: 0, filled: now, calm_from: now }
     }
 
     /// Something new is known: what has to be cancelled at once.
@@ -133,13 +134,12 @@
             return Err(Held::Full { node: self.node, running: self.running.len() });
         }
         self.fill(now);
-        let needs = i64::from(tokens).min(self.burst());
-        if self.tokens < needs {
-            let rate = self.limits.tokens_a_second.max(1);
-            let ms = ((needs - self.tokens).unsigned_abs().saturating_mul(1000)).div_ceil(rate);
+        let needs = i64::from(tokens).min(self.burst()).saturating_mul(1000);
+        if self.saved < needs {
+            let ms = (needs - self.saved).unsigned_abs().div_ceil(self.limits.tokens_a_second.max(1));
             return Err(Held::Share { node: self.node, ms });
         }
-        self.tokens -= i64::from(tokens);
+        self.saved -= i64::from(tokens) * 1000;
         self.running.push(beginning);
         Ok(())
     }
@@ -176,14 +176,10 @@
     }
 
     fn fill(&mut self, now: Ms) {
-        let rate = u128::from(self.limits.tokens_a_second);
-        let grown = rate * u128::from(now.saturating_sub(self.filled)) / 1000;
-        if grown > 0 {
-            let whole = grown;
-            let grown = i64::try_from(grown).unwrap_or(i64::MAX);
-            self.tokens = self.tokens.saturating_add(grown).min(self.burst());
-            // The part of a token that is left goes on growing.
-            self.filled += u64::try_from(whole * 1000 / rate).unwrap_or(0);
-        }
+        let rate = i64::try_from(self.limits.tokens_a_second).unwrap_or(i64::MAX);
+        let passed = i64::try_from(now.saturating_sub(self.filled)).unwrap_or(i64::MAX);
+        self.saved =
+            self.saved.saturating_add(rate.saturating_mul(passed)).min(self.burst().saturating_mul(1000));
+        self.filled = self.filled.max(now);
     }
 }
--- a/crates/warming/src/plan/choose.rs
+++ b/crates/warming/src/plan/choose.rs
@@ -4,7 +4,7 @@
 //! single item; the best of the three is taken. Where sends do not bind it saves at least half of the best possible (Dantzig's
 //! bound: greedy and the first item that does not fit are at least the fractional best, and one of both is half of it). Where
 //! they bind, at least a quarter: a choice within both budgets takes at most twice the sum of the parts that the second greedy
-//! fills. Items that are each under a tenth of both budgets come to within a tenth of that bound's whole.
+//! fills.
 
 /// What may be spent on a node.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
