--- a/crates/warming/examples/figures.rs
+++ b/crates/warming/examples/figures.rs
@@ -60,6 +60,31 @@
     nodes.iter().copied().max_by_key(|n| mix(mix(*n) ^ prefix)).unwrap_or(0)
 }
 
+/// How a replacement comes into the order: under its own name, or in the place of the old one, hashed under that one's name.
+#[derive(Clone, Copy, PartialEq)]
+enum Order {
+    OwnName,
+    InPlace,
+}
+
+/// Names of ten nodes before and after; the first three are replaced by the last three.
+#[derive(Clone)]
+struct Names(Vec<u64>, Order);
+
+impl Names {
+    fn was(&self, prefix: u64) -> u64 {
+        home(prefix, &self.0[..10])
+    }
+
+    fn is(&self, prefix: u64) -> u64 {
+        if self.1 == Order::OwnName {
+            return home(prefix, &self.0[3..]);
+        }
+        let was = self.was(prefix);
+        self.0[..3].iter().position(|n| *n == was).map_or(was, |at| self.0[10 + at])
+    }
+}
+
 fn tokens(prefix: u64) -> u32 {
     400 + (mix(prefix) % 7600) as u32
 }
@@ -92,7 +117,8 @@
 }
 
 impl Fleet {
-    fn order(&mut self, old: &[u64], new: &[u64], nodes: &[u64], warm: bool) {
+    fn order(&mut self, names: &Names, warm: bool) {
+        let (old, new) = (&names.0[..3], &names.0[10..]);
         let mut fleet = Sketch::new(CAPACITY, HALF_LIFE, REPLACED);
         for (at, member) in self.members.iter_mut().enumerate() {
             let hot: Vec<Beginning> = member.hottest(CAPACITY).into_iter().map(|(b, _)| b).collect();
@@ -111,7 +137,7 @@
         };
         let targets: Vec<Target> = new.iter().map(target).collect();
         let facts =
-            Facts { homes: &|b| vec![Node(home(b.prefix, nodes))], granted: &|_, _| true, kept: &|_, _| 0 };
+            Facts { homes: &|b| vec![Node(names.is(b.prefix))], granted: &|_, _| true, kept: &|_, _| 0 };
         let plans: Vec<Plan> = plan(&fleet, &targets, &facts);
         for (plan, old) in plans.iter().zip(old) {
             let empty = Plan { readings: Vec::new(), ..plan.clone() };
@@ -142,11 +168,10 @@
     }
 }
 
-fn run(seed: u64, warm: bool) -> Figures {
+fn run(seed: u64, order: Order, warm: bool) -> Figures {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let names: Vec<u64> = (0..13).map(|n| mix(seed * 100 + n)).collect();
-    let (old, new) = (&names[..3], &names[10..]);
-    let (before, after) = (&names[..10], &names[3..]);
+    let names = Names((0..13).map(|n| mix(seed * 100 + n)).collect(), order);
+    let (old, new) = (&names.0[..3], &names.0[10..]);
     let sketch = Sketch::new(CAPACITY, HALF_LIFE, 0);
     let mut fleet = Fleet {
         kept: HashMap::new(),
@@ -160,7 +185,7 @@
     while last.is_none_or(|last| now <= last + 10_000) {
         now += 1;
         if now == REPLACED {
-            fleet.order(old, new, after, warm);
+            fleet.order(&names, warm);
         }
         fleet.read(now, &mut done);
         if first.is_none() && fleet.cutovers.iter().any(|c| c.figures().moved > 0) {
@@ -175,7 +200,7 @@
             let (prefix, rest) = request(&mut rng);
             // By the order of those before, unless the new order names a new node and the slice has moved to it. What
             // the leaving of an old node moves between others lies on its place, too.
-            let (was, is) = (home(prefix, before), home(prefix, after));
+            let (was, is) = (names.was(prefix), names.is(prefix));
             let cutover = fleet.cutovers.iter().position(|c| c.hand_over().node.0 == is);
             let side = cutover.and_then(|at| fleet.cutovers[at].side(&beginning(prefix)));
             let gone = last.is_some() && old.contains(&was);
@@ -203,9 +228,11 @@
 }
 
 fn main() {
-    for warm in [false, true] {
-        let runs: Vec<Figures> = (1..=5).map(|seed| run(seed, warm)).collect();
-        println!("{}", if warm { "with warming" } else { "without warming" });
+    let orders = [(Order::InPlace, "in the old ones' places"), (Order::OwnName, "under names of their own")];
+    let cases = orders.iter().flat_map(|order| [(*order, false), (*order, true)]);
+    for ((order, placed), warm) in cases {
+        let runs: Vec<Figures> = (1..=5).map(|seed| run(seed, order, warm)).collect();
+        println!("{}, {placed}", if warm { "with warming" } else { "without warming" });
         type Of = fn(&Figures) -> [f64; 3];
         for (name, of) in [("whole fleet", (|f| f.fleet) as Of), ("replaced places", |f| f.places)] {
             let mean = |at: usize| runs.iter().map(|f| of(f)[at]).sum::<f64>() / runs.len() as f64;
--- a/crates/warming/src/cutover/fleet.rs
+++ b/crates/warming/src/cutover/fleet.rs
@@ -54,7 +54,7 @@
         Replacements { terms, limit, under_way: BTreeMap::new(), lost: BTreeSet::new() }
     }
 
-    /// A node is to take the place of another, or (`None`) its place among all. Where the old one is itself the new one of a
+    /// A node is to take the place of another in the order (hashed under that one's name), or (`None`) a place of its own. Where the old one is itself the new one of a
     /// replacement under way, that one goes back to its own old node, and the newest takes over from there. Where the old one is
     /// being replaced by another, that ends likewise. Returns the steps of replacements that have ended by it.
     pub fn order(
--- a/crates/warming/src/cutover/mod.rs
+++ b/crates/warming/src/cutover/mod.rs
@@ -83,7 +83,8 @@
 #[derive(Clone, Debug)]
 pub struct Cutover {
     hand_over: HandOver,
-    /// `None`: the keys come from all others, whose nodes the order names.
+    /// Whose place in the order the new node takes. `None`: it comes under its own name, its keys are from all others, and the order
+    /// without it names who serves them until they move.
     old: Option<Node>,
     terms: Terms,
     state: State,
--- a/crates/warming/src/texts.rs
+++ b/crates/warming/src/texts.rs
@@ -69,12 +69,10 @@
         *self.by_team.entry(beginning.team).or_default() += bytes;
         self.kept.insert(beginning, Kept { text: text.into(), heat, asked: now });
         let mut gone = Vec::new();
-        while self.of(beginning.team) > self.limits.team_bytes {
-            self.drop_coldest(Some(beginning.team), &mut gone);
-        }
-        while self.bytes > self.limits.bytes {
-            self.drop_coldest(None, &mut gone);
-        }
+        // Both end when nothing is left, whatever the sums say.
+        let team = beginning.team;
+        while self.of(team) > self.limits.team_bytes && self.drop_coldest(Some(team), &mut gone) {}
+        while self.bytes > self.limits.bytes && self.drop_coldest(None, &mut gone) {}
         gone
     }
 
@@ -127,13 +125,14 @@
         gone
     }
 
-    fn drop_coldest(&mut self, team: Option<Team>, gone: &mut Vec<Beginning>) {
+    fn drop_coldest(&mut self, team: Option<Team>, gone: &mut Vec<Beginning>) -> bool {
         let theirs = self.kept.iter().filter(|(b, _)| team.is_none_or(|t| b.team == t));
         let coldest = theirs.min_by(|a, b| a.1.heat.total_cmp(&b.1.heat).then(b.0.cmp(a.0))).map(|(b, _)| *b);
         if let Some(beginning) = coldest {
             self.remove(&beginning);
             gone.push(beginning);
         }
+        coldest.is_some()
     }
 
     fn remove(&mut self, beginning: &Beginning) {
