--- a/crates/warming/examples/figures.rs
+++ b/crates/warming/examples/figures.rs
@@ -151,13 +151,13 @@
 
     /// Readings at three tenths of a node's capacity, one after the other.
     fn read(&mut self, now: u64, done: &mut [f64]) {
-        for at in 0..self.cutovers.len() {
-            done[at] += 0.3 * READS_A_SECOND as f64 / 1000.0;
+        for (at, done) in done.iter_mut().enumerate().take(self.cutovers.len()) {
+            *done += 0.3 * READS_A_SECOND as f64 / 1000.0;
             while let Some((beginning, tokens)) = self.queues[at].last().copied() {
-                if done[at] < f64::from(tokens) {
+                if *done < f64::from(tokens) {
                     break;
                 }
-                done[at] -= f64::from(tokens);
+                *done -= f64::from(tokens);
                 self.queues[at].pop();
                 let node = self.cutovers[at].hand_over().node.0;
                 self.kept.entry(node).or_default().find(beginning.prefix, tokens);
--- a/crates/warming/src/cutover/fleet.rs
+++ b/crates/warming/src/cutover/fleet.rs
@@ -54,8 +54,8 @@
         Replacements { terms, limit, under_way: BTreeMap::new(), lost: BTreeSet::new() }
     }
 
-    /// A node is to take the place of another in the order (hashed under that one's name), or (`None`) a place of its own. Where the old one is itself the new one of a
-    /// replacement under way, that one goes back to its own old node, and the newest takes over from there. Where the old one is
+    /// A node is to take the place of another in the order (hashed under that one's name), or (`None`) a place of its own.
+    /// Where the old one is itself the new one of a replacement under way, that one goes back to its own old node, and the newest takes over from there. Where the old one is
     /// being replaced by another, that ends likewise. Returns the steps of replacements that have ended by it.
     pub fn order(
         &mut self, old: Option<Node>, hand_over: HandOver, plan: &Plan, now: Ms,
--- a/crates/warming/src/cutover/mod.rs
+++ b/crates/warming/src/cutover/mod.rs
@@ -1,6 +1,6 @@
 //! The cut-over of one node: its keys move to the replacement slice by slice, as what was planned for a slice has been read, or
-//! from the deadline on. A slice has one owner at any time. The old node serves until all have moved and the new one has held for a
-//! while; then it may drain. Where the new one fails, everything is back with the old one in the same step.
+//! from the deadline on. A slice has one owner at any time. The old node serves until all have moved and the new one has held
+//! for a while; then it may drain. Where the new one fails, everything is back with the old one in the same step.
 
 mod fleet;
 mod story;
@@ -83,8 +83,8 @@
 #[derive(Clone, Debug)]
 pub struct Cutover {
     hand_over: HandOver,
-    /// Whose place in the order the new node takes. `None`: it comes under its own name, its keys are from all others, and the order
-    /// without it names who serves them until they move.
+    /// Whose place in the order the new node takes. `None`: it comes under its own name, its keys are from all others, and
+    /// the order without it names who serves them until they move.
     old: Option<Node>,
     terms: Terms,
     state: State,
--- a/crates/warming/src/texts.rs
+++ b/crates/warming/src/texts.rs
@@ -54,8 +54,8 @@
         self.limits.bytes == 0 || self.limits.team_bytes == 0 || self.limits.age == 0
     }
 
-    /// Keeps a text that was asked for now and is so hot ([`heat`]), in place of colder ones (of its team first, where that is at its own
-    /// limit). What had to go is returned; the text itself is among it where all others are hotter.
+    /// Keeps a text that was asked for now and is so hot ([`heat`]), in place of colder ones (of its team first,
+    /// where that is at its own limit). What had to go is returned; the text itself is among it where all others are hotter.
     pub fn keep(&mut self, beginning: Beginning, text: &[u8], heat: f64, now: Ms) -> Vec<Beginning> {
         let bytes = text.len() + OVERHEAD;
         if self.off() {
--- a/crates/warming/tests/plan.rs
+++ b/crates/warming/tests/plan.rs
@@ -54,7 +54,9 @@
                 sketch.holds(&b, Member(1));
             }
         }
-        let target = |node| Target { node: Node(node), sends: 9, memory_tokens: 30_000, tokens_a_second: 9000, share: 500, time: 5000 };
+        let (sends, memory_tokens, tokens_a_second) = (9, 30_000, 9000);
+        let target =
+            |node| Target { node: Node(node), sends, memory_tokens, tokens_a_second, share: 500, time: 5000 };
         let facts = Facts {
             homes: &|b| vec![Node(b.prefix % 4), Node(3)],
             granted: &|team, _| team != Team(refused),
