Test two cases of warming that planted faults went through

Plain greedy alone passed the random cases against all subsets, and a lost old node was hidden by the map of replacements around it. Both faults are found now.

--- a/crates/warming/tests/cutover.rs
+++ b/crates/warming/tests/cutover.rs
@@ -183,3 +183,12 @@
     assert_eq!(all.order(Some(b), over(3, 1), &plan(3), 20), Ok(Vec::new()));
     assert!((0..40).all(|p| all.owner(c, &beginning(p)) == Some(a)));
 }
+
+#[test]
+fn where_both_are_lost_neither_serves() {
+    for order in [[1, 2], [2, 1]] {
+        let mut cutover = Cutover::new(over(2, 1), Some(Node(1)), &plan(2), TERMS, 0);
+        order.iter().for_each(|node| drop(cutover.step(Input::Lost(Node(*node)), 10)));
+        assert!((0..4).all(|slice| cutover.side_of(slice).is_none()));
+    }
+}
--- a/crates/warming/tests/plan.rs
+++ b/crates/warming/tests/plan.rs
@@ -75,3 +75,13 @@
         }
     }
 }
+
+/// Where plain greedy fails: a small item in front of a large one, and many thrifty ones where sends are few.
+#[test]
+fn a_large_saving_is_not_lost_to_a_thrifty_one() {
+    let of = |tokens, saving| Item { tokens, saving };
+    let items = [of(1, 2.0), of(100, 100.0)];
+    assert_eq!(choose(&items, Budget { tokens: 100, sends: 9 }), [1]);
+    let items = [of(1, 2.0), of(1, 2.0), of(40, 60.0), of(40, 50.0)];
+    assert_eq!(choose(&items, Budget { tokens: 100, sends: 2 }), [2, 3]);
+}
