--- a/src/policy/escape.rs
+++ b/src/policy/escape.rs
@@ -9,7 +9,8 @@
 const SENT_TIMES: f64 = 1.6;
 /// ... and the median plus this many for the whole fleet (own counts: divided among the routers).
 const FLOOR: f64 = 8.0;
-/// By time: a read that would end after this share of the aim goes where it ends before that, and within this part of it.
+/// By time: a read that would end after this share of the aim goes where it ends before that, and within
+/// this part of it.
 const LATE: f64 = 0.35;
 const GAINS: f64 = 0.6;
 
@@ -37,7 +38,8 @@
         peers().min_by(|a, b| load(a).total_cmp(&load(b))).unwrap_or(home)
     }
 
-    /// A reader where the read would end late, a slow one say, is passed over for the one where it would end first: it must
+    /// A reader where the read would end late, a slow one say, is passed over for the one where it would
+    /// end first: it must
     /// not be refused for its home's sake. Harm: read whole there, so where all are late it stays at home.
     pub(super) fn detour(&self, home: ServerId, kept: f64, usable: &[ServerId], job: &Job) -> ServerId {
         let chosen = self.escape(home, usable);
--- a/src/policy/shedding.rs
+++ b/src/policy/shedding.rs
@@ -27,7 +27,8 @@
         part > 1.0 && self.random.unit() < (3.0 * (part - 1.0)).min(0.95)
     }
 
-    /// When a read of this much work would end at a reader, or a stream begin at a writer or a mixed server, if sent now.
+    /// When a read of this much work would end at a reader, or a stream begin at a writer or a mixed
+    /// server, if sent now.
     pub(super) fn expected(&self, id: ServerId, work: f64) -> Ms {
         let s = self.servers.get(&id);
         s.map_or(0.0, |s| estimate::until(s, &self.learned, self.routers(), self.now, work))
--- a/src/policy/silence.rs
+++ b/src/policy/silence.rs
@@ -7,7 +7,8 @@
 const OF_AIM: f64 = 3.0;
 /// A server whose reports or probe answers still come is given this many times as long.
 const HEARD_PATIENCE: f64 = 2.5;
-/// Lost: an attempt that later ones at its server have overtaken, after this share of the aim and twice its own work.
+/// Lost: an attempt that later ones at its server have overtaken, after this share of the aim and twice
+/// its own work.
 const LOST_OF_AIM: f64 = 0.3;
 /// Lost too: a read that is alone there for so much longer, as the others have been sent elsewhere meanwhile.
 const ALONE: f64 = 2.0;
--- a/src/policy/writers.rs
+++ b/src/policy/writers.rs
@@ -3,7 +3,8 @@
 use super::Router;
 use crate::{api::*, state::*, warm};
 
-/// Share of memory by which a near writer may lie above the lowest: where its memory is known, and where it is guessed.
+/// Share of memory by which a near writer may lie above the lowest: where its memory is known, and where
+/// it is guessed.
 const NEAR_MARGIN: f64 = 0.05;
 const NEAR_UNSURE: f64 = 0.4;
 /// A report fades in this time (ms), and what is not known may lie this far above the average.
@@ -17,7 +18,8 @@
     pub(super) fn choose_writer(&mut self, job: &Job, out: &mut Vec<Action>) -> Option<ServerId> {
         let usable = self.usable(&[Role::Writer], job, Stage::Write, out);
         let mut known = self.projections(&usable);
-        // Where none can be asked, what was waited there speaks: an aim of it is as bad as a memory that is full.
+        // Where none can be asked, what was waited there speaks: an aim of it is as bad as a memory that
+        // is full.
         let deaf = if self.settings.limits.probes { 0.0 } else { 1.0 / job.aim().max(1.0) };
         let waits = |id| (1.0 - self.sure(id)) * self.expected(id, 0.0) * deaf;
         known.iter_mut().for_each(|w| w.1 += waits(w.0));
