Fill the policy's comments that were broken in two raggedly

Seen on reading the whole change once more: two comments of escape.rs and held.rs broke after a few words when they were brought within their width. No code changes: formatting, clippy and the module's tests pass as before.

--- a/src/policy/escape.rs
+++ b/src/policy/escape.rs
@@ -39,8 +39,8 @@
     }
 
     /// A reader where the read would end late, a slow one say, is passed over for the one where it would
-    /// end first: it must
-    /// not be refused for its home's sake. Harm: read whole there, so where all are late it stays at home.
+    /// end first: it must not be refused for its home's sake. Harm: read whole there, so where all are late
+    /// it stays at home.
     pub(super) fn detour(&self, home: ServerId, kept: f64, usable: &[ServerId], job: &Job) -> ServerId {
         let chosen = self.escape(home, usable);
         let there = self.expected(chosen, job.work(if chosen == home { kept } else { 0.0 }));
--- a/src/policy/held.rs
+++ b/src/policy/held.rs
@@ -34,9 +34,8 @@
         }
     }
 
-    /// Lets go of a state that found no writer to connect to in time, while there is time to read it
-    /// anew. One for
-    /// which there was no writer at all would find none the next time either.
+    /// Lets go of a state that found no writer to connect to in time, while there is time to read it anew.
+    /// One for which there was no writer at all would find none the next time either.
     pub(super) fn let_go_late(&self, job: &mut Job, out: &mut Vec<Action>) {
         let tried = job.state_at.is_some() && job.idle_since > job.held_since;
         if tried && !self.may_hold(job) {
