Tell an engine the time that is left as its request is written, not as it is dialled

Seen: an attempt's Req-Deadline was fixed before its connection was opened. With a connection that comes up a second late the engine was told 24.994 s where 24 were left, at the first attempt and at the one that follows a reader's "full"; with the platform's dial time-out the excess is up to 250 ms, beyond the 150 ms allowed at a further attempt.

Checked: the deadline that the core keeps is right (it counts from the head of the request, and an attempt's own time is cut to it), as is the wait behind a release (the time is taken at the machine's Start, after it). Ruled out with that: what a client says, and the queue. At fault: engine/mod.rs `answer`, which wrote `wait` into the request's head before `ask` dialled.

Call::Attempt now says until when the core waits, and `Asked::written` tells what is left of that for each writing, on a new connection, a kept one and one that replaces a kept one; with nothing left nothing is written.

Test: time_left `an_attempt_tells_what_is_left_behind_its_dial`, the built program before a reader whose listen queue is full, so that the machine dials again a second later, twice.

--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -17,9 +17,8 @@
                 let by = [held, job.repeat_by()].into_iter().flatten().min();
                 let connect = by.map(|until| until.saturating_duration_since(Instant::now()));
                 let (core, payload, until) = (self.clone(), job.payload.clone(), job.sent[attempt].until);
-                let wait = until.saturating_duration_since(Instant::now());
                 let wanted = job.pieces.as_ref().map_or_else(Wanted::default, Wanted::of);
-                let call = Call::Attempt { server, payload, wait, connect, wanted };
+                let call = Call::Attempt { server, payload, until, connect, wanted };
                 spawn_local(async move { core.attempt(id, attempt, call, until, cancelled).await });
             }
             Effect::CallBack { attempt } => job.sent[attempt].cancel = None,
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -38,7 +38,7 @@
 pub use self::places::Address;
 use self::places::Places;
 use self::reply::Tail;
-use self::requests::{attempt_request, lease_request, plain_request};
+use self::requests::{attempt_request, lease_request, plain_request, tell_left};
 use self::stream::{broken, Next, Stream};
 use crate::budget::Budget;
 use crate::exchange::{Head, Payload, Rest, Wanted};
@@ -100,6 +100,33 @@
     }
 }
 
+/// A request to a server, and the terms of its writing.
+struct Asked {
+    what: Ask,
+    request: Request<Bytes>,
+    /// It must be on a connection by then.
+    connect: Option<Instant>,
+    /// Its answer is waited for until then.
+    until: Option<Instant>,
+    wanted: Wanted,
+}
+
+impl Asked {
+    fn aside(what: Ask, request: Request<Bytes>) -> Asked {
+        Asked { what, request, connect: None, until: None, wanted: Wanted::default() }
+    }
+
+    /// What is written if it goes out at this moment; nothing once its time is over.
+    fn written(&self) -> Option<Request<Bytes>> {
+        let mut request = self.request.clone();
+        if let Some(until) = self.until {
+            let left = until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())?;
+            tell_left(&mut request, left);
+        }
+        Some(request)
+    }
+}
+
 #[derive(Clone)]
 pub struct Engine(Rc<Shared>);
 
@@ -254,11 +281,9 @@
     }
 
     /// Writes a request to a server once and returns the head of what comes back.
-    async fn ask(
-        &self, server: ServerId, request: &Request<Bytes>, what: Ask, connect: Option<Duration>,
-        wanted: &Wanted,
-    ) -> Result<(Response<Incoming>, Connection), Failed> {
-        let connect = connect.map(|time| Instant::now() + time);
+    async fn ask(&self, server: ServerId, asked: &Asked) -> Result<(Response<Incoming>, Connection), Failed> {
+        let Asked { what, connect, wanted, .. } = asked;
+        let what = *what;
         loop {
             // Nobody is dialled in vain: it costs the server work, and the request the time of the dial.
             if !wanted.still() || !(what.aside() || self.serving(server)) {
@@ -268,23 +293,24 @@
             self.0.counts.borrow_mut().reused += u64::from(idle.is_some());
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => self.opened(server, what, connect).await?,
+                None => self.opened(server, what, *connect).await?,
             };
             // Connecting takes time: what was told meanwhile counts at the first byte.
             if !connection.may_write(self.may_get(server, &connection.peer, what)) {
                 return Err(Failed::NotSent);
             }
+            let request = asked.written().ok_or(Failed::NotSent)?;
             let (engine, peer) = (self.clone(), connection.peer.clone());
-            let asked = wanted.clone();
+            let out = wanted.clone();
             let clear = move || {
-                let clear = asked.still() && engine.may_get(server, &peer, what);
-                asked.goes_out(clear);
+                let clear = out.still() && engine.may_get(server, &peer, what);
+                out.goes_out(clear);
                 clear
             };
             if what == Ask::Attempt {
-                connection.count_whole(request, self.0.relayed.clone());
+                connection.count_whole(&request, self.0.relayed.clone());
             }
-            match connection.send(request.clone(), clear).await {
+            match connection.send(request, clear).await {
                 Ok(response) => {
                     self.0.places.borrow_mut().note(server, |reach, now| reach.heard(now));
                     return Ok((response, connection));
@@ -299,21 +325,16 @@
     }
 
     /// A request and its whole answer.
-    async fn brief(
-        &self, server: ServerId, request: &Request<Bytes>, what: Ask,
-    ) -> Result<(Head, Bytes), Failed> {
-        let (response, connection) = self.ask(server, request, what, None, &Wanted::default()).await?;
+    async fn brief(&self, server: ServerId, asked: &Asked) -> Result<(Head, Bytes), Failed> {
+        let (response, connection) = self.ask(server, asked).await?;
         let (parts, body) = response.into_parts();
         let body = Limited::new(body, BRIEF).collect().await.map_err(|_| Failed::Reset)?.to_bytes();
         self.keep(server, connection);
         Ok((Head { status: parts.status, headers: parts.headers }, body))
     }
 
-    async fn attempt(
-        &self, server: ServerId, request: &Request<Bytes>, whole: bool, connect: Option<Duration>,
-        wanted: &Wanted,
-    ) -> Result<Reply, Failed> {
-        let (response, connection) = self.ask(server, request, Ask::Attempt, connect, wanted).await?;
+    async fn attempt(&self, server: ServerId, asked: &Asked, whole: bool) -> Result<Reply, Failed> {
+        let (response, connection) = self.ask(server, asked).await?;
         let (parts, body) = response.into_parts();
         let head = Head { status: parts.status, headers: parts.headers };
         let report = reply::report_of(&head.headers);
@@ -401,8 +422,8 @@
     }
 
     async fn hold(&self, server: ServerId, payload: &Payload) -> Result<Reply, Failed> {
-        let request = lease_request(Method::POST, payload)?;
-        let answer = timeout(HOLD_WAIT, self.brief(server, &request, Ask::Hold)).await;
+        let asked = Asked::aside(Ask::Hold, lease_request(Method::POST, payload)?);
+        let answer = timeout(HOLD_WAIT, self.brief(server, &asked)).await;
         Ok(Reply::Held(match answer.map_err(|_| Failed::Reset)??.0.status.as_u16() {
             200 => Some(true),
             409 => Some(false),
@@ -411,10 +432,10 @@
     }
 
     async fn probe(&self, server: ServerId) -> Result<Reply, Failed> {
-        let request = plain_request(Method::GET, "/status/load")?;
+        let asked = Asked::aside(Ask::Probe, plain_request(Method::GET, "/status/load")?);
         self.0.counts.borrow_mut().probes += 1;
         self.0.places.borrow_mut().note(server, |reach, now| reach.asked(now));
-        let answer = timeout(PROBE_WAIT, self.brief(server, &request, Ask::Probe)).await;
+        let answer = timeout(PROBE_WAIT, self.brief(server, &asked)).await;
         if answer.is_err() {
             self.0.places.borrow_mut().note(server, |reach, now| reach.lost(now));
         }
@@ -426,9 +447,11 @@
 
     async fn answer(self, call: Call) -> Result<Reply, Failed> {
         match call {
-            Call::Attempt { server, payload, wait, connect, wanted } => {
-                let request = attempt_request(&payload, wait);
-                self.attempt(server, &request, payload.whole, connect, &wanted).await
+            Call::Attempt { server, payload, until, connect, wanted } => {
+                let (request, connect) =
+                    (attempt_request(&payload), connect.map(|time| Instant::now() + time));
+                let asked = Asked { what: Ask::Attempt, request, connect, until: Some(until), wanted };
+                self.attempt(server, &asked, payload.whole).await
             }
             Call::Release { payload } => self.release(&payload).await,
             Call::Hold { server, payload } => self.hold(server, &payload).await,
--- a/gateway/src/engine/release.rs
+++ b/gateway/src/engine/release.rs
@@ -1,6 +1,7 @@
 //! Letting go of what servers hold for a request. Whom to ask and when is decided by
 //! [`reach`](glenrail_lifecycle::reach).
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use glenrail_lifecycle::reach::Release;
@@ -10,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::requests::lease_request;
-use super::{Ask, Engine};
+use super::{Ask, Asked, Engine};
 use crate::exchange::Payload;
 use crate::upstream::{Failed, Reply};
 
@@ -23,18 +24,18 @@
 impl Engine {
     /// Asks servers that run, one beside the other, until one has taken it.
     pub(super) async fn release(&self, payload: &Payload) -> Result<Reply, Failed> {
-        let request = lease_request(Method::DELETE, payload)?;
+        let asked = Rc::new(Asked::aside(Ask::Release, lease_request(Method::DELETE, payload)?));
         let now = || self.0.places.borrow().now();
         let (begun, limit) = (now(), LIMIT.as_millis() as u64);
         let mut release = Release::new(self.0.places.borrow().running(), begun, begun + limit);
         let (tell, mut told) = mpsc::unbounded_channel();
         loop {
             for server in release.ask(now()) {
-                let (engine, request, tell) = (self.clone(), request.clone(), tell.clone());
+                let (engine, asked, tell) = (self.clone(), asked.clone(), tell.clone());
                 // On its own, so that it is not cut off, and its connection lost, when another server was faster.
                 spawn_local(async move {
                     engine.0.places.borrow_mut().note(server, |reach, now| reach.asked(now));
-                    let answer = timeout(ANSWER_WAIT, engine.brief(server, &request, Ask::Release)).await;
+                    let answer = timeout(ANSWER_WAIT, engine.brief(server, &asked)).await;
                     if !matches!(answer, Ok(Ok(_))) {
                         engine.0.places.borrow_mut().note(server, |reach, now| reach.lost(now));
                     }
--- a/gateway/src/engine/requests.rs
+++ b/gateway/src/engine/requests.rs
@@ -12,8 +12,9 @@
 const REQ_ID: HeaderName = HeaderName::from_static("req-id");
 const REQ_DEADLINE: HeaderName = HeaderName::from_static("req-deadline");
 
-/// Method, path, query, body and headers as they came; only what belongs to one connection is left out.
-pub(super) fn attempt_request(payload: &Payload, wait: Duration) -> Request<Bytes> {
+/// Method, path, query, body and headers as they came; only what belongs to one connection is left out, and the time that
+/// is left ([`tell_left`]).
+pub(super) fn attempt_request(payload: &Payload) -> Request<Bytes> {
     let mut headers = HeaderMap::new();
     for (name, value) in &payload.headers {
         let own = [
@@ -32,7 +33,6 @@
     }
     let number = |n: String| HeaderValue::from_str(&n).unwrap_or(HeaderValue::from_static("0"));
     headers.insert(header::CONTENT_LENGTH, number(payload.body.len().to_string()));
-    headers.insert(REQ_DEADLINE, number(format!("{:.3}", wait.as_secs_f64())));
     if let Ok(name) = HeaderValue::from_str(&payload.name) {
         headers.insert(REQ_ID, name);
     }
@@ -44,6 +44,12 @@
     request
 }
 
+/// Says how long the gateway still waits, as the request is about to be written: dialling may take most of that time.
+pub(super) fn tell_left(request: &mut Request<Bytes>, left: Duration) {
+    let left = HeaderValue::from_str(&format!("{:.3}", left.as_secs_f64()));
+    request.headers_mut().extend(left.ok().map(|v| (REQ_DEADLINE, v)));
+}
+
 pub(super) fn plain_request(method: Method, path: &str) -> Result<Request<Bytes>, Failed> {
     let request = Request::builder().method(method).uri(path).header(header::HOST, "api.internal");
     request.header(header::CONTENT_LENGTH, "0").body(Bytes::new()).map_err(|_| Failed::NotSent)
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -7,17 +7,18 @@
 use bytes::Bytes;
 use deckhub::{Report, ServerId};
 use futures_util::stream::LocalBoxStream;
+use tokio::time::Instant;
 
 use crate::exchange::{Head, Payload, Rest, Wanted};
 
 #[derive(Clone, Debug)]
 pub enum Call {
-    /// Sends the request once; `wait` is how long the core will wait for its answer to begin. What must be on a
-    /// connection sooner, as a state waits for it, has `connect` for that.
+    /// Sends the request once; the core waits `until` then for its answer to begin, and the server is told what is left of
+    /// that. What must be on a connection sooner, as a state waits for it, has `connect` for that.
     Attempt {
         server: ServerId,
         payload: Rc<Payload>,
-        wait: Duration,
+        until: Instant,
         connect: Option<Duration>,
         /// Not a first byte goes out once nobody wants it.
         wanted: Wanted,
--- a/gateway/tests/common/crossing.rs
+++ b/gateway/tests/common/crossing.rs
@@ -45,6 +45,11 @@
         });
     }
 
+    /// Takes its room again, once whoever was in has been accepted.
+    pub fn fill(&mut self) {
+        self.filling.push(TcpStream::connect(self.address()).expect("a connection"));
+    }
+
     /// Makes room, and gives the connection of whoever waited. It is up then, on the other side as well.
     pub fn accept(&mut self) -> TcpStream {
         let own: Vec<_> = self.filling.iter().map(|f| f.local_addr().expect("an address")).collect();
--- /dev/null
+++ b/gateway/tests/time_left.rs
@@ -0,0 +1,58 @@
+//! The time that an attempt tells its engine, by the built program: no more than what is left to its client as it is written,
+//! however long its connection was in coming up, at a further attempt too.
+
+mod common;
+
+use std::io::{Read, Write};
+use std::net::TcpStream;
+
+use common::crossing::*;
+use common::scripted::*;
+
+/// The class's deadline, in the program's configuration.
+const DEADLINE: f64 = 25.0;
+/// A machine that was turned away dials again so much later.
+const DIALS_AGAIN: f64 = 1.0;
+/// What an attempt may tell beyond what is left.
+const OVER: f64 = 0.15;
+
+/// Full, and the connection ends here.
+const CLOSING: &str =
+    "HTTP/1.1 503 Full\r\nsrv-declined: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
+/// Takes a request whole, and reads the time that it tells.
+fn told(socket: &mut TcpStream) -> f64 {
+    socket.set_read_timeout(Some(common::AGES)).expect("a bound");
+    let (mut got, mut byte) = (Vec::new(), [0]);
+    while !got.ends_with(b"\r\n\r\n{}") {
+        socket.read_exact(&mut byte).expect("a request");
+        got.push(byte[0]);
+    }
+    let head = String::from_utf8(got).expect("text");
+    let told = head.lines().find_map(|line| line.strip_prefix("req-deadline: ")).expect("a time");
+    told.parse().expect("seconds")
+}
+
+/// Guards an engine from work for a client that has gone by then: the time of the dial is taken off, at the first attempt and
+/// at the one that follows a reader's "full".
+#[test]
+fn an_attempt_tells_what_is_left_behind_its_dial() {
+    let mut reader = Full::start();
+    let writer = Engine::start(|_, line| if line.starts_with("DELETE") { EMPTY } else { EVENTS }.into());
+    let program = Program::start("time-left", &[reader.address()], &[writer.address], true);
+    let client = Client::ask(program.front, "a1");
+    let mut told_at = Vec::new();
+    for answer in [CLOSING, READ] {
+        reader.dialled();
+        let mut socket = reader.accept();
+        told_at.push(told(&mut socket));
+        // The next dial is late as well.
+        reader.fill();
+        socket.write_all(answer.as_bytes()).expect("written");
+    }
+    assert_eq!(final_answer(client).0, 200);
+    for (n, told) in told_at.into_iter().enumerate() {
+        let left = DEADLINE - DIALS_AGAIN * (n + 1) as f64;
+        assert!(told <= left + OVER, "attempt {n} tells {told} of {left} s");
+    }
+}
