Forget the waits of a server's old process when it starts anew

Cause: Server::renew (state/server.rs) cleared all but `waiting`, which check_silence (policy/silence.rs) judges. Cleared alone, a read whose connection stays silent (a machine that vanished) would be called back by nobody before its time-out: so an attempt that its server no longer knows of counts as lost, as one that later ones have overtaken, after 0.3 of its aim, and may follow elsewhere where the class allows.

Test: path `a_new_process_is_not_ejected_for_the_waits_of_the_old_one`; without `waiting.clear()` it fails ("at 3100": ejected), without the `is_none_or` of silence.rs it fails as well (never called back). Checked: path, rules, turned_away.

--- a/src/policy/silence.rs
+++ b/src/policy/silence.rs
@@ -7,8 +7,8 @@
 const OF_AIM: f64 = 3.0;
 /// A server whose reports or probe answers still come is given this many times as long.
 const HEARD_PATIENCE: f64 = 2.5;
-/// Lost: an attempt that later ones at its server have overtaken, after this share of the aim and twice
-/// its own work.
+/// Lost: an attempt that later ones at its server have overtaken, or whose server has started anew since, after
+/// this share of the aim and twice its own work.
 const LOST_OF_AIM: f64 = 0.3;
 /// Lost too: a read that is alone there for so much longer, as the others have been sent elsewhere meanwhile.
 const ALONE: f64 = 2.0;
@@ -34,7 +34,7 @@
         let lost = |s: &Server, j: &Job, a: &Attempt| {
             let others = |o: &(ServerId, Role, Ms)| o.0 != a.server && o.1 == s.role && o.2 > a.sent;
             let alone = few && s.waiting.len() == 1 && a.stage == Stage::Read && answers.iter().any(others);
-            let overtaken = s.waiting.get(&j.ask.id).is_some_and(|w| !w.counts());
+            let overtaken = s.waiting.get(&j.ask.id).is_none_or(|w| !w.counts());
             let part = LOST_OF_AIM * if overtaken { 1.0 } else { ALONE };
             (overtaken || alone) && now > a.sent + part * j.aim() + 2.0 * a.work * s.start.low
         };
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -134,6 +134,7 @@
         (self.health, self.memory, self.sends) = (Health::default(), None, (0.0, now));
         self.seen = None;
         self.recent.clear();
+        self.waiting.clear();
         self.unlearn();
         self.cool(since, now, credit);
     }
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -685,6 +685,32 @@
     );
 }
 
+/// Guards a server that has started anew against silence that was its old process's: it is not ejected for work that it never
+/// got, and a read that was lost with the old one is called back, in time for another.
+#[test]
+fn a_new_process_is_not_ejected_for_the_waits_of_the_old_one() {
+    let mut rig = Rig::plain();
+    let home = rig.read_at(ask(1));
+    let known = fleet().into_iter().find(|m| m.server.0 == home).expect("it is listed");
+    rig.at(100.0);
+    let anew = Member { started: Some(90.0), ..known };
+    rig.give(Event::Members { scope: Scope::Delta, members: vec![anew] });
+    let mut called_back = None;
+    for tick in 2..60 {
+        rig.at(f64::from(tick) * 100.0);
+        let actions = rig.timer(1 << 52);
+        assert!(!rig.router.avoids(ServerId(home)), "at {}", rig.now);
+        if called_back.is_none() && actions.contains(&Action::Cancel { id: RequestId(1), attempt: 0 }) {
+            called_back = Some(rig.now);
+            let retry = sent(&rig.outcome(1, 0, home, Status::Cancelled)).expect("a retry");
+            assert_ne!(retry, home);
+            rig.give(Event::ClientGone { id: RequestId(1) });
+            rig.outcome(1, 1, retry, Status::Cancelled);
+        }
+    }
+    assert!(called_back.is_some_and(|at| at < 1_000.0), "{called_back:?}");
+}
+
 /// Guards an upgrade: a router that takes another's place knows how much a cold server may be sent and where sessions
 /// live, at any time of its own clock; bytes that are no such knowledge change nothing and break nothing.
 #[test]
