Hold a kept connection to the time in which a repeat or a held state may be written

Seen by reading: what bounds a write before its deadline, a class's window for repeats and the pin limit of a state, reached the engine client as a bound on the dial alone (`connect`). An attempt that had waited for a release meanwhile was written on a kept connection however late it was: a repeat after its window runs twice. The router's own look at the window is at the order, the machine starts it after the release.

engine/mod.rs `Asked::written` asks for that time, too, as the request is written; past it nothing is, and the outcome is "kept back".

Test: first_byte `a_request_whose_time_to_be_written_is_over_gets_no_first_byte`; with `self.connect` left out of `written` the request goes out and the test ends as a hang. Checked: first_byte, engine, leases, gone, answers, the gateway's library.

--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -104,7 +104,7 @@
 struct Asked {
     what: Ask,
     request: Request<Bytes>,
-    /// It must be on a connection by then.
+    /// It must be on a connection by then, a kept one too.
     connect: Option<Instant>,
     /// Its answer is waited for until then.
     until: Option<Instant>,
@@ -116,12 +116,15 @@
         Asked { what, request, connect: None, until: None, wanted: Wanted::default() }
     }
 
-    /// What is written if it goes out at this moment; nothing once its time is over.
+    /// What is written if it goes out at this moment; nothing once its time is over, or that of what is held for it, or that in
+    /// which it may be repeated.
     fn written(&self) -> Option<Request<Bytes>> {
-        let mut request = self.request.clone();
+        let (mut request, now) = (self.request.clone(), Instant::now());
+        if [self.connect, self.until].into_iter().flatten().any(|by| by <= now) {
+            return None;
+        }
         if let Some(until) = self.until {
-            let left = until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero())?;
-            tell_left(&mut request, left);
+            tell_left(&mut request, until - now);
         }
         Some(request)
     }
--- a/gateway/tests/first_byte.rs
+++ b/gateway/tests/first_byte.rs
@@ -174,6 +174,26 @@
     }
 }
 
+/// Guards what has to be written sooner than its deadline, a repeat within its window and a state within its limit: a kept
+/// connection needs no dial, and is not written to later either.
+#[test]
+fn a_request_whose_time_to_be_written_is_over_gets_no_first_byte() {
+    run(async {
+        let server = ByHand::start().await;
+        let call = Call::Attempt {
+            server: SERVER,
+            payload: payload("last byte"),
+            until: Instant::now() + AGES,
+            connect: Some(Duration::ZERO),
+            wanted: Wanted::default(),
+        };
+        assert!(matches!(server.engine.clone().oneshot(call).await, Err(Failed::NotSent)));
+        assert!(server.listener.accept().is_err(), "nor is anybody dialled");
+        server.engine.close_idle();
+        assert_eq!(server.rest(), "");
+    });
+}
+
 /// Guards a name that moves to another address while a request is on a connection to the old one, and one whose server
 /// comes back at the same address: what led to the former life carries nothing for the new one.
 #[test]
