--- a/gateway/tests/common/crossing.rs
+++ b/gateway/tests/common/crossing.rs
@@ -6,7 +6,7 @@
 use std::process::Command;
 use std::time::Duration;
 
-use serde_json::json;
+use serde_json::{json, Value};
 use socket2::SockRef;
 
 use super::member::{wait, Process};
@@ -36,13 +36,15 @@
         self.listener.local_addr().expect("an address")
     }
 
-    /// Until somebody waits to get in.
-    pub fn dialled(&self) {
-        let port = format!(":{:04X} 02 ", self.address().port());
+    /// Until somebody waits to get in; gives the port that it dials from.
+    pub fn dialled(&self) -> u16 {
+        let here = format!(":{:04X} 02 ", self.address().port());
         wait("a dial", || {
             let all = std::fs::read_to_string("/proc/net/tcp").expect("the machine's connections");
-            all.contains(&port).then_some(())
-        });
+            let line = all.lines().find(|line| line.contains(&here))?;
+            let from = line.split_whitespace().nth(1)?.rsplit_once(':')?;
+            u16::from_str_radix(from.1, 16).ok()
+        })
     }
 
     /// Takes its room again, once whoever was in has been accepted.
@@ -129,20 +131,28 @@
 impl Program {
     /// `cancel`: whether the deployment lets an attempt be called back.
     pub fn start(name: &str, readers: &[SocketAddr], writers: &[SocketAddr], cancel: bool) -> Program {
+        Program::with(name, readers, writers, |settings| settings["policy-limits"]["cancel"] = json!(cancel))
+    }
+
+    /// With other settings.
+    pub fn with(
+        name: &str, readers: &[SocketAddr], writers: &[SocketAddr], change: impl FnOnce(&mut Value),
+    ) -> Program {
         let host = |kind: &str, at: &SocketAddr| {
             json!({"host": format!("{kind}-{}", at.port()), "dial": at, "site": "dc", "class": kind, "block": 0,
                 "health": "SERVING", "share": 1.0, "born_ms": 0})
         };
         let hosts: Vec<_> =
             readers.iter().map(|at| host("r", at)).chain(writers.iter().map(|at| host("w", at))).collect();
-        let config = json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
+        let mut config = json!({"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1",
             "known": {"seq": 7, "whole": true, "hosts": hosts},
             "settings": {"balancers": 1, "quantum": 4.0, "zones": ["dc"], "kinds": ["r", "w"],
                 "services": [{"name": "chat", "aim": 9000.0, "deadline": 25000.0, "semantics": "free"},
                     {"name": "order", "aim": 9000.0, "deadline": 25000.0, "semantics": "single_shot"}],
                 "domain": {"stage-of-kind": ["read", "write"], "tokens-by-kind": [200000, 200000], "pin-limit": 500.0},
-                "policy-limits": {"max-attempts": 5, "cancel": cancel, "dial-timeout": 20000.0},
+                "policy-limits": {"max-attempts": 5, "dial-timeout": 20000.0},
                 "rules": {"cold": 13000.0, "cold-from": 0.31, "fall": 3000.0, "fall-multiple": 4.0}}});
+        change(&mut config["settings"]);
         let state = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{}", std::process::id()));
         std::fs::create_dir_all(&state).expect("a directory");
         let file = state.join("config.json");
