Take in what the old place of discovery had written when the signal moved it

Seen: a drain that the old place had written, found in one wake-up with the SIGHUP that moves discovery, was thrown away unread where the signal was taken first. While the new place said nothing the draining engine went on being sent to, told though it was.

At fault: the biased select of discovery/watch/mod.rs, which dropped the call under way at the change of the address.

The call now has 20 ms more (LAST_WORD), by which a turn of the reactor has read what is here; a call that is held as usual delays the first call to the new place by that much, of the 4 s after which it counts.

--- a/gateway/src/discovery/watch/mod.rs
+++ b/gateway/src/discovery/watch/mod.rs
@@ -25,6 +25,10 @@
 /// A connection that does not come up by then is tried anew, of whatever time its call has left.
 const CONNECT: Duration = Duration::from_millis(500);
 
+/// What a place has written just as discovery moves is taken in before the new place is asked: it was told. By then a turn of
+/// the reactor has read what is here.
+const LAST_WORD: Duration = Duration::from_millis(20);
+
 /// What the watch has cost: calls answered, the lines that came with them, calls that failed.
 #[derive(Debug, Default)]
 pub struct Tally {
@@ -152,10 +156,15 @@
             calls.moved();
         }
         let (ask, began) = (calls.ask(from.is_some()), Instant::now());
+        let answer = call(open.take(), &at, ask, from, calls.limits(ask));
+        tokio::pin!(answer);
         let answer = tokio::select! {
             biased;
-            Ok(()) = address.changed() => continue,
-            answer = call(open.take(), &at, ask, from, calls.limits(ask)) => answer,
+            Ok(()) = address.changed() => match timeout(LAST_WORD, answer).await {
+                Ok(Ok(last)) => Ok(last),
+                _ => continue,
+            },
+            answer = &mut answer => answer,
         };
         let whole = |list: &List| list.whole || matches!(ask, Ask::Whole { .. });
         let answer = answer.and_then(|(watch, list)| match whole(&list) && list.hosts.is_empty() {
--- a/gateway/tests/told.rs
+++ b/gateway/tests/told.rs
@@ -299,3 +299,78 @@
         });
     }
 }
+
+/// Guards a drain that the old place had written before the signal was taken in, both in one wake-up: it was told, so it holds
+/// for as long as the new place says nothing; then the new place's list does.
+#[test]
+fn a_drain_told_just_as_discovery_moves_is_kept_until_the_new_place_speaks() {
+    for (mode, first) in [(PUSHED, "signal"), (PUSHED, "list"), (ASKED, "signal"), (ASKED, "list")] {
+        run(async {
+            let (engines, old, gateway, at, usual) =
+                started(&format!("told-as-moved-{mode}-{first}"), mode).await;
+            old.watched().await;
+            let new = Agent::start(engines.list(3, Some(1 - usual))).await;
+            new.falls_silent();
+            let moved = config(new.address, &engines.list(1, None), mode);
+            gateway.process.signal("-STOP");
+            let written = old.answers(1);
+            if first == "signal" {
+                gateway.reload(&moved);
+            }
+            old.has(engines.list(6, Some(usual)));
+            written.await;
+            if first == "list" {
+                gateway.reload(&moved);
+            }
+            gateway.process.signal("-CONT");
+            until(|| !new.calls.borrow().is_empty()).await;
+            spared(&engines, at, usual).await;
+            new.speaks();
+            taken(&gateway, 3).await;
+            spared(&engines, at, 1 - usual).await;
+        });
+    }
+}
+
+/// Guards whoever asked for changes and is told the whole list: who does not stand in it is gone, whether it drained before or
+/// not, and a request in the same wake-up is served by who is left.
+#[test]
+fn a_whole_list_where_changes_were_expected() {
+    for mode in [PUSHED, ASKED] {
+        for first in ["list", "request"] {
+            run(async {
+                let (engines, agent, gateway, at, usual) =
+                    started(&format!("whole-{mode}-{first}"), mode).await;
+                agent.watched().await;
+                let mut list = engines.list(6, None);
+                let gone = engines.list(6, None)["hosts"][1 + usual]["host"].clone();
+                list["hosts"].as_array_mut().expect("a list").retain(|line| line["host"] != gone);
+                gateway.process.signal("-STOP");
+                let early = if first == "request" { Some(request(at).await) } else { None };
+                let written = agent.answers(1);
+                agent.has(list);
+                written.await;
+                let socket = match early {
+                    Some(socket) => socket,
+                    None => request(at).await,
+                };
+                gateway.process.signal("-CONT");
+                answered(socket).await;
+                taken(&gateway, 6).await;
+                spared(&engines, at, usual).await;
+                // Changes follow it: by them alone the one that is left out comes back, and the other goes.
+                let mut changes = engines.list(7, None);
+                changes["whole"] = false.into();
+                let lines = changes["hosts"].as_array_mut().expect("a list");
+                lines.remove(0);
+                lines.iter_mut().filter(|line| line["host"] != gone).for_each(|line| {
+                    line["health"] = "DELETED".into();
+                });
+                agent.watched().await;
+                agent.has(changes);
+                taken(&gateway, 7).await;
+                spared(&engines, at, 1 - usual).await;
+            });
+        }
+    }
+}
