Ask an engine for path and query where a client names the whole target

Seen: of eleven forms in which HTTP/1.1 lets a client write a request, each written at once and a byte at a time, one reached its engine changed: a target in absolute form ("POST http://api.internal/v1/chat/completions?a=b") passed on as it came, where method, path and query are to. What a request takes on a connection (connection.rs `length`) counts path and query, so that its last byte counted as written 19 bytes early as well.

Cause: engine/requests.rs `attempt_request`, which copied the client's Uri whole. It now takes path and query of it. The other ten were well: names in either case, chunks with extensions and trailers, a line break ahead, spaces round values, Expect, Connection and Keep-Alive.

--- a/gateway/src/engine/requests.rs
+++ b/gateway/src/engine/requests.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http::header::{self, HeaderName, HeaderValue};
-use http::{HeaderMap, Method, Request};
+use http::{HeaderMap, Method, Request, Uri};
 
 use crate::exchange::Payload;
 use crate::upstream::Failed;
@@ -39,7 +39,8 @@
     headers.entry(header::HOST).or_insert(HeaderValue::from_static("api.internal"));
     let mut request = Request::new(payload.body.clone());
     *request.method_mut() = payload.method.clone();
-    *request.uri_mut() = payload.uri.clone();
+    // A client may name the whole target; a server that is no proxy is asked for path and query.
+    *request.uri_mut() = payload.uri.path_and_query().cloned().map_or_else(Uri::default, Uri::from);
     *request.headers_mut() = headers;
     request
 }
