Tell refused clients to come back when the settings let them be told, at the door too

A client caps what it honours, so the harm was small: a header where none is to be told.

The platform's front now cuts every refusal of its own to the settings (platform::Names::come_back), a front says itself how it turns away what it has not looked at (Front::turned_away), and server.rs has no figure of its own. The second front and the operators' keep 1 s: no platform's settings are theirs.

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -156,7 +156,8 @@
             public_api: false,
         };
         let classes = p.classes.iter().cloned().zip(p.settings.classes.iter().map(|c| c.deadline));
-        let names = platform::Names { classes: classes.collect(), tenants: p.tenants };
+        let come_back = platform::Names::come_back(&p.settings.limits);
+        let names = platform::Names { classes: classes.collect(), tenants: p.tenants, come_back };
         let classes = p.settings.classes.clone();
         let calls = discovery::calls(&p.settings, p.seed);
         let pool = Pool::new(p.seed, p.settings, limits, slots.clone(), budget.clone());
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -18,7 +18,8 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderMap, Request, Response, StatusCode};
+use http::header::RETRY_AFTER;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body::{Frame, SizeHint};
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -152,6 +153,13 @@
     /// What will count this request, where it is one of a class.
     fn tally(&self, request: &Request<Incoming>) -> Option<Tally>;
 
+    /// The answer to what is turned away before it is looked at, and when its client is told to come back.
+    fn turned_away(&self, why: &'static str) -> Response<Body> {
+        let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, why);
+        refusal.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
+        refusal
+    }
+
     /// The front as a tower service.
     fn service(
         self,
--- a/gateway/src/front/platform/mod.rs
+++ b/gateway/src/front/platform/mod.rs
@@ -4,7 +4,7 @@
 use std::str::Utf8Error;
 use std::time::Duration;
 
-use deckhub::Ms;
+use deckhub::{Limits, Ms};
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
@@ -13,6 +13,7 @@
 
 use super::{collect, decimals, response, Body, BodyError, Entry, Front};
 use crate::budget::Budget;
+use crate::core::duration;
 use crate::counters::{Counters, Tally};
 use crate::exchange::{self, ClientSide, Failure, Payload, Piece};
 use crate::shutdown::Shutdown;
@@ -25,14 +26,29 @@
 const MOST_TOKENS: f64 = (BODY / 4) as f64;
 /// No request waits longer for its first token (ms), whatever its client says.
 const MOST_PATIENCE: Ms = 60_000.0;
-/// When nothing better is known, a refused client is told to come back after this time.
+/// When nothing better is known, a refused client is told to come back after this time, and one that found the door full
+/// after that; neither later than the settings allow.
 const COME_BACK: Duration = Duration::from_millis(250);
+const DOOR_FULL: Duration = Duration::from_millis(1_000);
 
 /// What the front needs to know of the deployment to read a request.
 pub struct Names {
     /// Each class and its deadline.
     pub classes: Vec<(String, Ms)>,
     pub tenants: Vec<String>,
+    /// The longest time that a refused client is told to wait; zero where none is told.
+    pub come_back: Duration,
+}
+
+impl Names {
+    /// The longest time that these settings let a refused client be told to wait.
+    pub fn come_back(limits: &Limits) -> Duration {
+        if limits.retry_after {
+            duration(limits.max_retry_after)
+        } else {
+            Duration::ZERO
+        }
+    }
 }
 
 #[derive(Clone)]
@@ -62,14 +78,14 @@
         };
         let body = match collect(&parts.headers, body, BODY, &self.budget).await {
             Ok(taken) => taken,
-            Err(BodyError::NoRoom) => return refusal(COME_BACK),
+            Err(BodyError::NoRoom) => return self.refusal(COME_BACK),
             Err(BodyError::TooLarge) => return response(StatusCode::PAYLOAD_TOO_LARGE, "body too large\n"),
             Err(BodyError::TooSlow) => return response(StatusCode::REQUEST_TIMEOUT, "body too slow\n"),
             Err(BodyError::Broken) => return response(StatusCode::BAD_REQUEST, "body broken off\n"),
         };
         // Its head came in time, its last byte did not.
         if self.shutdown.too_late() {
-            return refusal(COME_BACK);
+            return self.refusal(COME_BACK);
         }
         let payload = Payload {
             name,
@@ -81,7 +97,34 @@
         };
         let request = exchange::Request { ask, arrived, payload: Rc::new(payload) };
         let Ok(answer) = (self.entry)().oneshot(request).await;
-        pass_back(answer).await
+        self.pass_back(answer).await
+    }
+
+    fn refusal(&self, after: Duration) -> Response<Body> {
+        refusal("refused, try again\n", after.min(self.names.come_back))
+    }
+
+    /// The answer's first piece decides the status: 200 only once an engine's first event is there.
+    async fn pass_back(&self, mut answer: ClientSide) -> Response<Body> {
+        match answer.piece().await {
+            Some(Piece::Begin(head, first)) => {
+                let stream = Body::Stream { first: Some(first), rest: answer };
+                let mut response = Response::new(stream);
+                let kind = head.headers.get(CONTENT_TYPE).cloned();
+                let kind = kind.unwrap_or(HeaderValue::from_static("text/event-stream"));
+                response.headers_mut().insert(CONTENT_TYPE, kind);
+                response
+            }
+            Some(Piece::Refused(after)) => self.refusal(after),
+            Some(Piece::Failed(Failure::Deadline)) => response(StatusCode::GATEWAY_TIMEOUT, "out of time\n"),
+            Some(Piece::Failed(Failure::NameTaken)) => {
+                response(StatusCode::CONFLICT, "Req-Id: a request with this id is open\n")
+            }
+            Some(Piece::Failed(Failure::Unfit)) => {
+                response(StatusCode::BAD_REQUEST, "the servers cannot use it\n")
+            }
+            _ => response(StatusCode::BAD_GATEWAY, "failed\n"),
+        }
     }
 }
 
@@ -91,6 +134,10 @@
         self.counters.tally(text(request.headers().get("Req-Kind").filter(|_| chat)?).ok()?.trim())
     }
 
+    fn turned_away(&self, why: &'static str) -> Response<Body> {
+        refusal(why, DOOR_FULL.min(self.names.come_back))
+    }
+
     async fn answer(self, request: Request<Incoming>) -> Response<Body> {
         match (request.method(), request.uri().path()) {
             (&Method::GET, "/ready") if (self.ready)() => response(StatusCode::OK, "ready\n"),
@@ -102,8 +149,8 @@
     }
 }
 
-fn refusal(after: Duration) -> Response<Body> {
-    let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, "refused, try again\n");
+fn refusal(why: &'static str, after: Duration) -> Response<Body> {
+    let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, why);
     if !after.is_zero() {
         let after = HeaderValue::from_str(&decimals(after));
         refusal.headers_mut().extend(after.ok().map(|v| (RETRY_AFTER, v)));
@@ -111,29 +158,6 @@
     refusal
 }
 
-/// The answer's first piece decides the status: 200 only once an engine's first event is there.
-async fn pass_back(mut answer: ClientSide) -> Response<Body> {
-    match answer.piece().await {
-        Some(Piece::Begin(head, first)) => {
-            let stream = Body::Stream { first: Some(first), rest: answer };
-            let mut response = Response::new(stream);
-            let kind = head.headers.get(CONTENT_TYPE).cloned();
-            let kind = kind.unwrap_or(HeaderValue::from_static("text/event-stream"));
-            response.headers_mut().insert(CONTENT_TYPE, kind);
-            response
-        }
-        Some(Piece::Refused(after)) => refusal(after),
-        Some(Piece::Failed(Failure::Deadline)) => response(StatusCode::GATEWAY_TIMEOUT, "out of time\n"),
-        Some(Piece::Failed(Failure::NameTaken)) => {
-            response(StatusCode::CONFLICT, "Req-Id: a request with this id is open\n")
-        }
-        Some(Piece::Failed(Failure::Unfit)) => {
-            response(StatusCode::BAD_REQUEST, "the servers cannot use it\n")
-        }
-        _ => response(StatusCode::BAD_GATEWAY, "failed\n"),
-    }
-}
-
 /// A header's value as text: an operator may name classes and tenants in any language.
 fn text(value: &HeaderValue) -> Result<&str, Utf8Error> {
     std::str::from_utf8(value.as_bytes())
--- a/gateway/src/front/platform/tests.rs
+++ b/gateway/src/front/platform/tests.rs
@@ -3,7 +3,8 @@
 use super::*;
 
 fn names() -> Names {
-    Names { classes: vec![("item-query".into(), 10_000.0), ("order-chat".into(), 12_000.0)], tenants: vec![] }
+    let classes = vec![("item-query".into(), 10_000.0), ("order-chat".into(), 12_000.0)];
+    Names { classes, tenants: vec![], come_back: Duration::ZERO }
 }
 
 fn read(pairs: &[(&'static str, &'static str)]) -> Result<(String, deckhub::Request), String> {
@@ -63,7 +64,9 @@
 #[test]
 fn a_name_in_any_language_is_found() {
     let names = Names {
-        classes: vec![("ostoskysely-äö".into(), 10_000.0)], tenants: vec!["ગુજરાત".into()]
+        classes: vec![("ostoskysely-äö".into(), 10_000.0)],
+        tenants: vec!["ગુજરાત".into()],
+        come_back: Duration::ZERO,
     };
     let value = |text: &str| HeaderValue::from_bytes(text.as_bytes()).expect("a value");
     let mut headers = HeaderMap::new();
@@ -75,3 +78,23 @@
     headers.insert("req-kind", HeaderValue::from_bytes(b"\xff\xfe").expect("a value"));
     assert!(fields(&headers, &names).expect_err("an error").starts_with("Req-Kind"));
 }
+
+/// Guards the settings' word on when a refused client may be told to come back: whether at all, and how late at most.
+#[test]
+fn a_refused_client_is_told_no_more_than_the_settings_allow() {
+    let told = |limits: &str, after: Duration| {
+        let settings = format!("{{\"policy-limits\": {limits}}}");
+        let limits = glenrail_settings::settings(&serde_json::from_str(&settings).expect("settings")).limits;
+        let refusal = refusal("", after.min(Names::come_back(&limits)));
+        refusal.headers().get(RETRY_AFTER).map(|v| v.to_str().expect("text").to_string())
+    };
+    let (allowed, much) = (
+        r#"{"retry-after": true, "max-retry-after": 500}"#,
+        r#"{"retry-after": true, "max-retry-after": 3000}"#,
+    );
+    assert_eq!(told(allowed, DOOR_FULL).as_deref(), Some("0.500"));
+    assert_eq!(told(allowed, COME_BACK).as_deref(), Some("0.250"));
+    assert_eq!(told(much, DOOR_FULL).as_deref(), Some("1.000"));
+    assert_eq!(told(r#"{"retry-after": false, "max-retry-after": 500}"#, DOOR_FULL), None);
+    assert_eq!(told("{}", COME_BACK), None);
+}
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-use http::header::{CONNECTION, RETRY_AFTER};
+use http::header::CONNECTION;
 use http::{HeaderValue, Method, Request, Response, StatusCode, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -46,6 +46,13 @@
 
 type Classify = Rc<dyn Fn(&Request<Incoming>) -> Option<Tally>>;
 
+/// What a front says of a request that it does not answer itself.
+#[derive(Clone)]
+struct Aside {
+    tally: Classify,
+    turn_away: Rc<dyn Fn(&'static str) -> Response<Body>>,
+}
+
 /// What a connection is good for after a stream that another process began.
 pub enum After {
     Kept,
@@ -109,7 +116,11 @@
 pub async fn serve(door: impl Into<Door>, front: impl Front, cap: usize, shutdown: Shutdown) {
     let Door { number, listener, mut inbox, resume, mut open } = door.into();
     let service = front.clone().service();
-    let classify: Classify = Rc::new(move |request| front.tally(request));
+    let turning_away = front.clone();
+    let aside = Aside {
+        tally: Rc::new(move |request| front.tally(request)),
+        turn_away: Rc::new(move |why| turning_away.turned_away(why)),
+    };
     let crowd = Rc::new(Crowd::default());
     // The end waits for the queue as for a connection: what it holds when accepting ends is still taken.
     let _accepting = shutdown.guard();
@@ -124,7 +135,7 @@
             return;
         }
         let full = crowd.len() >= cap;
-        let (service, classify, resume) = (service.clone(), classify.clone(), resume.clone());
+        let (service, aside, resume) = (service.clone(), aside.clone(), resume.clone());
         // Before it is polled: none is uncounted in between.
         let (guard, place) = (shutdown.guard(), crowd.enter());
         let shutdown = (shutdown.clone(), number);
@@ -142,18 +153,19 @@
             }
             if full {
                 // Whoever asks whether the gateway is ready is no client, and takes nobody's place for long.
+                let turn_away = aside.turn_away.clone();
                 let refuse = service_fn(move |request: Request<Incoming>| {
-                    let service = service.clone();
+                    let (service, turn_away) = (service.clone(), turn_away.clone());
                     async move {
                         if request.method() != Method::GET {
-                            return Ok(last(come_back("too many connections\n")));
+                            return Ok(last(turn_away("too many connections\n")));
                         }
                         Ok(last(service.oneshot(request).await?))
                     }
                 });
-                connection(socket, refuse, classify, (shutdown, guard), place).await;
+                connection(socket, refuse, aside, (shutdown, guard), place).await;
             } else {
-                connection(socket, service, classify, (shutdown, guard), place).await;
+                connection(socket, service, aside, (shutdown, guard), place).await;
             }
         });
     };
@@ -220,12 +232,6 @@
     }
 }
 
-fn come_back(why: &'static str) -> Response<Body> {
-    let mut refusal = response(StatusCode::SERVICE_UNAVAILABLE, why);
-    refusal.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static("1"));
-    refusal
-}
-
 /// Its connection ends after it.
 fn last(mut response: Response<Body>) -> Response<Body> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -233,7 +239,7 @@
 }
 
 async fn connection<S>(
-    socket: TcpStream, service: S, classify: Classify, ((shutdown, front), guard): ((Shutdown, u8), Guard),
+    socket: TcpStream, service: S, aside: Aside, ((shutdown, front), guard): ((Shutdown, u8), Guard),
     place: Place,
 ) where
     S: Service<Request<Incoming>, Response = Response<Body>, Error = Infallible, Future: 'static>
@@ -245,12 +251,13 @@
     watch.serves(&wire);
     let began = Instant::now();
     let service = service_fn(move |request| -> LocalBoxFuture<'static, Answer> {
-        let (tally, chunked) = (classify(&request), request.version() == Version::HTTP_11);
+        let (tally, chunked) = ((aside.tally)(&request), request.version() == Version::HTTP_11);
         let (service, leaving, watch) = (service.clone(), leaving.clone(), watch.clone());
+        let turn_away = aside.turn_away.clone();
         Box::pin(async move {
             let mut response = match watch.fault() {
                 Some(what) => response(StatusCode::BAD_REQUEST, format!("{what}\n")),
-                None if tally.is_some() && leaving.too_late() => come_back("out of service\n"),
+                None if tally.is_some() && leaving.too_late() => turn_away("out of service\n"),
                 None => service.oneshot(request).await?,
             };
             // While clients are sent away, each answer says that its connection ends; but not where a further request
--- a/gateway/tests/common/gateway.rs
+++ b/gateway/tests/common/gateway.rs
@@ -73,6 +73,7 @@
     let names = platform::Names {
         classes: vec![("item-query".into(), 10_000.0), ("order-chat".into(), 12_000.0)],
         tenants: vec![],
+        come_back: Duration::from_millis(500),
     };
     let classes = names.classes.iter().map(|c| c.0.clone());
     let counters = Counters::new(classes);
