Let a server's silence show before the shortest deadline, where deadlines are short beside aims

Seen by reading (docs/times.md, doubtful): a server counts as silent after 3 of the shortest aim. Where a deadline is below that, its attempts time out first, a time-out is no symptom and ends the wait, so a server that has vanished is never left for its silence: on a class with an aim of 1.5 s and a deadline of 2 s it was sent to as before.

silence.rs takes a quarter of a deadline for an aim where that is less: silence shows after three quarters of the shortest deadline at the latest. Nothing moves where the deadline is four aims or more, as on the site; a server whose reports still come has 2.5 times as long, as before, which may still lie behind a short deadline.

Test: path `a_silent_reader_is_left_before_a_short_deadline`; with the old line it fails (None: never left).

--- a/src/policy/silence.rs
+++ b/src/policy/silence.rs
@@ -3,11 +3,11 @@
 use super::{looks::PROBE_AFTER, Router};
 use crate::{api::*, crowd, state::*};
 
-/// An attempt's server must show a sign of life within this share of the shortest aim.
+/// An attempt's server must show a sign of life in so many aims, or quarters of a deadline if those are less.
 const OF_AIM: f64 = 3.0;
 /// A server whose reports or probe answers still come is given this many times as long.
 const HEARD_PATIENCE: f64 = 2.5;
-/// Lost: an attempt that later ones at its server have overtaken, or whose server has started anew since, after
+/// Lost: an attempt that later ones at its server have overtaken, or whose server has started anew, after
 /// this share of the aim and twice its own work.
 const LOST_OF_AIM: f64 = 0.3;
 /// Lost too: a read that is alone there for so much longer, as the others have been sent elsewhere meanwhile.
@@ -17,7 +17,7 @@
     /// Silence: work waits at a server that gave no sign for far longer than such work takes: it is dead, cut
     /// off or stuck. Should also cover hung processes. Harm: a pause as long as that counts too.
     pub(super) fn check_silence(&mut self, out: &mut Vec<Action>) {
-        let aims = self.settings.classes.iter().map(|c| c.aim);
+        let aims = self.settings.classes.iter().map(|c| c.aim.min(c.deadline / 4.0));
         let least = OF_AIM * aims.fold(f64::MAX, f64::min).min(1e6);
         let late = |s: &Server, since: Ms| {
             let alive = if self.now < s.heard + 2.0 * PROBE_AFTER { HEARD_PATIENCE } else { 1.0 };
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -685,6 +685,23 @@
     );
 }
 
+/// Guards the sight of a dead server where deadlines are short beside aims: its silence shows before its attempts have timed
+/// out, which is no word against it.
+#[test]
+fn a_silent_reader_is_left_before_a_short_deadline() {
+    let class = Class { aim: 1_500.0, deadline: 2_000.0, ..settings().classes[0].clone() };
+    let mut rig = Rig::new(Settings { classes: vec![class], ..settings() }, fleet());
+    // Long after the list, which was a sign of life.
+    rig.at(10_000.0);
+    let home = rig.read_at(Request { patience: 2_000.0, ..ask(1) });
+    let mut left = None;
+    for tick in 1..20 {
+        rig.at(10_000.0 + f64::from(tick) * 100.0).timer(1 << 52);
+        left = left.or(rig.router.avoids(ServerId(home)).then_some(rig.now));
+    }
+    assert!(left.is_some_and(|at| at > 11_000.0), "{left:?}");
+}
+
 /// Guards a server that has started anew against silence that was its old process's: it is not ejected for work that it never
 /// got, and a read that was lost with the old one is called back, in time for another.
 #[test]
