Hand streams over before the kill also where deadlines are short

With deadlines of 1 s it ended 2.008 s after SIGTERM where the kill may come at 1.7 s, with the stream still in its hands.

daemon.rs: LAST_WORDS becomes a share of that time, 0.54 of it (2 s of 3.7 s, as before on the site); shutdown.rs says when the kill is, and answer and hand-over are reckoned from it.

Test: upgrade `a_stream_goes_over_before_the_kill_of_short_deadlines`, two processes and a stream that is told on only after the first has ended; with the 2 s back it fails as above (2.008 s).

--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -39,9 +39,6 @@
 const LEAVING: Duration = Duration::from_millis(600);
 /// Servers close idle connections after their own time; here they go at this share of it.
 const IDLE_SHARE: f64 = 0.5;
-/// Told to end while another process serves, this one goes on for so long with the streams under way; then the other
-/// one does. The platform leaves 3.7 s in all.
-const LAST_WORDS: Duration = Duration::from_millis(2_000);
 /// A second process waits no longer than this to hear of the list; then it trusts the one it was started with.
 const SILENT_DISCOVERY: Duration = Duration::from_millis(1_000);
 /// What was asked of servers and of discovery is told this often, if more has come.
@@ -131,10 +128,9 @@
     let mut learned = Learned { give: Rc::new(Vec::new), take: Rc::new(|_| {}) };
     let mut able: Rc<dyn Fn() -> bool> = Rc::new(|| true);
     let mut pools = Vec::new();
-    let last_answer = platform.as_ref().map(|p| {
-        let deadlines = p.settings.classes.iter().map(|c| duration(c.deadline));
-        shutdown::last_answer(deadlines)
-    });
+    let deadlines = platform.iter().flat_map(|p| p.settings.classes.iter().map(|c| duration(c.deadline)));
+    let kill = shutdown::kill(deadlines);
+    let last_answer = platform.is_some().then(|| shutdown::last_answer(kill));
     let mut reloads: Vec<Box<dyn Fn()>> = Vec::new();
     let mut chat = None;
     let mut desk = None;
@@ -299,7 +295,7 @@
             pools.iter().for_each(|p| p.core.answer_all());
         });
     }
-    leave(&shutdown, &pools).await;
+    leave(&shutdown, &pools, shutdown::last_words(kill)).await;
     // Last: until here it serves, and the others must count on it.
     if let Some(member) = member {
         member.leave();
@@ -339,8 +335,9 @@
     }
 }
 
-/// The planned end: still accepts for a while, finishes what was taken, lets go of what is held.
-pub async fn leave(shutdown: &Shutdown, pools: &[Pool]) {
+/// The planned end: still accepts for a while, finishes what was taken, lets go of what is held. Where another process serves,
+/// streams under way go over to it after `last_words`.
+pub async fn leave(shutdown: &Shutdown, pools: &[Pool], last_words: Duration) {
     log!("told to end");
     shutdown.enter(Phase::Leaving);
     // Where another process has taken over, connections come to that one.
@@ -348,7 +345,7 @@
         true => {
             let (shutdown, pools) = (shutdown.clone(), pools.to_vec());
             spawn_local(async move {
-                sleep(LAST_WORDS).await;
+                sleep(last_words).await;
                 if shutdown.superseded() {
                     pools.iter().for_each(|p| p.engine.move_streams());
                 }
--- a/gateway/src/shutdown.rs
+++ b/gateway/src/shutdown.rs
@@ -28,10 +28,22 @@
 /// What still waits is answered so long before, with time to reach its client.
 const BEFORE_KILL: Duration = Duration::from_millis(400);
 
-/// How long after it was told to end a gateway with these deadlines answers what still waits for its first token: the kill
-/// would leave it with none.
-pub fn last_answer(deadlines: impl Iterator<Item = Duration>) -> Duration {
-    deadlines.max().unwrap_or(MOST_DEADLINE).min(MOST_DEADLINE) + GRACE - BEFORE_KILL
+/// Beside another process, the streams under way go over to it after this part of the time until the kill.
+const LAST_WORDS: f64 = 0.54;
+
+/// When a gateway with these deadlines is killed, from the word to end on.
+pub fn kill(deadlines: impl Iterator<Item = Duration>) -> Duration {
+    deadlines.max().unwrap_or(MOST_DEADLINE).min(MOST_DEADLINE) + GRACE
+}
+
+/// When it answers what still waits for its first token: the kill would leave it with none.
+pub fn last_answer(kill: Duration) -> Duration {
+    kill - BEFORE_KILL
+}
+
+/// How long it goes on with the streams under way where another process serves; then the other one does.
+pub fn last_words(kill: Duration) -> Duration {
+    kill.mul_f64(LAST_WORDS)
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/gateway/tests/platform.rs
+++ b/gateway/tests/platform.rs
@@ -187,7 +187,7 @@
             () = until(|| writer.count("POST") == 1) => {}
         }
         let pools = [g.pool.clone()];
-        let ended = leave(&g.shutdown, &pools);
+        let ended = leave(&g.shutdown, &pools, AGES);
         tokio::pin!(ended);
         assert!(poll_once(ended.as_mut()).is_pending());
         let late = async {
--- a/gateway/tests/restart.rs
+++ b/gateway/tests/restart.rs
@@ -84,7 +84,7 @@
         let clients: Vec<_> = clients.collect();
         until(|| count.served.get() > 3 * CLIENTS).await;
         told.set(Some(Instant::now()));
-        leave(&g.shutdown, std::slice::from_ref(&g.pool)).await;
+        leave(&g.shutdown, std::slice::from_ref(&g.pool), AGES).await;
         for client in clients {
             client.await.expect("a client that lost nothing");
         }
@@ -114,7 +114,7 @@
         });
         // The client waits before the end begins, so it is told of each phase first.
         tokio::task::yield_now().await;
-        leave(&g.shutdown, std::slice::from_ref(&g.pool)).await;
+        leave(&g.shutdown, std::slice::from_ref(&g.pool), AGES).await;
         // So late it is refused, but it is answered.
         assert!(answer.borrow().starts_with("HTTP/1.1 503"), "{:?}", answer.borrow());
         client.await.expect("it was answered");
--- a/gateway/tests/upgrade.rs
+++ b/gateway/tests/upgrade.rs
@@ -20,7 +20,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 struct Process {
     child: Child,
@@ -246,6 +246,48 @@
     });
 }
 
+/// Guards a stream from the kill where deadlines are short: told to end, the first process has handed it over before, and it
+/// comes whole and once.
+#[test]
+fn a_stream_goes_over_before_the_kill_of_short_deadlines() {
+    // A second, and the page's 0.7.
+    const DEADLINE: f64 = 1_000.0;
+    const KILL: Duration = Duration::from_millis(1_700);
+    run(async {
+        let (tell, parts) = tokio::sync::mpsc::unbounded_channel();
+        let parts = Cell::new(Some(parts));
+        let reader = StandIn::start(|_, _| read()).await;
+        let writer = StandIn::start(move |_, _| Act::Told(parts.take().expect("one request"))).await;
+        let hosts = json!([host("r", "prompt-side", &reader), host("w", "answer-side", &writer)]);
+        let list = json!({"seq": 8, "whole": true, "hosts": hosts}).to_string();
+        let agent = StandIn::start(move |_, seen| match seen.path.as_str() {
+            "/v1/endpoints" => Act::Answer(answer(200, &[], list.clone())),
+            _ => Act::Silence,
+        })
+        .await;
+        let mut place = Place::new("short", &agent, &hosts);
+        let class = &mut place.settings["settings"]["services"][0];
+        (class["aim"], class["deadline"]) = (json!(0.8 * DEADLINE), json!(DEADLINE));
+        let mut first = place.start().await;
+        let mut client = Client::new(place.listen);
+        let asked = spawn_local(async move { client.ask("long".into()).await });
+        tell.send(PARTS[0].into()).expect("it waits");
+        until(|| writer.count("POST") == 1).await;
+        let _second = place.start().await;
+        let told = Instant::now();
+        first.signal("-TERM");
+        assert!(first.ended().await);
+        assert!(told.elapsed() < KILL, "{:?}", told.elapsed());
+        PARTS[1..].iter().for_each(|part| tell.send((*part).into()).expect("it goes on"));
+        drop(tell);
+        let answer = asked.await.expect("an end").expect("an answer");
+        assert_eq!(
+            (answer.status().as_u16(), answer.body().as_deref()),
+            (200, Some(PARTS.concat().as_bytes()))
+        );
+    });
+}
+
 /// Guards the first process from a second one that dies before or after it serves: the first goes on, or again.
 #[test]
 fn a_second_process_that_dies_gives_all_back() {
