--- a/gateway/src/core/tests/leases.rs
+++ b/gateway/src/core/tests/leases.rs
@@ -123,3 +123,45 @@
         assert!(core.idle(), "{:?}", servers.calls.borrow());
     });
 }
+
+/// A router that writes again as soon as a write was reset, and first lets go of what is held.
+struct WritesAgain;
+
+impl Decide for WritesAgain {
+    fn handle(&mut self, _: Ms, event: Event, out: &mut Vec<Action>) {
+        let send = |id, server| Action::Send { id, server: ServerId(server), timeout: 5_000.0 };
+        match event {
+            Event::Request(ask) => out.push(send(ask.id, READERS[0])),
+            Event::Outcome(o) if o.status == Status::Read => out.push(send(o.id, WRITERS[0])),
+            Event::Outcome(o) if o.status == Status::Reset => {
+                out.extend([Action::Release { id: o.id }, send(o.id, WRITERS[0])]);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Guards rule 2 where a repeat is ordered within its window and waits for a release until after it: no time is left in which
+/// it may be written, on whatever connection.
+#[test]
+fn a_repeat_that_waits_for_a_release_is_not_written_after_its_window() {
+    paused(async {
+        let script = |_: usize, server: ServerId| match READERS.contains(&server.0) {
+            true => (20, Does::Read),
+            false => (200, Does::Fail(Failed::Reset)),
+        };
+        let servers = Servers::new(script);
+        // Three calls of 40 ms that nobody takes, and pauses between them; 100 ms of the window are left.
+        servers.lose_releases.set(3);
+        let scripted = servers.clone();
+        let service = tower::service_fn(move |call| scripted.clone().answer(call));
+        let core = Core::with(WritesAgain, settings(), Clock::new(Duration::from_secs(1_000_000)), service);
+        let member = |id, kind| Member { server: ServerId(id), kind, weight: 1.0, ..Member::default() };
+        core.members(Scope::Full, vec![member(READERS[0], 0), member(WRITERS[0], 1)]);
+        let _client = core.submit(request(2, 12_000.0));
+        while servers.attempts(&WRITERS) < 2 {
+            sleep(Duration::from_millis(1)).await;
+        }
+        assert_eq!(servers.connects.borrow().last(), Some(&Some(Duration::ZERO)));
+    });
+}
