--- a/src/policy/silence.rs
+++ b/src/policy/silence.rs
@@ -21,14 +21,12 @@
         let least = OF_AIM * aims.fold(f64::MAX, f64::min).min(1e6);
         let late = |s: &Server, since: Ms| {
             let alive = if self.now < s.heard + 2.0 * PROBE_AFTER { HEARD_PATIENCE } else { 1.0 };
-            let busy = estimate::busy(s, &self.learned, self.routers(), since);
-            self.now > since.max(s.answered) + alive * least + busy
+            let patience = alive * least + estimate::busy(s, &self.learned, self.routers(), since);
+            self.now > since.max(s.answered) + patience
         };
-        let quiet = self.servers.iter().filter(|(_, s)| s.waiting.values().any(|w| late(s, w.since)));
-        let silent: Vec<ServerId> = quiet.map(|(id, _)| *id).collect();
-        for id in silent {
-            self.symptom(id, Symptom::Silence, out);
-        }
+        let quiet = |s: &&Server| s.waiting.values().any(|w| late(s, w.since));
+        let silent: Vec<ServerId> = self.servers.values().filter(quiet).map(|s| s.info.server).collect();
+        silent.into_iter().for_each(|id| self.symptom(id, Symptom::Silence, out));
         let now = self.now;
         let few = !crowd::thin(self.routers());
         let answers: Vec<_> = self.servers.iter().map(|(id, s)| (*id, s.role, s.answered)).collect();
