Share a cold engine's word among all that a hot beginning is asked of

Checked, send by send: 24 of the 25 sends in the worst window were of the hot beginning; 19 of the 25 came not to their home but from homes that were crowded, from which all routers go on to the same next one; 23 came over 0.95 s while the engine said "2 in flight". Ruled out: FRESH (to the routers that word was 0 to 43 ms old; the age that counts is the engine's and is not told), saved credit (five of the 25 held a whole send), the home's own part (six). At fault: `may_tell` and `may_get` in src/warm.rs, by which 0.6 of all routers go by a word whatever all of them are asked.

Now a router reckons, by its own counts, how many units its request's beginning keeps busy (`crowd::Asked`: at its home one at most, as there are homes for each; elsewhere all). The share of the routers that goes by a cold engine's word is a quarter of what makes it fall, by that (`warm::ahead`): half is for the credits, and the rest is halved between those at home there and those that overflow to it. A first request of a beginning tells nothing, so what is not hot is sent as before. `Trust` takes the place of `may_get` and `may_tell`; `least` takes its draw, so that the look borrows the router once. Two properties are new in src/warm/tests.rs, one in src/crowd.rs; the one of `may_get` is the same, by the new names.

--- a/src/crowd.rs
+++ b/src/crowd.rs
@@ -2,7 +2,7 @@
 //! counts show how hot it is, and whom to look at before a request is sent. No clock, no state, no I/O.
 
 use crate::api::{Ms, ServerId};
-use crate::state::{median, Random, Server, SEEN};
+use crate::state::{median, Server, SEEN};
 use crate::warm;
 
 /// Own counts stand for the whole while the escape's floor, divided among the routers, is a request or more.
@@ -73,8 +73,38 @@
         let share = (asked - 1.0) / all.max(1.0);
         return ((share * readers as f64 / parts).round() as usize).clamp(1, most);
     }
-    let share = asked / (all + ALIKE);
-    ((share * readers as f64 / parts).ceil() as usize).max(HOMES).clamp(1, most)
+    ((share(asked, all) * readers as f64 / parts).ceil() as usize).max(HOMES).clamp(1, most)
+}
+
+/// A beginning's share of all requests, as a router of many sees it.
+fn share(asked: f64, all: f64) -> f64 {
+    asked / (all + ALIKE)
+}
+
+/// What a beginning asks of readers, in units that it keeps busy, by its share of all requests.
+pub struct Asked {
+    units: f64,
+    home: Option<ServerId>,
+}
+
+impl Asked {
+    /// Asked for so often `[of all requests, for this beginning]`, of these readers, of which one is the
+    /// request's home.
+    pub fn of<'a>(
+        [all, asked]: [f64; 2], readers: impl Iterator<Item = &'a Server>, home: Option<&ServerId>,
+    ) -> Asked {
+        // The request itself is counted already and tells nothing of how often its like come.
+        let asked = (asked - 1.0).max(0.0);
+        let units = share(asked, all) * readers.map(|s| warm::units(s, 1.0)).sum::<f64>();
+        Asked { units, home: home.copied() }
+    }
+
+    /// What may come to a server: to a home its part, as there are homes for each reader's part; to any other
+    /// the whole, since all routers send what overflows to the first that is not crowded.
+    pub fn at(&self, s: &Server) -> f64 {
+        let part = if self.home == Some(s.info.server) { warm::units(s, 1.0) } else { f64::MAX };
+        self.units.min(part)
+    }
 }
 
 /// The usual load of a server, from those that were heard of late. Of too few, the hot one would be the median itself.
@@ -98,10 +128,10 @@
 }
 
 /// One of those with the least, drawn by chance: routers that know the same must not all pick the same.
-pub fn least(reckoned: &[(f64, ServerId)], random: &mut Random) -> Option<ServerId> {
+pub fn least(reckoned: &[(f64, ServerId)], draw: f64) -> Option<ServerId> {
     let lowest = reckoned.iter().map(|r| r.0).fold(f64::MAX, f64::min);
     let near: Vec<ServerId> = reckoned.iter().filter(|r| r.0 <= lowest + ALIKE_LOAD).map(|r| r.1).collect();
-    near.get((random.unit() * near.len() as f64) as usize).copied()
+    near.get((draw * near.len() as f64) as usize).copied()
 }
 
 /// How long what a reader has in hand by its own fresh word will take it, at this pace and with so much work each.
@@ -174,6 +204,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::api::Member;
     use proptest::prelude::*;
 
     fn sight() -> impl Strategy<Value = Sight> {
@@ -246,6 +277,27 @@
             prop_assert!(1 <= few && few <= many && many <= readers);
         }
 
+        /// A beginning asks for more the more of all is asked for it, and never for more than there is; of
+        /// its home never for more than of another.
+        #[test]
+        fn a_beginning_asks_for_its_share(asked in 0.0..50.0, more in 0.0..50.0, others in 0.0..200.0,
+                                          weights in prop::collection::vec(0.1..4.0f64, 1..60)) {
+            let of = |(weight, n)| {
+                let info = Member { weight, server: ServerId(n), ..Member::default() };
+                Server { info, ..Server::default() }
+            };
+            let readers: Vec<Server> = weights.iter().copied().zip(0..).map(of).collect();
+            let asks = |asked: f64, home: Option<&ServerId>, of: &Server| {
+                Asked::of([asked + others, asked], readers.iter(), home).at(of)
+            };
+            let s = &readers[0];
+            prop_assert!(asks(asked, None, s) <= asks(asked + more, None, s));
+            prop_assert!(asks(asked, None, s) <= weights.iter().sum());
+            prop_assert_eq!(asks(asked.min(1.0), None, s), 0.0);
+            let home = asks(asked, Some(&s.info.server), s);
+            prop_assert!(home <= asks(asked, None, s) && home <= weights[0]);
+        }
+
         /// A server is not crowded for having what the others have, give or take the floor; one hot server among few
         /// that were heard of does not make its own load the usual one.
         #[test]
--- a/src/policy/homes.rs
+++ b/src/policy/homes.rs
@@ -35,8 +35,8 @@
     /// session at one of them: with hundreds of routers nobody's own counts show a home that all overload.
     /// Harm: each further home reads the beginning once.
     fn homes(&self, job: &Job, usable: &[ServerId]) -> usize {
-        let asked = |key| self.asked.peek(&key).map_or(0.0, |e| e.0);
-        crowd::homes(asked(Some(job.ask.beginning())), asked(None), usable.len(), self.routers(), HOT_PARTS)
+        let [all, asked] = job.asked;
+        crowd::homes(asked, all, usable.len(), self.routers(), HOT_PARTS)
     }
 
     /// A mixed server weighs as much as makes its share of all requests its share of all servers: a reader
--- a/src/policy/looks.rs
+++ b/src/policy/looks.rs
@@ -1,7 +1,7 @@
 //! Looks: probes, on behalf of a request or to hear from a server that has been silent.
 
 use super::{health::EJECT, writers::REPORT_FADES, Router};
-use crate::{api::*, crowd, crowd::Next, crowd::Sight, state::*, warm};
+use crate::{api::*, crowd, crowd::Next, crowd::Sight, state::*};
 
 /// Servers not heard from for this long are probed (ms), from so many probes earned by a request.
 pub const PROBE_AFTER: Ms = 1_000.0;
@@ -19,28 +19,29 @@
     pub(super) fn look(
         &mut self, matched: Option<ServerId>, order: &[ServerId], job: &mut Job, out: &mut Vec<Action>,
     ) -> Option<ServerId> {
-        let now = self.now;
+        let (now, draw) = (self.now, self.random.unit());
         let rest = order.iter().copied().filter(|id| matched != Some(*id));
         let mut candidates: Vec<ServerId> = matched.into_iter().chain(rest).collect();
         let server = |id: &ServerId| self.servers.get(id);
+        let readers = order.iter().filter_map(server);
+        let asked = crowd::Asked::of(job.asked, readers, candidates.first());
+        let may_get = |id: &ServerId| server(id).is_some_and(|s| self.trust(s, asked.at(s)).may_get(s, now));
         let heard = candidates.iter().filter_map(|id| server(id)?.load(now, REPORT_FADES)).collect();
         let usual = crowd::usual(heard);
         // Of the others, one that was looked at or has the fewest in flight as far as is known stands last.
         let mut others = candidates.split_off(candidates.len().min(crowd::HOMES_SEEN));
-        others.retain(|id| server(id).is_some_and(|s| self.may_get(s)));
+        others.retain(may_get);
         let seen = others.iter().find(|id| job.looks.iter().any(|l| l.0 == **id)).copied();
         let reckon = |s: &Server| crowd::reckon(s, now, usual, self.warmth(s) < 1.0);
         let reckoned: Vec<_> = others.iter().filter_map(|id| Some((reckon(server(id)?), *id))).collect();
-        let drawn = crowd::least(&reckoned, &mut self.random);
-        candidates.extend(seen.or(drawn));
-        let server = |id: &ServerId| self.servers.get(id);
+        candidates.extend(seen.or(crowd::least(&reckoned, draw)));
         let look = |id: &ServerId| job.looks.iter().find(|l| l.0 == *id).map(|l| l.1);
         let sight = |s: &Server, look| crowd::sight(s, look, now, usual, self.warmth(s));
-        let told = |s: &&Server| warm::may_tell(self.warmth(s), self.credit(s));
+        let told = |s: &&Server| self.trust(s, asked.at(s)).may_tell();
         let sights = |id: &ServerId| server(id).filter(told).map_or(Sight::Deaf, |s| sight(s, look(id)));
         // A cold one that says nothing gets nothing.
         let may_look = self.probes >= 1.0;
-        candidates.retain(|id| server(id).is_some_and(|s| self.may_get(s)) || sights(id).may_tell(may_look));
+        candidates.retain(|id| may_get(id) || sights(id).may_tell(may_look));
         let sights: Vec<Sight> = candidates.iter().map(sights).collect();
         match crowd::next(&sights, may_look) {
             Next::Send(n) => return candidates.get(n).copied(),
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -25,12 +25,14 @@
         self.retries = (self.retries + RETRY_EARN).min((RETRY_SAVED / self.routers()).max(1.0));
         self.earn_probes();
         let now = self.now;
-        for key in [None, Some(ask.beginning())] {
+        let asked = [None, Some(ask.beginning())].map(|key| {
             let e = self.asked.get_or_insert_mut(key, || (0.0, now));
             *e = (ask.prompt_tokens / self.learned.prompt.max(1.0) + decayed(*e, now, ASKED_MEMORY), now);
-        }
+            e.0
+        });
         let over_share = self.shares.over(ask.tenant as usize, now);
-        let job = Job { ask, class, arrived: now, deadline, idle_since: now, over_share, ..Job::default() };
+        let job =
+            Job { ask, class, arrived: now, deadline, idle_since: now, over_share, asked, ..Job::default() };
         self.jobs.insert(id, job);
         let answer_by = (deadline - 2.0 * self.settings.tick).max(self.now);
         out.push(Action::Timer { at: answer_by, key: id.0 << 1, of: Some(id) });
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -16,9 +16,10 @@
         warm::credit(s, units, carried, rules, self.routers(), self.now)
     }
 
-    /// Slow start: whether this server may be sent something now.
-    pub(super) fn may_get(&self, s: &Server) -> bool {
-        warm::may_get(s, self.warmth(s), self.credit(s), self.looks(), self.now)
+    /// Slow start: what this server is trusted with, for a beginning that keeps so many units busy.
+    pub(super) fn trust(&self, s: &Server, asked: f64) -> warm::Trust {
+        let ahead = || warm::ahead(&self.settings.rules, warm::units(s, self.warmth(s)), asked);
+        warm::Trust { warmth: self.warmth(s), credit: self.credit(s), ahead: self.looks().then(ahead) }
     }
 
     /// The most that this role has carried a second for this router, by unit of warm weight.
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -19,6 +19,9 @@
 #[derive(Default)]
 pub struct Job {
     pub ask: Request,
+    /// How often this router was asked of late as it came, this one included: for anything, and for its
+    /// beginning.
+    pub asked: [f64; 2],
     pub class: Class,
     pub arrived: Ms,
     pub deadline: Ms,
--- a/src/warm.rs
+++ b/src/warm.rs
@@ -11,6 +11,12 @@
 /// Memory of the rate carried, and of the highest (ms).
 const RATE_MEMORY: Ms = 10_000.0;
 const PEAK_MEMORY: Ms = 60_000.0;
+/// Credit grows at this part of what makes a server fall over; the rest of it is left to those who go by its
+/// word.
+const GROWS: f64 = 0.5;
+/// Those to which it is home and those that overflow to it go by its word side by side, and leave each other
+/// their part.
+const WAYS: f64 = 2.0;
 /// A cold server gets at least this many sends a second from all routers together.
 const TRICKLE: f64 = 0.5;
 /// A cold server's word stands for what all routers send it for so long (ms). Reports are old already when they are told.
@@ -48,7 +54,7 @@
     let warm = |at| warmth(rules, s.cold_since, at);
     let mean = units * (warm(s.credit_at) / warm(now)).min(1.0).midpoint(1.0);
     let falls = |units: f64| rules.fall_multiple * units * carried.peak;
-    let rate = (falls(mean) / 2.0).max(TRICKLE / routers);
+    let rate = (falls(mean) * GROWS).max(TRICKLE / routers);
     let grown = s.credit + rate * (now - s.credit_at) / 1000.0;
     if grown < 1.0 || routers <= FEW {
         return grown.min(1.0);
@@ -77,16 +83,40 @@
     held / warmth.max(LEAST)
 }
 
-/// Whether a server may be sent something: a warm one always, a cold one from credit, or where its word is fresh and
-/// stands for what all routers send it. How much it then gets is for whoever compares its word with the others'.
-pub fn may_get(s: &Server, warmth: f64, credit: f64, looks: bool, now: Ms) -> bool {
-    warmth >= 1.0 || credit >= 1.0 || (looks && may_tell(warmth, credit) && s.load(now, FRESH).is_some())
+/// The part of a send that a router has to have in credit at a cold server of so many units to go by its
+/// word, for a beginning that is asked for as often as keeps so many units busy.
+///
+/// A word is as old as the server makes it, which nobody is told, and until it changes all routers see the
+/// same room. The first home that is not crowded gets what all of them are asked of a hot beginning. So no
+/// larger share of the routers goes by the word than takes, of all that they are asked, a half of what the
+/// credit leaves of what makes the server fall: the other half is for those that come there by the other way.
+pub fn ahead(rules: &Rules, units: f64, asked: f64) -> f64 {
+    let left = (1.0 - GROWS) / WAYS * rules.fall_multiple * units;
+    (1.0 - left / asked.max(LEAST_WEIGHT)).max(AHEAD)
 }
 
-/// Whether a cold server's own word stands for what this router sends it, which has that much credit there. It runs ahead of
-/// its credit by less than a send: of a hot beginning all routers have many, and send them all before the word changes.
-pub fn may_tell(warmth: f64, credit: f64) -> bool {
-    warmth >= 1.0 || credit > AHEAD
+/// What a router trusts a server with, on behalf of a request.
+pub struct Trust {
+    pub warmth: f64,
+    pub credit: f64,
+    /// The credit from which its word counts; never where routers do not look.
+    pub ahead: Option<f64>,
+}
+
+impl Trust {
+    /// Whether a server may be sent something: a warm one always, a cold one from credit, or where its word
+    /// is fresh and stands for what all routers send it. How much it then gets is for whoever compares its
+    /// word with the others'.
+    pub fn may_get(&self, s: &Server, now: Ms) -> bool {
+        let whole = self.warmth >= 1.0 || self.credit >= 1.0;
+        whole || (self.may_tell() && s.load(now, FRESH).is_some())
+    }
+
+    /// Whether a cold server's own word stands for what this router sends it. It runs ahead of its credit by
+    /// less than a send: of a hot beginning all routers have many, and send them all before the word changes.
+    pub fn may_tell(&self) -> bool {
+        self.warmth >= 1.0 || self.ahead.is_some_and(|ahead| self.credit > ahead)
+    }
 }
 
 #[cfg(test)]
--- a/src/warm/tests.rs
+++ b/src/warm/tests.rs
@@ -66,6 +66,57 @@
         }
     }
 
+    /// Whatever the server says, as long as it stays the same: a beginning is asked for at all routers, and
+    /// all have a fresh word of an empty cold server all the time. They send it, in any window that could
+    /// make it fall over, no more than it bears, though each takes the beginning for somewhat more or less
+    /// asked for than it is.
+    #[test]
+    fn a_word_that_stays_the_same_keeps_a_cold_server_up(
+        routers in prop::sample::select(vec![20usize, 30, 100, 300]),
+        a_second in 1.0..30.0f64, busy in 0.5..1.0f64,
+        asked in 0.2..20.0f64, taken_for in 0.8..1.25f64, quiet in 0.0..13_000.0f64, seed in 1u64..u64::MAX,
+        (multiple, fall, from) in
+        prop::sample::select(vec![(4.0, 3_000.0, 0.31), (4.0, 2_000.0, 0.26), (2.5, 1_500.0, 0.27)]),
+    ) {
+        let rules = Rules { fall_multiple: multiple, fall, cold_from: from, ..rules() };
+        let carried = Carried { peak: busy * a_second / routers as f64, ..Carried::default() };
+        let mut random = crate::state::Random::new(seed);
+        let begins = |random: &mut crate::state::Random| {
+            Server { credit: random.unit(), credit_at: quiet, cold_since: Some(0.0), ..Server::default() }
+        };
+        let mut servers: Vec<Server> = (0..routers).map(|_| begins(&mut random)).collect();
+        let (mut now, mut sent) = (quiet, Vec::new());
+        while now < quiet + 12_000.0 {
+            now -= (1.0 - random.unit()).ln() * 1000.0 / (asked * busy * a_second);
+            let s = &mut servers[(random.unit() * routers as f64) as usize];
+            let warmth = warmth(&rules, s.cold_since, now);
+            let left = credit(s, warmth, &carried, &rules, routers as f64, now);
+            s.seen = Some((0.0, now));
+            let trust = Trust { warmth, credit: left, ahead: Some(ahead(&rules, warmth, asked * taken_for)) };
+            if warmth < 1.0 && trust.may_get(s, now) {
+                (s.credit, s.credit_at) = (left - 1.0, now);
+                sent.push(now);
+            }
+        }
+        for from in &sent {
+            let within = sent.iter().filter(|at| (*from..from + fall).contains(*at)).count() as f64;
+            let n = multiple * a_second * warmth(&rules, Some(0.0), *from) * fall / 1000.0;
+            prop_assert!(within <= n + 2.0 * n.sqrt() + 2.0, "{within} of {n} from {from}");
+        }
+    }
+
+    /// The more a beginning is asked for, the fewer go by a word; the more the server bears, the more. Never
+    /// all, and from a whole send on any.
+    #[test]
+    fn fewer_go_by_a_word_the_more_is_asked_for(
+        a in 0.0..50.0f64, b in 0.0..50.0f64, c in 0.01..10.0f64, d in 0.01..10.0f64,
+    ) {
+        let of = |units, asked| ahead(&rules(), units, asked);
+        prop_assert!(of(c, a.min(b)) <= of(c, a.max(b)) && of(c.max(d), a) <= of(c.min(d), a));
+        prop_assert!((AHEAD..1.0).contains(&of(c, a)));
+        prop_assert_eq!(of(c, 0.0), AHEAD);
+    }
+
     /// What a cold server holds weighs more, never less, and a warm one's as it is.
     #[test]
     fn a_cold_servers_load_weighs_more(held in 0.0..50.0, a in 0.05..1.0f64, b in 0.05..1.0f64) {
@@ -77,8 +128,9 @@
     #[test]
     fn a_cold_server_is_sent_something_on_a_fresh_word_only(age in 0.0..5_000.0, credit in 0.0..0.99f64) {
         let s = Server { seen: Some((0.0, 0.0)), ..Server::default() };
-        prop_assert_eq!(may_get(&s, 0.4, credit, true, age), age <= FRESH && credit > AHEAD);
-        prop_assert!(!may_get(&s, 0.4, credit, false, age));
-        prop_assert!(may_get(&s, 1.0, credit, false, age) && may_get(&s, 0.4, 1.0, false, age));
+        let may_get = |warmth, credit, ahead| Trust { warmth, credit, ahead }.may_get(&s, age);
+        prop_assert_eq!(may_get(0.4, credit, Some(AHEAD)), age <= FRESH && credit > AHEAD);
+        prop_assert!(!may_get(0.4, credit, None));
+        prop_assert!(may_get(1.0, credit, None) && may_get(0.4, 1.0, None));
     }
 }
