--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -5,8 +5,6 @@
 
 /// The pause before a request that found no server looks again (ms).
 pub const LOOK_AGAIN: Ms = 20.0;
-/// Weight of a new prompt's length.
-const BLEND: f64 = 0.05;
 
 impl Router {
     pub(super) fn on_request(&mut self, mut ask: Request, out: &mut Vec<Action>) {
@@ -18,18 +16,19 @@
             return;
         }
         ask.sanitise();
-        let blend = if self.learned.prompt > 0.0 { BLEND } else { 1.0 };
-        self.learned.prompt += blend * (ask.prompt_tokens - self.learned.prompt);
+        self.learned.note_prompt(ask.prompt_tokens);
         let (id, now) = (ask.id, self.now);
         let deadline = now + ask.patience;
         self.retries = (self.retries + RETRY_EARN).min((RETRY_SAVED / self.routers()).max(1.0));
         self.earn_probes();
-        for key in [None, Some(ask.beginning())] {
+        let asked = [None, Some(ask.beginning())].map(|key| {
             let e = self.asked.get_or_insert_mut(key, || (0.0, now));
             *e = (ask.prompt_tokens / self.learned.prompt.max(1.0) + decayed(*e, now, ASKED_MEMORY), now);
-        }
+            e.0
+        });
         let over_share = self.shares.over(ask.tenant as usize, now);
-        let job = Job { ask, class, arrived: now, deadline, idle_since: now, over_share, ..Job::default() };
+        let job =
+            Job { ask, class, arrived: now, deadline, idle_since: now, over_share, asked, ..Job::default() };
         self.jobs.insert(id, job);
         let answer_by = (deadline - 2.0 * self.settings.tick).max(self.now);
         out.push(Action::Timer { at: answer_by, key: id.0 << 1, of: Some(id) });
@@ -52,9 +51,7 @@
             self.choose_reader(&mut job, out)
         };
         let shed = match target {
-            Some((reader, _, kept)) if job.attempts.is_empty() => {
-                self.shed(&job, reader, kept) && self.trials.turns_away()
-            }
+            Some((reader, _, kept)) if job.attempts.is_empty() => self.shed(&job, reader, kept),
             None => self.now > job.arrived + job.aim(),
             _ => false,
         };
@@ -108,7 +105,7 @@
             ..Attempt::default()
         });
         out.push(Action::Send { id, server: to, timeout });
-        self.trials.sent();
+        self.trials.sent(now);
         let place = s.info.place();
         if stage == Stage::Read && self.looks() {
             self.look_ahead(place, out);
--- a/src/policy/shedding.rs
+++ b/src/policy/shedding.rs
@@ -24,7 +24,8 @@
         let whole = self.servers.get(&reader).is_some_and(|s| s.role != Role::Reader) || write == f64::MAX;
         let first = self.expected(reader, job.work(kept)) + if whole { 0.0 } else { write };
         let part = first / (job.aim() * if job.over_share { LATEST_OVER_SHARE } else { LATEST }).max(1.0);
-        part > 1.0 && self.random.unit() < (3.0 * (part - 1.0)).min(0.95)
+        let late = part > 1.0 && self.random.unit() < (3.0 * (part - 1.0)).min(0.95);
+        late && self.trials.turns_away(self.now)
     }
 
     /// When a read of this much work would end at a reader, or a stream begin at a writer or a mixed
--- a/src/state/learned.rs
+++ b/src/state/learned.rs
@@ -12,6 +12,17 @@
     pub carried: [Carried; 3],
 }
 
+/// Weight of a new prompt's length.
+const PROMPT_BLEND: f64 = 0.05;
+
+impl Learned {
+    /// Takes in the length of a prompt.
+    pub fn note_prompt(&mut self, tokens: f64) {
+        let blend = if self.prompt > 0.0 { PROMPT_BLEND } else { 1.0 };
+        self.prompt += blend * (tokens - self.prompt);
+    }
+}
+
 /// What the servers of a role have carried: decayed count of successes, warm weight that carried it, and the highest
 /// rate a unit of weight.
 #[derive(Clone, Copy, Default)]
