--- a/src/policy/silence.rs
+++ b/src/policy/silence.rs
@@ -3,12 +3,12 @@
 use super::{looks::PROBE_AFTER, Router};
 use crate::{api::*, crowd, estimate, state::*};
 
-/// An attempt's server must show a sign of life within this share of the shortest aim.
+/// An attempt's server must show a sign of life in so many aims, or quarters of a deadline if those are less.
 const OF_AIM: f64 = 3.0;
 /// A server whose reports or probe answers still come is given this many times as long.
 const HEARD_PATIENCE: f64 = 2.5;
-/// Lost: an attempt that later ones at its server have overtaken, after this share of the aim and twice
-/// its own work.
+/// Lost: an attempt that later ones at its server have overtaken, or whose server has started anew, after
+/// this share of the aim and twice its own work.
 const LOST_OF_AIM: f64 = 0.3;
 /// Lost too: a read that is alone there for so much longer, as the others have been sent elsewhere meanwhile.
 const ALONE: f64 = 2.0;
@@ -17,25 +17,23 @@
     /// Silence: work waits at a server that gave no sign for far longer than such work takes: it is dead, cut
     /// off or stuck. Should also cover hung processes. Harm: a pause as long as that counts too.
     pub(super) fn check_silence(&mut self, out: &mut Vec<Action>) {
-        let aims = self.settings.classes.iter().map(|c| c.aim);
+        let aims = self.settings.classes.iter().map(|c| c.aim.min(c.deadline / 4.0));
         let least = OF_AIM * aims.fold(f64::MAX, f64::min).min(1e6);
         let late = |s: &Server, since: Ms| {
             let alive = if self.now < s.heard + 2.0 * PROBE_AFTER { HEARD_PATIENCE } else { 1.0 };
-            let busy = estimate::busy(s, &self.learned, self.routers(), since);
-            self.now > since.max(s.answered) + alive * least + busy
+            let patience = alive * least + estimate::busy(s, &self.learned, self.routers(), since);
+            self.now > since.max(s.answered) + patience
         };
-        let quiet = self.servers.iter().filter(|(_, s)| s.waiting.values().any(|w| late(s, w.since)));
-        let silent: Vec<ServerId> = quiet.map(|(id, _)| *id).collect();
-        for id in silent {
-            self.symptom(id, Symptom::Silence, out);
-        }
+        let quiet = |s: &&Server| s.waiting.values().any(|w| late(s, w.since));
+        let silent: Vec<ServerId> = self.servers.values().filter(quiet).map(|s| s.info.server).collect();
+        silent.into_iter().for_each(|id| self.symptom(id, Symptom::Silence, out));
         let now = self.now;
         let few = !crowd::thin(self.routers());
         let answers: Vec<_> = self.servers.iter().map(|(id, s)| (*id, s.role, s.answered)).collect();
         let lost = |s: &Server, j: &Job, a: &Attempt| {
             let others = |o: &(ServerId, Role, Ms)| o.0 != a.server && o.1 == s.role && o.2 > a.sent;
             let alone = few && s.waiting.len() == 1 && a.stage == Stage::Read && answers.iter().any(others);
-            let overtaken = s.waiting.get(&j.ask.id).is_some_and(|w| !w.counts());
+            let overtaken = s.waiting.get(&j.ask.id).is_none_or(|w| !w.counts());
             let part = LOST_OF_AIM * if overtaken { 1.0 } else { ALONE };
             (overtaken || alone) && now > a.sent + part * j.aim() + 2.0 * a.work * s.start.low
         };
