Sum up a server's own reads only once it was quiet past the patience

Found on the last reading: check_silence (src/policy/silence.rs) summed, at each tick, a server's waiting reads for each of those reads, so its work grew with the square of what waits there, though the sum matters only past the patience. Both bounds are asked one after the other now, which is the same as the larger of the two. trust (src/policy/slow_start.rs) worked out a server's warmth twice over.

--- a/src/policy/silence.rs
+++ b/src/policy/silence.rs
@@ -21,8 +21,8 @@
         let least = OF_AIM * aims.fold(f64::MAX, f64::min).min(1e6);
         let late = |s: &Server, since: Ms| {
             let alive = if self.now < s.heard + 2.0 * PROBE_AFTER { HEARD_PATIENCE } else { 1.0 };
-            let busy = estimate::busy(s, &self.learned, self.routers(), since);
-            self.now > since.max(s.answered) + busy.max(alive * least)
+            let quiet_for = |time: Ms| self.now > since.max(s.answered) + time;
+            quiet_for(alive * least) && quiet_for(estimate::busy(s, &self.learned, self.routers(), since))
         };
         let quiet = |s: &&Server| s.waiting.values().any(|w| late(s, w.since));
         let silent: Vec<ServerId> = self.servers.values().filter(quiet).map(|s| s.info.server).collect();
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -18,8 +18,9 @@
 
     /// Slow start: what this server is trusted with, for a beginning that keeps so many units busy.
     pub(super) fn trust(&self, s: &Server, asked: f64) -> warm::Trust {
-        let ahead = || warm::ahead(&self.settings.rules, warm::units(s, self.warmth(s)), asked);
-        warm::Trust { warmth: self.warmth(s), credit: self.credit(s), ahead: self.looks().then(ahead) }
+        let warmth = self.warmth(s);
+        let ahead = || warm::ahead(&self.settings.rules, warm::units(s, warmth), asked);
+        warm::Trust { warmth, credit: self.credit(s), ahead: self.looks().then(ahead) }
     }
 
     /// The most that this role has carried a second for this router, by unit of warm weight.
