Refuse before it is read what no writer may take, and ask cold writers again at its end

Cause, two lines of reasoning that hold on S alone. Writers are asked for their word as the read is sent (look_ahead in src/policy/looks.rs), only those in the reader's cell; a read on E takes 400 ms and more, so the word is old at its end (Trust::may_get, warm::FRESH), and a reader in a cell with no writer asks none. And shed (src/policy/shedding.rs) took a writer for ready whatever it may be sent, so the readers went on reading what nobody could take.

Ruled out: readers (busy 0.6 while it happened); writers' wait (12 to 57 ms throughout); too few looks (3 to 6 saved at most give-ups); the retry budget.

--- a/src/crowd.rs
+++ b/src/crowd.rs
@@ -30,7 +30,7 @@
 /// of what the one before saved. Measured: 0.96 of the tokens leave with none, 0.48 with one, 0.34 with two (docs/fleet.md).
 const LOOK_SAVES: f64 = 0.48;
 const FURTHER_SAVES: f64 = 0.29;
-const WRITERS_SEEN: usize = 4;
+pub const WRITERS_SEEN: usize = 4;
 /// Loads that lie so near to each other are alike.
 const ALIKE_LOAD: f64 = 0.5;
 /// What a server said of its load fades in this time (ms).
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -51,8 +51,9 @@
         match o.status {
             Status::Served | Status::Read => {
                 self.success(o.server, sent);
-                if stage == Stage::Read {
-                    self.has_read(o.server, work, sane(o.elapsed), sent);
+                let server = self.servers.get_mut(&o.server).filter(|_| stage == Stage::Read);
+                if let Some(s) = server {
+                    s.has_read(&mut self.learned, work, sane(o.elapsed), sent, self.now);
                 }
             }
             Status::Full if o.note < 1.0 => {
--- a/src/policy/looks.rs
+++ b/src/policy/looks.rs
@@ -1,7 +1,7 @@
 //! Looks: probes, on behalf of a request or to hear from a server that has been silent.
 
 use super::{health::EJECT, writers::REPORT_FADES, Router};
-use crate::{api::*, crowd, crowd::Next, crowd::Sight, state::*};
+use crate::{api::*, crowd, crowd::Next, crowd::Sight, state::*, warm};
 
 /// Servers not heard from for this long are probed (ms), from so many probes earned by a request.
 pub const PROBE_AFTER: Ms = 1_000.0;
@@ -66,17 +66,28 @@
     /// While the prompt is read, some writers near it are asked for their memory: a state need not leave
     /// its cell for a writer of which no more is known.
     pub(super) fn look_ahead(&mut self, place: (u32, u32), out: &mut Vec<Action>) {
-        let near = self.servers.values().filter(|s| s.role == Role::Writer && s.info.place() == place);
-        let well = near.filter(|s| s.info.state == ServerState::Ready && !s.health.suspect(self.now));
-        let old = well.filter(|s| self.now > s.memory_seen.max(s.probed) + SEEN);
-        let mut old: Vec<ServerId> = old.map(|s| s.info.server).collect();
-        let Prices { probe, moved } = self.settings.prices;
-        for _ in 0..crowd::writers_seen(probe, moved) {
-            if old.is_empty() || self.probes < 1.0 {
+        let (now, Prices { probe, moved }) = (self.now, self.settings.prices);
+        let near = |s: &Server| s.info.place() == place && now > s.memory_seen.max(s.probed) + SEEN;
+        self.look_at_writers(near, crowd::writers_seen(probe, moved), out);
+    }
+
+    /// A state that no writer may take has some asked anew: a cold one gets nothing without its fresh word,
+    /// and what it said as the read began is old at its end.
+    pub(super) fn look_again(&mut self, out: &mut Vec<Action>) {
+        let now = self.now;
+        let old = |s: &Server| s.load(now, warm::FRESH).is_none() && now > s.probed + crowd::LOOK_WAIT;
+        self.look_at_writers(old, crowd::WRITERS_SEEN, out);
+    }
+
+    fn look_at_writers(&mut self, which: impl Fn(&Server) -> bool, most: usize, out: &mut Vec<Action>) {
+        let asked = |s: &&Server| s.role == Role::Writer && s.well(self.now) && which(s);
+        let mut some: Vec<_> = self.servers.values().filter(asked).map(|s| s.info.server).collect();
+        for _ in 0..most.min(some.len()) {
+            if self.probes < 1.0 {
                 return;
             }
-            let n = (self.random.unit() * old.len() as f64) as usize;
-            self.look_at(old.swap_remove(n.min(old.len() - 1)), out);
+            let n = (self.random.unit() * some.len() as f64) as usize;
+            self.look_at(some.swap_remove(n.min(some.len() - 1)), out);
         }
     }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -91,8 +91,7 @@
 
     /// Whether this server is known and yet gets nothing new at present.
     pub fn avoids(&self, id: ServerId) -> bool {
-        let s = self.servers.get(&id);
-        s.is_some_and(|s| s.info.state != ServerState::Ready || s.health.suspect(self.now))
+        self.servers.get(&id).is_some_and(|s| !s.well(self.now))
     }
 
     fn start(&mut self, out: &mut Vec<Action>) {
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -127,15 +127,15 @@
         let per_work = sane(elapsed) / work;
         let whole = job.attempts.iter().all(|a| a.stage == Stage::Write);
         self.learned.pace[Stage::Write as usize].add(per_work);
-        let mut wait = sane(elapsed);
         if let Some(s) = self.servers.get_mut(&server) {
+            let mut wait = sane(elapsed);
             if whole {
                 s.start.add(per_work);
                 wait = (wait - work * s.start.low).max(0.0);
             }
             s.waiting.remove(&id);
+            s.waited(&mut self.learned, wait, sent, self.now);
         }
-        self.waited(server, wait, sent);
         self.note_success(server);
         if whole {
             self.learn(id, server);
--- a/src/policy/shedding.rs
+++ b/src/policy/shedding.rs
@@ -6,8 +6,6 @@
 /// Share of the aim after which a first token must be expected; for a tenant over its share.
 const LATEST: f64 = 0.7;
 const LATEST_OVER_SHARE: f64 = 0.35;
-/// Weight of a new wait.
-const WAIT_BLEND: f64 = 0.3;
 
 impl Job {
     /// Work of taking in the prompt where so much of it is kept.
@@ -24,8 +22,11 @@
         let whole = self.servers.get(&reader).is_some_and(|s| s.role != Role::Reader) || write == f64::MAX;
         let first = self.expected(reader, job.work(kept)) + if whole { 0.0 } else { write };
         let part = first / (job.aim() * if job.over_share { LATEST_OVER_SHARE } else { LATEST }).max(1.0);
+        // A read that no writer may take is in vain; refused, it may come to a router that still has credit.
+        let takes = |s: &Server| s.role != Role::Reader && s.well(self.now) && self.trust(s, 0.0).may_tell();
+        let in_vain = self.looks() && !self.servers.values().any(takes);
         let late = part > 1.0 && self.random.unit() < (3.0 * (part - 1.0)).min(0.95);
-        late && self.trials.turns_away(self.now)
+        (in_vain || late) && self.trials.turns_away(self.now)
     }
 
     /// When a read of this much work would end at a reader, or a stream begin at a writer or a mixed
@@ -34,21 +35,4 @@
         let s = self.servers.get(&id);
         s.map_or(0.0, |s| estimate::until(s, &self.learned, self.routers(), self.now, work))
     }
-
-    /// A read of this much work, sent then, has ended at a server.
-    pub(super) fn has_read(&mut self, id: ServerId, work: f64, elapsed: Ms, sent: Ms) {
-        let Some(s) = self.servers.get_mut(&id) else { return };
-        s.start.add(elapsed / work);
-        let wait = (elapsed - work * s.start.low).max(0.0);
-        self.waited(id, wait, sent);
-        self.learned.pace[Stage::Read as usize].add(elapsed / work);
-    }
-
-    pub(super) fn waited(&mut self, id: ServerId, wait: Ms, sent: Ms) {
-        let Some(s) = self.servers.get_mut(&id) else { return };
-        s.waiting.values_mut().filter(|w| w.since < sent).for_each(|w| w.overtaken += 1);
-        s.wait += WAIT_BLEND * (wait - s.wait);
-        let like = &mut self.learned.waits[s.role as usize];
-        *like = (like.0 + WAIT_BLEND * (wait - like.0), self.now);
-    }
 }
--- a/src/policy/writers.rs
+++ b/src/policy/writers.rs
@@ -31,6 +31,9 @@
             let mixed = self.usable(&[Role::Mixed], job, Stage::Write, out);
             known.extend(self.projections(&mixed));
         }
+        if known.is_empty() && self.looks() {
+            self.look_again(out);
+        }
         let place = |id: &ServerId| self.servers.get(id).map(|s| s.info.place());
         let home = job.state_at.as_ref().and_then(place)?;
         let lowest = |near: &dyn Fn((u32, u32)) -> bool| {
--- a/src/state/server.rs
+++ b/src/state/server.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use super::{decayed, sane, Pace, Symptom};
+use super::{decayed, sane, Learned, Pace, Stage, Symptom};
 use crate::api::*;
 
 #[derive(Default)]
@@ -38,6 +38,8 @@
 
 /// So many attempts that were sent later and have moved on say that one is lost: its wait tells nothing of the queue.
 const OVERTAKEN: u32 = 3;
+/// Weight of a new wait.
+const WAIT_BLEND: f64 = 0.3;
 
 impl Waiting {
     /// Whether its wait tells of its server.
@@ -76,6 +78,10 @@
 }
 
 impl Server {
+    /// Listed as ready, and not ejected.
+    pub fn well(&self, now: Ms) -> bool {
+        self.info.state == ServerState::Ready && !self.health.suspect(now)
+    }
     /// What a report of its memory is still worth, from 1 (just now) to 0 (none yet), fading in that time.
     pub fn trust(&self, now: Ms, fades: Ms) -> f64 {
         self.memory.map_or(0.0, |_| ((self.memory_seen - now) / fades).exp())
@@ -106,6 +112,19 @@
         self.waiting.remove(&id);
         self.recent.remove(&id);
     }
+    /// A read of this much work, sent then, has ended here.
+    pub fn has_read(&mut self, learned: &mut Learned, work: f64, elapsed: Ms, sent: Ms, now: Ms) {
+        self.start.add(elapsed / work);
+        self.waited(learned, (elapsed - work * self.start.low).max(0.0), sent, now);
+        learned.pace[Stage::Read as usize].add(elapsed / work);
+    }
+    /// An attempt that was sent then has met this wait here.
+    pub fn waited(&mut self, learned: &mut Learned, wait: Ms, sent: Ms, now: Ms) {
+        self.waiting.values_mut().filter(|w| w.since < sent).for_each(|w| w.overtaken += 1);
+        self.wait += WAIT_BLEND * (wait - self.wait);
+        let like = &mut learned.waits[self.role as usize];
+        *like = (like.0 + WAIT_BLEND * (wait - like.0), now);
+    }
     /// Takes in what it says of itself; `prompt`: mean tokens of a prompt.
     pub fn hear(&mut self, report: Report, prompt: f64, now: Ms) {
         self.heard = now;
--- a/src/warm.rs
+++ b/src/warm.rs
@@ -20,7 +20,7 @@
 /// A cold server gets at least this many sends a second from all routers together.
 const TRICKLE: f64 = 0.5;
 /// A cold server's word stands for what all routers send it for so long (ms). Reports are old already when they are told.
-const FRESH: Ms = 250.0;
+pub const FRESH: Ms = 250.0;
 /// A word that is old at all routers alike sends on those whose credit is above this part of a send: the others go elsewhere.
 const AHEAD: f64 = 0.4;
 /// The least share of its capacity that a server is taken to start with, whatever the settings say.
--- /dev/null
+++ b/tests/in_vain.rs
@@ -0,0 +1,110 @@
+//! One of many routers while every writer is cold: it reads nothing that no writer may take, and asks those again whose word
+//! was old as a read ended. No sockets, no clock but the events'.
+
+mod common;
+
+use common::*;
+use deckhub::*;
+
+const ROUTERS: u32 = 32;
+/// A read takes longer (ms) than a cold writer's word counts.
+const READ: Ms = 400.0;
+
+#[derive(Debug, PartialEq, Eq, Clone, Copy)]
+enum End {
+    Served,
+    RefusedUnsent,
+    /// Read, and then no writer took it.
+    InVain,
+}
+
+/// A router of many that has just been told that all writers are new.
+fn cold(seed: u64) -> Rig {
+    let started = |m: Member| match WRITERS.contains(&m.server.0) {
+        true => Member { started: Some(0.0), ..m },
+        false => m,
+    };
+    let members = fleet().into_iter().map(started).collect();
+    let mut rig = Rig { router: Router::new(seed, Settings { routers: ROUTERS, ..settings() }), now: 0.0 };
+    rig.give(Event::Members { scope: Scope::Full, members });
+    rig
+}
+
+/// All that follows when each server that is asked says at once that it has nothing in flight.
+fn answered(rig: &mut Rig, mut actions: Vec<Action>) -> Vec<Action> {
+    let mut told = 0;
+    while let Some(server) = probed(&actions).get(told).copied() {
+        told += 1;
+        actions.extend(rig.load(server, 0.0));
+    }
+    actions
+}
+
+/// Plays one request to its end, alone.
+fn play(rig: &mut Rig, id: u64) -> End {
+    let actions = rig.request_seen(ask(id));
+    let Some(reader) = sent(&actions) else {
+        assert!(refused(&actions), "neither sent nor refused: {actions:?}");
+        return End::RefusedUnsent;
+    };
+    assert!(READERS.contains(&reader));
+    rig.now += READ;
+    let mut actions = rig.outcome(id, 0, reader, Status::Read);
+    loop {
+        actions = answered(rig, actions);
+        if let Some(writer) = sent(&actions) {
+            assert!(WRITERS.contains(&writer));
+            let first =
+                Event::FirstToken { id: RequestId(id), attempt: 1, server: ServerId(writer), elapsed: 20.0 };
+            rig.give(first);
+            rig.outcome(id, 1, writer, Status::Served);
+            return End::Served;
+        }
+        if refused(&actions) {
+            return End::InVain;
+        }
+        // The step that looks again.
+        let step = timers(&actions).into_iter().find(|t| t.1 == id << 1 | 1).expect("another step");
+        actions = rig.at(step.0).timer(step.1);
+    }
+}
+
+/// Guards the readers' time: what is read for no writer is read in vain, and costs those that wait behind it.
+#[test]
+fn nothing_is_read_that_no_writer_may_take() {
+    let mut seen = [0; 3];
+    for seed in 1..=40 {
+        let mut rig = cold(seed);
+        (1..=12).for_each(|id| seen[play(&mut rig, id) as usize] += 1);
+    }
+    let [served, unsent, in_vain] = seen;
+    assert!(served > 0 && unsent > 0, "served {served}, refused unsent {unsent}");
+    assert_eq!(in_vain, 0, "served {served}, refused unsent {unsent}");
+}
+
+/// Guards against a word that was fresh as the read began and is old at its end: the writer is asked again, and gets the state.
+#[test]
+fn a_cold_writer_is_asked_again_when_a_read_has_ended() {
+    let first = (1..=40).map(|seed| play(&mut cold(seed), 1));
+    let ends: Vec<End> = first.collect();
+    // Three writers in four routers or more have one that is trusted with a word.
+    assert!(ends.iter().filter(|e| **e == End::Served).count() >= 30, "{ends:?}");
+}
+
+/// With no writer listed, or all of them ejected, nothing is read either; a trial goes on from time to time, or the router
+/// would never hear that they are back.
+#[test]
+fn with_no_writer_at_all_trials_alone_are_read() {
+    let mut rig = cold(1);
+    let gone =
+        WRITERS.iter().zip(0..).map(|(id, zone)| Member { state: ServerState::Gone, ..member(*id, 1, zone) });
+    rig.give(Event::Members { scope: Scope::Delta, members: gone.collect() });
+    let (mut read, mut unsent) = (0, 0);
+    for id in 1..=200 {
+        rig.now += 50.0;
+        let actions = rig.request_seen(ask(id));
+        read += usize::from(sent(&actions).is_some());
+        unsent += usize::from(refused(&actions));
+    }
+    assert!((1..=4).contains(&read) && read + unsent == 200, "read {read}, refused {unsent} in 10 s");
+}
