Read on while writers look bad by soft symptoms alone, as the panic threshold has it

Found on reading again: shed (src/policy/shedding.rs) asked for a writer that is well, so a router whose writers were all ejected by two resets each (a fleet has two or three) refused all that came for 0.5 to 8 s, but for the trials, where usable (src/policy/health.rs) would not have believed the symptom.

--- a/src/policy/shedding.rs
+++ b/src/policy/shedding.rs
@@ -23,7 +23,9 @@
         let first = self.expected(reader, job.work(kept)) + if whole { 0.0 } else { write };
         let part = first / (job.aim() * if job.over_share { LATEST_OVER_SHARE } else { LATEST }).max(1.0);
         // A read that no writer may take is in vain; refused, it may come to a router that still has credit.
-        let takes = |s: &Server| s.role != Role::Reader && s.well(self.now) && self.trust(s, 0.0).may_tell();
+        let lost = |s: &Server| s.health.suspect(self.now) && s.health.unreachable();
+        let writes = |s: &Server| s.role != Role::Reader && s.info.state == ServerState::Ready && !lost(s);
+        let takes = |s: &Server| writes(s) && self.trust(s, 0.0).may_tell();
         let in_vain = self.looks() && !self.servers.values().any(takes);
         let late = part > 1.0 && self.random.unit() < (3.0 * (part - 1.0)).min(0.95);
         (in_vain || late) && self.trials.turns_away(self.now)
--- a/tests/in_vain.rs
+++ b/tests/in_vain.rs
@@ -108,3 +108,23 @@
     }
     assert!((1..=4).contains(&read) && read + unsent == 200, "read {read}, refused {unsent} in 10 s");
 }
+
+/// Guards the panic threshold: where most writers look bad by resets alone, the cause is not theirs, and reading goes on.
+#[test]
+fn writers_that_only_look_bad_are_read_for() {
+    let mut rig = Rig { router: Router::new(1, Settings { routers: ROUTERS, ..settings() }), now: 0.0 };
+    rig.give(Event::Members { scope: Scope::Full, members: fleet() });
+    let bad = |rig: &Rig| WRITERS.iter().all(|w| rig.router.avoids(ServerId(*w)));
+    let mut id = 0;
+    while !bad(&rig) {
+        id += 1;
+        assert!(id < 100, "writers are not ejected by resets");
+        rig.now += 1.0;
+        let reader = sent(&rig.request_seen(ask(id))).expect("a read");
+        let read = rig.outcome(id, 0, reader, Status::Read);
+        let writer = sent(&answered(&mut rig, read)).expect("a writer");
+        rig.outcome(id, 1, writer, Status::Reset);
+        rig.give(Event::ClientGone { id: RequestId(id) });
+    }
+    assert!(sent(&rig.request_seen(ask(1_000))).is_some_and(|to| READERS.contains(&to)));
+}
