Say of a refused request that it would be late or find no writer

The router's line on load shedding said that the request was expected after its aim; since it may also be that no writer would take it. The text alone changes.

--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -65,7 +65,7 @@
         match target {
             _ if done => {}
             _ if shed => {
-                self.log.say("load shedding", "expected after the aim".into(), self.now, out);
+                self.log.say("load shedding", "late, or for no writer".into(), self.now, out);
                 self.give_up(id, out);
             }
             Some(pick) => self.send(id, pick, out),
