--- a/src/policy/shedding.rs
+++ b/src/policy/shedding.rs
@@ -22,7 +22,7 @@
         let whole = self.servers.get(&reader).is_some_and(|s| s.role != Role::Reader) || write == f64::MAX;
         let first = self.expected(reader, job.work(kept)) + if whole { 0.0 } else { write };
         let part = first / (job.aim() * if job.over_share { LATEST_OVER_SHARE } else { LATEST }).max(1.0);
-        // In vain: what no writer may take before it is let go of, beside those that this router reads already.
+        // In vain: what no writer may take before it is let go of, beside those that are read already.
         let end = self.now + first + PIN_USED * self.settings.rules.pin_limit;
         let takes = |s: &Server| self.trust(s, 0.0, self.now).sends().max(self.trust(s, 0.0, end).sends());
         let writes = |s: &&Server| s.role != Role::Reader && s.reachable(self.now);
