--- /dev/null
+++ b/trials/src/client.rs
@@ -0,0 +1,91 @@
+//! Clients of the gateways: each sends one request on a connection of its own and records what becomes of it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Request;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::record::{Event, Records};
+
+/// A client waits so much longer than its deadline for an answer that only comes late.
+const GRACE: Duration = Duration::from_secs(5);
+
+/// One request of a client.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    pub id: String,
+    pub class: String,
+    pub session: u64,
+    pub deadline: Duration,
+    /// Whether its class may be repeated.
+    pub repeatable: bool,
+    /// It closes its connection after so long, whatever has come by then.
+    pub leaves_after: Option<Duration>,
+}
+
+impl Ask {
+    /// A request that waits for its answer.
+    pub fn new(id: impl Into<String>, class: &str, deadline: Duration, repeatable: bool) -> Ask {
+        let (id, class) = (id.into(), class.to_string());
+        Ask { id, class, session: 0, deadline, repeatable, leaves_after: None }
+    }
+
+    fn request(&self) -> Request<Full<Bytes>> {
+        let body = Bytes::from_static(br#"{"model":"chat","stream":true,"messages":[]}"#);
+        Request::post("/v1/chat/completions")
+            .header("host", "api.internal")
+            .header("req-id", &self.id)
+            .header("req-kind", &self.class)
+            .header("req-key", format!("{:016x}", self.session))
+            .header("req-deadline", format!("{:.3}", self.deadline.as_secs_f64()))
+            .header("req-extra", "prompt_len=800,max_out=100")
+            .body(Full::new(body))
+            .expect("only plain text is in the headers")
+    }
+}
+
+/// Sends a request, and records what becomes of it; `gateway` names the one asked. Gives the answer's status.
+pub async fn ask(gateway: &str, address: SocketAddr, ask: Ask, records: &Records) -> Option<u16> {
+    let request = ask.id.clone();
+    let mut sender = connect(address).await?;
+    let (deadline, repeatable) = (ask.deadline.as_secs_f64(), ask.repeatable);
+    records.add(gateway, Event::Sent { request: request.clone(), deadline, repeatable });
+    let answered = async {
+        let response = sender.send_request(ask.request()).await.ok()?;
+        let status = response.status().as_u16();
+        Some((status, response.collect().await.is_ok()))
+    };
+    let waits = ask.leaves_after.unwrap_or(ask.deadline + GRACE);
+    let answer = timeout(waits, answered).await;
+    drop(sender);
+    match answer {
+        Ok(Some((status, whole))) => {
+            records.add(gateway, Event::Answered { request, status, whole });
+            Some(status)
+        }
+        Ok(None) => {
+            records.add(gateway, Event::Unanswered { request });
+            None
+        }
+        Err(_) if ask.leaves_after.is_some() => {
+            records.add(gateway, Event::Left { request });
+            None
+        }
+        Err(_) => None,
+    }
+}
+
+async fn connect(address: SocketAddr) -> Option<http1::SendRequest<Full<Bytes>>> {
+    let socket = TcpStream::connect(address).await.ok()?;
+    let _ = socket.set_nodelay(true);
+    let (sender, connection) = http1::handshake(TokioIo::new(socket)).await.ok()?;
+    // It ends with its sender.
+    tokio::spawn(connection);
+    Some(sender)
+}
--- /dev/null
+++ b/trials/src/deployment.rs
@@ -0,0 +1,355 @@
+//! A deployment of processes on loopback: gateways, stand-in engines, and a link between each two of them.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use rustix::process::{kill_process, Pid, Signal};
+use serde_json::{json, Value};
+use tempfile::TempDir;
+use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::time::timeout;
+
+use crate::client::{self, Ask};
+use crate::discovery::Agent;
+use crate::engine::Role;
+use crate::network::Link;
+use crate::record::{Event, Record, Records};
+
+/// A process that is not up by then is a fault of the trial's own.
+const UP_WITHIN: Duration = Duration::from_secs(20);
+/// Lines of a gateway's log that are kept.
+const LOG_LINES: usize = 20_000;
+
+/// Why a deployment does not start.
+#[derive(Debug, thiserror::Error)]
+pub enum Fault {
+    #[error("{what}: {why}; the gateway is built with `cargo build` first, the folder has to be writable")]
+    Start { what: String, why: io::Error },
+    #[error("{0} said nothing in time; its log has the reason")]
+    NotUp(String),
+}
+
+/// One engine of a deployment.
+#[derive(Clone, Debug)]
+pub struct EngineSpec {
+    pub name: String,
+    pub role: Role,
+    /// The least and the most time (ms) that a read, or a writer's first token, takes.
+    pub time: (u64, u64),
+}
+
+/// What a deployment has.
+#[derive(Clone, Debug)]
+pub struct Spec {
+    pub gateways: usize,
+    pub engines: Vec<EngineSpec>,
+    pub pin_limit: Duration,
+    pub deadline: Duration,
+    /// Whether engines may be probed.
+    pub probes: bool,
+}
+
+impl Spec {
+    /// So many of each, with the incident's settings: 500 ms for what is held, deadlines of 9 s.
+    pub fn new(gateways: usize, readers: usize, writers: usize) -> Spec {
+        let of = |prefix: &'static str, role, count| {
+            (0..count).map(move |n| EngineSpec { name: format!("{prefix}{n}"), role, time: (20, 60) })
+        };
+        let engines = of("r", Role::Reader, readers).chain(of("w", Role::Writer, writers)).collect();
+        let (pin_limit, deadline) = (Duration::from_millis(500), Duration::from_secs(9));
+        Spec { gateways, engines, pin_limit, deadline, probes: true }
+    }
+
+    /// With writers whose first token takes this long (ms).
+    pub fn writers_take(mut self, least: u64, most: u64) -> Spec {
+        let writers = self.engines.iter_mut().filter(|e| e.role == Role::Writer);
+        writers.for_each(|engine| engine.time = (least, most));
+        self
+    }
+
+    fn settings(&self) -> Value {
+        let deadline = self.deadline.as_secs_f64() * 1000.0;
+        let class = |name: &str, semantics: &str| json!({"name": name, "aim": 2500.0, "deadline": deadline, "semantics": semantics, "worth": 2.0});
+        json!({"balancers": self.gateways, "quantum": 4.0, "zones": ["dc"], "discovery": "push",
+            "kinds": ["prompt-side", "answer-side"],
+            "services": [class("item-query", "free"), class("order-chat", "single_shot")],
+            "domain": {"stage-of-kind": ["read", "write"], "tokens-by-kind": [200_000, 200_000],
+                "pin-limit": self.pin_limit.as_secs_f64() * 1000.0},
+            "policy-limits": {"max-attempts": 5, "cancel": true, "dial-timeout": 250.0, "probes": self.probes,
+                "conn-idle": 20_000.0},
+            "rules": {"cold": 13_000.0, "cold-from": 0.31, "fall": 3_000.0, "fall-multiple": 4.0,
+                "drain-grace": 2_000.0},
+            "telemetry": {"names": ["outstanding", "x0"]}})
+    }
+}
+
+/// A process of a deployment.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+    pid: Pid,
+}
+
+impl Process {
+    fn start(command: &mut Command, what: &str) -> Result<Process, Fault> {
+        let started = command.kill_on_drop(true).spawn();
+        let child = started.map_err(|why| Fault::Start { what: what.to_string(), why })?;
+        let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
+        Ok(Process { child, pid: pid.ok_or_else(|| Fault::NotUp(what.to_string()))? })
+    }
+
+    /// Signals the process, if it still runs.
+    pub fn signal(&self, signal: Signal) {
+        let _ = kill_process(self.pid, signal);
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+}
+
+/// A running engine.
+#[derive(Debug)]
+pub struct EngineProcess {
+    pub spec: EngineSpec,
+    pub address: SocketAddr,
+    pub process: Process,
+    /// When it last started, in Unix milliseconds; 0 for long ago.
+    pub born_ms: u64,
+    pub draining: bool,
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct GatewayProcess {
+    pub name: String,
+    pub address: SocketAddr,
+    pub process: Process,
+    pub agent: Agent,
+    log: Arc<Mutex<Vec<String>>>,
+}
+
+impl GatewayProcess {
+    /// Lines of its log that hold these words.
+    pub fn log_lines(&self, words: &str) -> Vec<String> {
+        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
+        log.iter().filter(|line| line.contains(words)).cloned().collect()
+    }
+}
+
+/// A deployment that runs; its processes end with it.
+pub struct Deployment {
+    pub spec: Spec,
+    pub engines: Vec<EngineProcess>,
+    pub gateways: Vec<GatewayProcess>,
+    /// By gateway and engine.
+    pub links: BTreeMap<(usize, usize), Link>,
+    pub records: Records,
+    folder: TempDir,
+    trials: PathBuf,
+    gateway: PathBuf,
+    list_version: u64,
+}
+
+impl Deployment {
+    /// Starts all processes and waits until they are up. `trials` is this crate's own program, `gateway` the gateway's.
+    pub async fn start(spec: Spec, trials: &Path, gateway: &Path) -> Result<Deployment, Fault> {
+        let folder = tempfile::tempdir().map_err(|why| Fault::Start { what: "a folder".into(), why })?;
+        let mut deployment = Deployment {
+            spec: spec.clone(),
+            engines: Vec::new(),
+            gateways: Vec::new(),
+            links: BTreeMap::new(),
+            records: Records::default(),
+            folder,
+            trials: trials.to_path_buf(),
+            gateway: gateway.to_path_buf(),
+            list_version: 1,
+        };
+        for engine in spec.engines {
+            let address = free_address()?;
+            let process = deployment.start_engine(&engine, address)?;
+            deployment.engines.push(EngineProcess {
+                spec: engine,
+                address,
+                process,
+                born_ms: 0,
+                draining: false,
+            });
+        }
+        deployment.engines_up().await?;
+        for index in 0..spec.gateways {
+            deployment.open_links(index)?;
+            deployment.start_gateway(index).await?;
+        }
+        Ok(deployment)
+    }
+
+    fn states(&self) -> PathBuf {
+        self.folder.path().join("states")
+    }
+
+    fn start_engine(&self, spec: &EngineSpec, listen: SocketAddr) -> Result<Process, Fault> {
+        let role = if spec.role == Role::Reader { "reader" } else { "writer" };
+        let mut command = Command::new(&self.trials);
+        command.args(["engine", "--name", &spec.name, "--role", role, "--listen", &listen.to_string()]);
+        command.args(["--least", &spec.time.0.to_string(), "--most", &spec.time.1.to_string()]);
+        command.arg("--states").arg(self.states()).stdout(Stdio::piped());
+        let mut process = Process::start(&mut command, &spec.name)?;
+        let records = self.records.clone();
+        if let Some(said) = process.child.stdout.take() {
+            tokio::spawn(async move {
+                let mut lines = BufReader::new(said).lines();
+                while let Ok(Some(line)) = lines.next_line().await {
+                    // A killed engine may leave half a line.
+                    if let Ok(record) = serde_json::from_str::<Record>(&line) {
+                        records.push(record);
+                    }
+                }
+            });
+        }
+        Ok(process)
+    }
+
+    async fn engines_up(&self) -> Result<(), Fault> {
+        for engine in &self.engines {
+            until(&engine.spec.name, || std::net::TcpStream::connect(engine.address).is_ok()).await?;
+        }
+        Ok(())
+    }
+
+    fn open_links(&mut self, gateway: usize) -> Result<(), Fault> {
+        for (index, engine) in self.engines.iter().enumerate() {
+            let name = format!("n{gateway}-{}", engine.spec.name);
+            let link = Link::open(&name, engine.address, self.records.clone());
+            let link = link.map_err(|why| Fault::Start { what: name, why })?;
+            self.links.insert((gateway, index), link);
+        }
+        Ok(())
+    }
+
+    /// Discovery's list for one gateway, which reaches each engine by a link of its own.
+    fn list(&self, gateway: usize) -> Value {
+        let host = |(index, engine): (usize, &EngineProcess)| {
+            let kind = if engine.spec.role == Role::Reader { "prompt-side" } else { "answer-side" };
+            let health = if engine.draining { "DRAINING" } else { "SERVING" };
+            json!({"host": engine.spec.name, "dial": self.links[&(gateway, index)].address, "site": "dc",
+                "class": kind, "block": 0, "health": health, "share": 1.0, "born_ms": engine.born_ms})
+        };
+        let hosts: Vec<Value> = self.engines.iter().enumerate().map(host).collect();
+        json!({"seq": self.list_version, "whole": true, "hosts": hosts})
+    }
+
+    /// Tells every gateway how the engines stand.
+    pub fn publish(&mut self) {
+        self.list_version += 1;
+        for (index, gateway) in self.gateways.iter().enumerate() {
+            gateway.agent.publish(self.list(index));
+        }
+    }
+
+    async fn start_gateway(&mut self, index: usize) -> Result<(), Fault> {
+        let name = format!("n{index}");
+        let start = |why| Fault::Start { what: format!("n{index}"), why };
+        let list = self.list(index);
+        let agent = Agent::start(list.clone()).await.map_err(start)?;
+        let address = free_address()?;
+        let folder = self.folder.path().join(&name);
+        fs::create_dir_all(&folder).map_err(start)?;
+        let config = json!({"name": name, "listen": address, "discovery": agent.address.to_string(),
+            "seed": format!("{:x}", 0x8c1f_30d2_u64 + index as u64), "known": list,
+            "limits": {"memory_mb": 192, "sockets": 1024}, "settings": self.spec.settings()});
+        let file = folder.join("config.json");
+        fs::write(&file, config.to_string()).map_err(start)?;
+        let mut command = Command::new(&self.gateway);
+        command.env_clear().env("EDGE_CONFIG", &file).env("TMPDIR", &folder).stderr(Stdio::piped());
+        let mut process = Process::start(&mut command, &name)?;
+        let log = Arc::new(Mutex::new(Vec::new()));
+        if let Some(said) = process.child.stderr.take() {
+            let log = log.clone();
+            tokio::spawn(async move {
+                let mut lines = BufReader::new(said).lines();
+                while let Ok(Some(line)) = lines.next_line().await {
+                    let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
+                    if log.len() < LOG_LINES {
+                        log.push(line);
+                    }
+                }
+            });
+        }
+        until(&name, || std::net::TcpStream::connect(address).is_ok()).await?;
+        self.gateways.push(GatewayProcess { name, address, process, agent, log });
+        Ok(())
+    }
+
+    /// Kills an engine and starts it anew at its address, empty.
+    pub fn restart_engine(&mut self, index: usize) -> Result<(), Fault> {
+        let engine = &self.engines[index];
+        engine.process.signal(Signal::KILL);
+        self.lose_states(&engine.spec.name);
+        let process = self.start_engine(&engine.spec, engine.address)?;
+        let engine = &mut self.engines[index];
+        engine.process = process;
+        let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        engine.born_ms = since_epoch.map_or(0, |time| time.as_millis() as u64);
+        Ok(())
+    }
+
+    /// What a reader held is gone with it.
+    fn lose_states(&self, reader: &str) {
+        let Ok(states) = fs::read_dir(self.states()) else { return };
+        for state in states.flatten() {
+            let held_by = fs::read_to_string(state.path()).unwrap_or_default();
+            if held_by == reader && fs::remove_file(state.path()).is_ok() {
+                let request = state.file_name().to_string_lossy().into_owned();
+                self.records.add(reader, Event::Lost { request });
+            }
+        }
+    }
+
+    /// Every gateway's link to this engine.
+    pub fn links_to(&self, engine: usize) -> impl Iterator<Item = &Link> {
+        self.links.iter().filter(move |(key, _)| key.1 == engine).map(|(_, link)| link)
+    }
+
+    /// Sends one request to a gateway and waits for its end.
+    pub async fn ask(&self, gateway: usize, ask: Ask) -> Option<u16> {
+        let gateway = &self.gateways[gateway];
+        client::ask(&gateway.name, gateway.address, ask, &self.records).await
+    }
+
+    /// What the gateways' logs say of a request, or of anything with these words.
+    pub fn log_lines(&self, words: &str) -> Vec<String> {
+        let of = |gateway: &GatewayProcess| {
+            gateway
+                .log_lines(words)
+                .into_iter()
+                .map(|line| format!("{}: {line}", gateway.name))
+                .collect::<Vec<_>>()
+        };
+        self.gateways.iter().flat_map(of).collect()
+    }
+}
+
+/// An address that is free at this moment, and that the machine gives to no one else soon.
+fn free_address() -> Result<SocketAddr, Fault> {
+    let bound = TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
+    bound.map_err(|why| Fault::Start { what: "an address".into(), why })
+}
+
+async fn until(what: &str, mut up: impl FnMut() -> bool) -> Result<(), Fault> {
+    let waits = async {
+        while !up() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    timeout(UP_WITHIN, waits).await.map_err(|_| Fault::NotUp(what.to_string()))
+}
--- /dev/null
+++ b/trials/src/discovery.rs
@@ -0,0 +1,69 @@
+//! A stand-in for discovery's agent beside one gateway: it tells the whole list, and holds a watch until there is a newer one.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde_json::{json, Value};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// An agent that answers for as long as the trial runs.
+#[derive(Clone, Debug)]
+pub struct Agent {
+    pub address: SocketAddr,
+    list: watch::Sender<Value>,
+}
+
+impl Agent {
+    pub async fn start(list: Value) -> io::Result<Agent> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let agent = Agent { address: listener.local_addr()?, list: watch::Sender::new(list) };
+        let serving = agent.clone();
+        tokio::spawn(async move {
+            while let Ok((socket, _)) = listener.accept().await {
+                tokio::spawn(serving.clone().serve(socket));
+            }
+        });
+        Ok(agent)
+    }
+
+    /// Has this list from now on.
+    pub fn publish(&self, list: Value) {
+        self.list.send_replace(list);
+    }
+
+    async fn serve(self, socket: TcpStream) {
+        let _ = socket.set_nodelay(true);
+        let service = service_fn(move |request| {
+            let agent = self.clone();
+            async move { Ok::<_, Infallible>(agent.answer(request).await) }
+        });
+        let _ = http1::Builder::new().serve_connection(TokioIo::new(socket), service).await;
+    }
+
+    async fn answer(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+        let asked = |name: &str| -> Option<u64> {
+            let query = request.uri().query().unwrap_or("");
+            query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        };
+        let (from, hold) = (asked("from"), Duration::from_millis(asked("hold_ms").unwrap_or(0)));
+        let mut list = self.list.subscribe();
+        let newer = list.wait_for(|list| from.is_none_or(|from| list["seq"].as_u64() > Some(from)));
+        let told = match timeout(hold, newer).await {
+            Ok(Ok(list)) => list.clone(),
+            _ if from.is_none() => self.list.borrow().clone(),
+            _ => json!({"seq": from, "whole": false, "hosts": []}),
+        };
+        Response::new(Full::new(Bytes::from(told.to_string())))
+    }
+}
--- /dev/null
+++ b/trials/src/engine.rs
@@ -0,0 +1,235 @@
+//! A stand-in engine, run as a process of its own: a reader holds states, a writer fetches them and answers. What it
+//! does goes to standard output, one [`Record`] a line.
+//!
+//! States are files of a folder that all engines of a trial share, so that whoever removes a file has taken the state.
+
+use std::convert::Infallible;
+use std::fs;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use clap::{Args, ValueEnum};
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::combinators::BoxBody;
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::body::{Frame, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use rand::Rng;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::time::sleep;
+
+use crate::clock;
+use crate::record::{Event, Record, Stage, WorkEnd};
+
+/// Events of one answer, and the pause between two.
+const EVENTS: usize = 6;
+const EVENT_PAUSE: Duration = Duration::from_millis(25);
+const LEASES: &str = "/kv/leases/";
+
+/// What an engine does with prompts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum Role {
+    Reader,
+    Writer,
+}
+
+/// How an engine is started.
+#[derive(Clone, Debug, Args)]
+pub struct Options {
+    #[arg(long)]
+    pub name: String,
+    #[arg(long)]
+    pub role: Role,
+    #[arg(long)]
+    pub listen: SocketAddr,
+    /// The folder of the states, shared by all engines.
+    #[arg(long)]
+    pub states: PathBuf,
+    /// The least and the most time that a read, or the wait for a writer's first token, takes (ms).
+    #[arg(long, default_value_t = 20)]
+    pub least: u64,
+    #[arg(long, default_value_t = 60)]
+    pub most: u64,
+}
+
+type Answer = Response<BoxBody<Bytes, Infallible>>;
+
+struct Engine {
+    options: Options,
+}
+
+impl Engine {
+    fn record(&self, event: Event) {
+        let record = Record { at: clock::now(), place: self.options.name.clone(), event };
+        let Ok(line) = serde_json::to_string(&record) else { return };
+        let mut out = io::stdout().lock();
+        // Whoever reads it may have ended first.
+        let _ = writeln!(out, "{line}").and_then(|()| out.flush());
+    }
+
+    fn state(&self, request: &str) -> PathBuf {
+        self.options.states.join(request)
+    }
+
+    async fn works(&self) {
+        let range = self.options.least..=self.options.most.max(self.options.least);
+        let time = rand::rng().random_range(range);
+        sleep(Duration::from_millis(time)).await;
+    }
+
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Answer {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path();
+        if body.collect().await.is_err() {
+            return brief(StatusCode::BAD_REQUEST, "");
+        }
+        if let Some(id) = path.strip_prefix(LEASES) {
+            return match parts.method {
+                Method::DELETE => self.release(id),
+                _ => brief(StatusCode::NOT_FOUND, ""),
+            };
+        }
+        if matches!(path, "/status/load" | "/health") {
+            return brief(StatusCode::OK, "TEXT inflight=1, x0=0.1");
+        }
+        let Some(id) = parts.headers.get("req-id").and_then(|id| id.to_str().ok()) else {
+            return brief(StatusCode::NOT_FOUND, "");
+        };
+        match self.options.role {
+            Role::Reader => self.read(id).await,
+            Role::Writer => self.write(id).await,
+        }
+    }
+
+    fn release(&self, id: &str) -> Answer {
+        // Nothing may be held any more; that is no fault.
+        let _ = fs::remove_file(self.state(id));
+        self.record(Event::Released { request: id.into() });
+        brief(StatusCode::NO_CONTENT, "")
+    }
+
+    async fn read(self: Arc<Self>, id: &str) -> Answer {
+        let mut work = Work::begin(self.clone(), id, Stage::Read);
+        self.works().await;
+        if fs::write(self.state(id), &self.options.name).is_ok() {
+            self.record(Event::Held { request: id.into() });
+        }
+        work.ends(WorkEnd::Answered);
+        brief(StatusCode::ACCEPTED, r#"{"cached_tokens":0}"#)
+    }
+
+    async fn write(self: Arc<Self>, id: &str) -> Answer {
+        let mut work = Work::begin(self.clone(), id, Stage::Write);
+        self.works().await;
+        if fs::remove_file(self.state(id)).is_err() {
+            work.ends(WorkEnd::Declined);
+            return declined(StatusCode::GONE);
+        }
+        self.record(Event::Claimed { request: id.into() });
+        stream(work)
+    }
+}
+
+/// An attempt under way; its end is recorded when it is dropped, however that comes.
+struct Work {
+    engine: Arc<Engine>,
+    request: String,
+    stage: Stage,
+    how: WorkEnd,
+}
+
+impl Work {
+    fn begin(engine: Arc<Engine>, id: &str, stage: Stage) -> Work {
+        engine.record(Event::Taken { request: id.into(), stage });
+        Work { engine, request: id.into(), stage, how: WorkEnd::Dropped }
+    }
+
+    /// What its end is to be recorded as.
+    fn ends(&mut self, how: WorkEnd) {
+        self.how = how;
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        let (request, stage, how) = (self.request.clone(), self.stage, self.how);
+        self.engine.record(Event::Ended { request, stage, how });
+    }
+}
+
+fn brief(status: StatusCode, body: &'static str) -> Answer {
+    let mut answer = Response::new(Full::new(Bytes::from_static(body.as_bytes())).boxed());
+    *answer.status_mut() = status;
+    let load = http::HeaderValue::from_static("TEXT inflight=1, x0=0.1");
+    answer.headers_mut().insert("srv-load", load);
+    answer
+}
+
+fn declined(status: StatusCode) -> Answer {
+    let mut answer = brief(status, "");
+    answer.headers_mut().insert("srv-declined", http::HeaderValue::from_static("1"));
+    answer
+}
+
+/// An answer's events, one after the other, for as long as somebody reads them.
+fn stream(mut work: Work) -> Answer {
+    let (sender, receiver) = mpsc::channel::<Bytes>(1);
+    tokio::spawn(async move {
+        for _ in 0..EVENTS {
+            let event = "data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"oqvh\"}}]}\n\n";
+            if sender.send(Bytes::from_static(event.as_bytes())).await.is_err() {
+                return;
+            }
+            sleep(EVENT_PAUSE).await;
+        }
+        if sender.send(Bytes::from_static(b"data: [DONE]\n\n")).await.is_ok() {
+            work.ends(WorkEnd::Answered);
+        }
+    });
+    let frames = futures_of(receiver);
+    let mut answer = Response::new(BodyExt::boxed(StreamBody::new(frames)));
+    let kind = http::HeaderValue::from_static("text/event-stream");
+    answer.headers_mut().insert(http::header::CONTENT_TYPE, kind);
+    answer
+}
+
+fn futures_of(
+    receiver: mpsc::Receiver<Bytes>,
+) -> impl futures_util::Stream<Item = Result<Frame<Bytes>, Infallible>> + Send + Sync {
+    futures_util::stream::unfold(receiver, |mut receiver| async move {
+        let bytes = receiver.recv().await?;
+        Some((Ok(Frame::data(bytes)), receiver))
+    })
+}
+
+/// Serves until the process is ended.
+pub async fn run(options: Options) -> io::Result<()> {
+    make_folder(&options.states)?;
+    let listener = TcpListener::bind(options.listen).await?;
+    let engine = Arc::new(Engine { options });
+    loop {
+        let (socket, _) = listener.accept().await?;
+        // Small writes are not held back.
+        let _ = socket.set_nodelay(true);
+        let engine = engine.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let engine = engine.clone();
+                async move { Ok::<_, Infallible>(engine.answer(request).await) }
+            });
+            // A connection that breaks ends its work; nobody else has to know.
+            let _ = http1::Builder::new().serve_connection(TokioIo::new(socket), service).await;
+        });
+    }
+}
+
+fn make_folder(path: &Path) -> io::Result<()> {
+    fs::create_dir_all(path)
+}
--- /dev/null
+++ b/trials/src/judge.rs
@@ -0,0 +1,260 @@
+//! The rules of the platform as invariants over the records of a trial.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use crate::clock::{Micros, MILLISECOND};
+use crate::record::{Event, Record, Stage};
+
+/// The platform allows what is held so much more than the settings do.
+const HELD_SLACK: Micros = 350 * MILLISECOND;
+/// A deadline told to an engine may be so much above what is left to the client (s).
+const DEADLINE_SLACK: f64 = 0.15;
+/// A client's leaving counts after so long.
+const LEFT_SLACK: Micros = 100 * MILLISECOND;
+/// A final answer may be so late.
+const ANSWER_SLACK: Micros = 500 * MILLISECOND;
+/// The end of a connection is seen on a link so much later than the first byte on the next may be.
+const CLOSE_SLACK: Micros = 40 * MILLISECOND;
+/// Answers that say that trying again is harmless.
+const REFUSALS: [u16; 2] = [429, 503];
+
+/// What has to hold for each request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Invariant {
+    /// While no attempt has arrived and is out, what is held is taken or let go in time.
+    HeldInTime,
+    /// No two attempts are out at once.
+    OneAttempt,
+    /// No attempt begins once its client has left.
+    NotAfterClientLeft,
+    /// An engine is told at most the time that is left to the client.
+    DeadlineTold,
+    /// A request that was read gets its answer, in time.
+    Answered,
+    /// What must not be repeated has its effect at most once.
+    RunsOnce,
+    /// What is refused, so called harmless to send again, has had no effect.
+    RefusalIsTrue,
+}
+
+/// An invariant that did not hold.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Violation {
+    pub invariant: Invariant,
+    pub request: String,
+    pub at: Micros,
+    pub what: String,
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}: request {} at {} us: {}", self.invariant, self.request, self.at, self.what)
+    }
+}
+
+/// Judges all requests of a trial that ended at `end`, with this limit for what is held.
+pub fn judge(records: &[Record], pin_limit: Duration, end: Micros) -> Vec<Violation> {
+    let mut by_request: BTreeMap<&str, Vec<&Record>> = BTreeMap::new();
+    for record in records {
+        by_request.entry(record.event.request()).or_default().push(record);
+    }
+    let limit = pin_limit.as_micros() as Micros + HELD_SLACK;
+    let mut violations = Vec::new();
+    for (request, records) in by_request {
+        let case = Case { request, records, end };
+        violations.extend(case.held_in_time(limit));
+        violations.extend(case.one_attempt());
+        violations.extend(case.not_after_client_left());
+        violations.extend(case.deadline_told());
+        violations.extend(case.answered());
+        violations.extend(case.runs_once());
+    }
+    violations.sort_by_key(|violation| violation.at);
+    violations
+}
+
+/// The records of one request.
+struct Case<'a> {
+    request: &'a str,
+    records: Vec<&'a Record>,
+    end: Micros,
+}
+
+/// An attempt as its link saw it.
+#[derive(Clone, Copy, Debug)]
+struct Attempt<'a> {
+    link: &'a str,
+    connection: u64,
+    began: Micros,
+    /// When its answer began to come, or its connection was closed.
+    ended: Option<Micros>,
+}
+
+impl Attempt<'_> {
+    fn engine(&self) -> &str {
+        self.link.rsplit_once('-').map_or(self.link, |(_, engine)| engine)
+    }
+}
+
+impl<'a> Case<'a> {
+    fn violation(&self, invariant: Invariant, at: Micros, what: String) -> Violation {
+        Violation { invariant, request: self.request.to_string(), at, what }
+    }
+
+    fn sent(&self) -> Option<(Micros, f64, bool)> {
+        self.records.iter().find_map(|record| match record.event {
+            Event::Sent { deadline, repeatable, .. } => Some((record.at, deadline, repeatable)),
+            _ => None,
+        })
+    }
+
+    fn attempts(&self) -> Vec<Attempt<'a>> {
+        let mut attempts: Vec<Attempt> = Vec::new();
+        for record in &self.records {
+            match record.event {
+                Event::Began { connection, .. } => {
+                    attempts.push(Attempt { link: &record.place, connection, began: record.at, ended: None });
+                }
+                Event::Replied { connection, .. } | Event::Closed { connection, .. } => {
+                    let same = |a: &&mut Attempt| a.link == record.place && a.connection == connection;
+                    if let Some(attempt) = attempts.iter_mut().rfind(same) {
+                        attempt.ended.get_or_insert(record.at);
+                    }
+                }
+                _ => {}
+            }
+        }
+        attempts
+    }
+
+    /// When each attempt arrived at a running engine, and when it ceased to be out.
+    fn arrived(&self) -> Vec<(Micros, Micros)> {
+        let mut attempts = self.attempts();
+        let mut arrived = Vec::new();
+        for record in self.records.iter().filter(|r| matches!(r.event, Event::Taken { .. })) {
+            let here = |a: &Attempt| a.engine() == record.place && a.began <= record.at;
+            let Some(at) = attempts.iter().position(here) else { continue };
+            let attempt = attempts.remove(at);
+            arrived.push((record.at, attempt.ended.unwrap_or(Micros::MAX)));
+        }
+        arrived
+    }
+
+    fn held_in_time(&self, limit: Micros) -> Option<Violation> {
+        let arrived = self.arrived();
+        let mut since: Option<Micros> = None;
+        for record in &self.records {
+            let end = match record.event {
+                Event::Held { .. } if since.is_none() => {
+                    since = Some(record.at);
+                    continue;
+                }
+                Event::Claimed { .. } | Event::Released { .. } | Event::Lost { .. } => record.at,
+                _ => continue,
+            };
+            let Some(from) = since.take() else { continue };
+            if let Some(late) = self.too_long(&arrived, from, end, limit) {
+                return Some(late);
+            }
+        }
+        self.too_long(&arrived, since?, self.end, limit)
+    }
+
+    /// The longest time between these two moments in which nothing was out, where that is too long.
+    fn too_long(
+        &self, arrived: &[(Micros, Micros)], from: Micros, until: Micros, limit: Micros,
+    ) -> Option<Violation> {
+        let mut out: Vec<(Micros, Micros)> =
+            arrived.iter().copied().filter(|o| o.1 > from && o.0 < until).collect();
+        out.sort_unstable();
+        out.push((until, until));
+        let mut free = from;
+        for (begins, ends) in out {
+            let waited = begins.saturating_sub(free);
+            if waited > limit {
+                let what = format!("held for {} ms with no attempt out", waited / MILLISECOND);
+                return Some(self.violation(Invariant::HeldInTime, free + limit, what));
+            }
+            free = free.max(ends);
+        }
+        None
+    }
+
+    fn one_attempt(&self) -> Option<Violation> {
+        let attempts = self.attempts();
+        attempts.windows(2).find_map(|pair| {
+            let ended = pair[0].ended.unwrap_or(self.end);
+            let what = || format!("begun on {} while one is open on {}", pair[1].link, pair[0].link);
+            (ended > pair[1].began + CLOSE_SLACK)
+                .then(|| self.violation(Invariant::OneAttempt, pair[1].began, what()))
+        })
+    }
+
+    fn not_after_client_left(&self) -> Option<Violation> {
+        let left = self.records.iter().find(|r| matches!(r.event, Event::Left { .. }))?.at;
+        let late = self.attempts().into_iter().find(|a| a.began > left + LEFT_SLACK)?;
+        let what = format!("begun on {} {} ms after", late.link, (late.began - left) / MILLISECOND);
+        Some(self.violation(Invariant::NotAfterClientLeft, late.began, what))
+    }
+
+    fn deadline_told(&self) -> Option<Violation> {
+        let (sent, deadline, _) = self.sent()?;
+        self.records.iter().find_map(|record| {
+            let Event::Written { told: Some(told), .. } = record.event else { return None };
+            let left = deadline - (record.at.saturating_sub(sent)) as f64 / 1e6;
+            let what = || format!("told {told:.3} s on {}, left are {left:.3} s", record.place);
+            (told > left + DEADLINE_SLACK).then(|| self.violation(Invariant::DeadlineTold, record.at, what()))
+        })
+    }
+
+    fn answered(&self) -> Option<Violation> {
+        let (sent, deadline, _) = self.sent()?;
+        let due = sent + (deadline * 1e6) as Micros + ANSWER_SLACK;
+        let end = self.records.iter().find(|r| {
+            matches!(r.event, Event::Answered { .. } | Event::Left { .. } | Event::Unanswered { .. })
+        });
+        match end.map(|record| (&record.event, record.at)) {
+            Some((Event::Unanswered { .. }, at)) => {
+                Some(self.violation(Invariant::Answered, at, "its connection was closed unanswered".into()))
+            }
+            Some((Event::Answered { status, .. }, at)) if *status != 200 && at > due => {
+                Some(self.violation(Invariant::Answered, at, format!("{status} too late")))
+            }
+            None if self.end > due => {
+                Some(self.violation(Invariant::Answered, due, "no answer in time".into()))
+            }
+            _ => None,
+        }
+    }
+
+    fn runs_once(&self) -> Option<Violation> {
+        let (_, _, repeatable) = self.sent()?;
+        let runs: Vec<&&Record> =
+            self.records.iter().filter(|r| matches!(r.event, Event::Claimed { .. })).collect();
+        if repeatable {
+            return None;
+        }
+        if let Some(second) = runs.get(1) {
+            let what = format!("run again at {}", second.place);
+            return Some(self.violation(Invariant::RunsOnce, second.at, what));
+        }
+        let refused = self.records.iter().find(|r| match r.event {
+            Event::Answered { status, .. } => REFUSALS.contains(&status),
+            _ => false,
+        })?;
+        let run = runs.first()?;
+        let what = format!("refused, and run at {}", run.place);
+        Some(self.violation(Invariant::RefusalIsTrue, refused.at, what))
+    }
+}
+
+/// How many attempts of a stage engines took for a request.
+pub fn taken(records: &[Record], request: &str, stage: Stage) -> usize {
+    let fits = |record: &&Record| {
+        record.event.request() == request
+            && matches!(record.event, Event::Taken { stage: of, .. } if of == stage)
+    };
+    records.iter().filter(fits).count()
+}
--- /dev/null
+++ b/trials/src/network.rs
@@ -0,0 +1,275 @@
+//! The links between gateways and engines: TCP proxies on loopback that can fall silent, never come up, reset and delay.
+
+use std::collections::BTreeSet;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener, TcpStream as StdStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use socket2::{Domain, SockRef, Socket, Type};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::sleep;
+
+use crate::record::Records;
+use crate::sighting::Sighting;
+
+/// Connections that may wait to be accepted on a link that is well.
+const BACKLOG: i32 = 128;
+/// A dial that takes longer than this finds the queue full.
+const FULL_AFTER: Duration = Duration::from_millis(20);
+/// Most connections with which a link's queue is filled so that no further one comes up.
+const MOST_FILLING: usize = 8;
+const BUFFER: usize = 64 << 10;
+
+/// How a link treats what passes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Condition {
+    #[default]
+    Open,
+    /// Connections stand and come up, and nothing passes either way.
+    Silent,
+    /// As [`Condition::Silent`], and no further connection comes up.
+    NeverUp,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct State {
+    condition: Condition,
+    /// Connections older than this one are silent for good.
+    silent_below: u64,
+    /// Connections older than this one are reset.
+    reset_below: u64,
+    delay: Duration,
+}
+
+impl State {
+    fn passes(&self, connection: u64) -> bool {
+        self.condition == Condition::Open && connection >= self.silent_below
+    }
+}
+
+/// One gateway's way to one engine.
+#[derive(Clone)]
+pub struct Link {
+    pub name: String,
+    pub address: SocketAddr,
+    state: watch::Sender<State>,
+    listener: Arc<StdListener>,
+    next: Arc<Mutex<u64>>,
+    filling: Arc<Mutex<Filling>>,
+}
+
+/// Connections of the link's own that fill its queue.
+#[derive(Default)]
+struct Filling {
+    open: Vec<StdStream>,
+    addresses: BTreeSet<SocketAddr>,
+}
+
+impl Link {
+    /// Opens a link to this engine; needs a tokio runtime.
+    pub fn open(name: &str, engine: SocketAddr, records: Records) -> io::Result<Link> {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+        socket.listen(BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        let listener: StdListener = socket.into();
+        let accepting = TcpListener::from_std(listener.try_clone()?)?;
+        let link = Link {
+            name: name.to_string(),
+            address: listener.local_addr()?,
+            state: watch::Sender::new(State::default()),
+            listener: Arc::new(listener),
+            next: Arc::default(),
+            filling: Arc::default(),
+        };
+        tokio::spawn(link.clone().accept(accepting, engine, records));
+        Ok(link)
+    }
+
+    /// Has the link treat everything like this from now on.
+    pub fn set(&self, condition: Condition) {
+        self.state.send_modify(|state| state.condition = condition);
+        match condition {
+            Condition::NeverUp => self.fill(),
+            Condition::Open | Condition::Silent => self.empty(),
+        }
+    }
+
+    /// Has every connection that stands now silent for good, with no error.
+    pub fn silence_open_connections(&self) {
+        let next = *self.next.lock().unwrap_or_else(PoisonError::into_inner);
+        self.state.send_modify(|state| state.silent_below = next);
+    }
+
+    /// Resets every connection that stands now.
+    pub fn reset(&self) {
+        let next = *self.next.lock().unwrap_or_else(PoisonError::into_inner);
+        self.state.send_modify(|state| state.reset_below = next);
+    }
+
+    /// Whatever passes is late by so much.
+    pub fn delay(&self, delay: Duration) {
+        self.state.send_modify(|state| state.delay = delay);
+    }
+
+    fn fill(&self) {
+        // The machine lets one more in than the queue is told to hold.
+        if SockRef::from(&*self.listener).listen(0).is_err() {
+            return;
+        }
+        let mut filling = self.filling.lock().unwrap_or_else(PoisonError::into_inner);
+        for _ in 0..MOST_FILLING {
+            let Ok(socket) = StdStream::connect_timeout(&self.address, FULL_AFTER) else { return };
+            filling.addresses.extend(socket.local_addr());
+            filling.open.push(socket);
+        }
+    }
+
+    fn empty(&self) {
+        // A link that cannot be listened on again shows as one that stays down.
+        let _ = SockRef::from(&*self.listener).listen(BACKLOG);
+        self.filling.lock().unwrap_or_else(PoisonError::into_inner).open.clear();
+    }
+
+    fn is_filling(&self, address: SocketAddr) -> bool {
+        self.filling.lock().unwrap_or_else(PoisonError::into_inner).addresses.remove(&address)
+    }
+
+    async fn accept(self, listener: TcpListener, engine: SocketAddr, records: Records) {
+        let mut state = self.state.subscribe();
+        loop {
+            if state.wait_for(|state| state.condition != Condition::NeverUp).await.is_err() {
+                return;
+            }
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = state.changed() => continue,
+            };
+            let Ok((socket, from)) = accepted else { continue };
+            if self.is_filling(from) {
+                continue;
+            }
+            let connection = {
+                let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
+                *next += 1;
+                *next - 1
+            };
+            let sighting = Sighting::new(records.clone(), &self.name, connection);
+            tokio::spawn(carry(socket, engine, self.state.subscribe(), connection, sighting));
+        }
+    }
+}
+
+/// Carries one connection until either side ends it, or it is reset.
+async fn carry(
+    gateway: TcpStream, engine: SocketAddr, state: watch::Receiver<State>, connection: u64,
+    sighting: Sighting,
+) {
+    // Small writes are not held back; where that cannot be set they come later.
+    let _ = gateway.set_nodelay(true);
+    let Ok(to_reset) = SockRef::from(&gateway).try_clone() else { return };
+    let (from_gateway, to_gateway) = gateway.into_split();
+    let mut resets = state.clone();
+    let (sender, taken) = mpsc::unbounded_channel();
+    let way = Way { state, connection, sighting: Mutex::new(Some(sighting)) };
+    let carried = async {
+        // What a gateway sends is seen also while the way to the engine is silent.
+        let takes = async {
+            take(from_gateway, sender, |bytes| way.sees(|sighting| sighting.passes(bytes))).await;
+            way.forget();
+        };
+        let passes = async {
+            match way.dial(engine).await {
+                Some(upstream) => pass(upstream, to_gateway, taken, &way).await,
+                // The engine refuses: so does the link.
+                None => _ = to_reset.set_linger(Some(Duration::ZERO)),
+            }
+        };
+        tokio::join!(takes, passes);
+    };
+    tokio::select! {
+        () = carried => {}
+        _ = resets.wait_for(|state| connection < state.reset_below) => {
+            let _ = to_reset.set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
+/// Passes bytes both ways between an engine and what a gateway sends.
+async fn pass(
+    upstream: TcpStream, to_gateway: OwnedWriteHalf, taken: mpsc::UnboundedReceiver<Vec<u8>>, way: &Way,
+) {
+    let _ = upstream.set_nodelay(true);
+    let (from_engine, to_engine) = upstream.into_split();
+    let (sender, answered) = mpsc::unbounded_channel();
+    tokio::join!(
+        give(taken, to_engine, way, || {}),
+        take(from_engine, sender, |_| {}),
+        give(answered, to_gateway, way, || way.sees(Sighting::replies)),
+    );
+}
+
+/// Takes what comes at once, until its end, and shows it.
+async fn take(mut from: OwnedReadHalf, sender: mpsc::UnboundedSender<Vec<u8>>, shows: impl Fn(&[u8])) {
+    let mut buffer = vec![0; BUFFER];
+    while let Ok(size @ 1..) = from.read(&mut buffer).await {
+        shows(&buffer[..size]);
+        if sender.send(buffer[..size].to_vec()).is_err() {
+            break;
+        }
+    }
+}
+
+/// Gives on what was taken, and its end, once the link lets it pass; says so each time.
+async fn give(
+    mut taken: mpsc::UnboundedReceiver<Vec<u8>>, mut to: OwnedWriteHalf, way: &Way, gives: impl Fn(),
+) {
+    while let Some(bytes) = taken.recv().await {
+        let Some(delay) = way.open().await else { return };
+        sleep(delay).await;
+        gives();
+        if to.write_all(&bytes).await.is_err() {
+            return;
+        }
+    }
+    if way.open().await.is_some() {
+        // The other side may have closed first.
+        let _ = to.shutdown().await;
+    }
+}
+
+/// What a link does with one of its connections.
+struct Way {
+    state: watch::Receiver<State>,
+    connection: u64,
+    /// What is seen on it; gone once the gateway has closed it.
+    sighting: Mutex<Option<Sighting>>,
+}
+
+impl Way {
+    fn sees(&self, what: impl FnOnce(&mut Sighting)) {
+        if let Some(sighting) = self.sighting.lock().unwrap_or_else(PoisonError::into_inner).as_mut() {
+            what(sighting);
+        }
+    }
+
+    fn forget(&self) {
+        self.sighting.lock().unwrap_or_else(PoisonError::into_inner).take();
+    }
+
+    /// Until something may pass; gives how late it comes, or nothing once the link is gone.
+    async fn open(&self) -> Option<Duration> {
+        let mut state = self.state.clone();
+        let passes = state.wait_for(|state| state.passes(self.connection)).await;
+        passes.ok().map(|state| state.delay)
+    }
+
+    async fn dial(&self, engine: SocketAddr) -> Option<TcpStream> {
+        self.open().await?;
+        TcpStream::connect(engine).await.ok()
+    }
+}
--- /dev/null
+++ b/trials/src/record.rs
@@ -0,0 +1,123 @@
+//! What a trial records: what engines did, what passed on the links to them, and what clients saw.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use serde::{Deserialize, Serialize};
+
+use crate::clock::{self, Micros};
+
+/// What an attempt asks of its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// To read the prompt and hold its state.
+    Read,
+    /// To fetch the state and answer.
+    Write,
+}
+
+/// How an engine's work on an attempt ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WorkEnd {
+    Answered,
+    /// The state to be written from was gone.
+    Declined,
+    /// The gateway closed the connection.
+    Dropped,
+}
+
+/// What happened.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum Event {
+    /// The last byte of an attempt came to an engine that runs.
+    Taken { request: String, stage: Stage },
+    /// A reader holds the state of a request from now on.
+    Held { request: String },
+    /// A writer has fetched the state, and the request has its effect.
+    Claimed { request: String },
+    /// An engine was told to let go of what is held for a request.
+    Released { request: String },
+    /// The state is gone with its engine.
+    Lost { request: String },
+    /// An engine's work on an attempt has ended.
+    Ended { request: String, stage: Stage, how: WorkEnd },
+    /// The first byte of an attempt passed from a gateway onto a link.
+    Began { request: String, connection: u64 },
+    /// Its last byte did; `told` is the deadline that it named, in seconds.
+    Written { request: String, connection: u64, told: Option<f64> },
+    /// The first bytes of its answer were given to the gateway.
+    Replied { request: String, connection: u64 },
+    /// The connection that carried it was closed by the gateway, or broke.
+    Closed { request: String, connection: u64 },
+    /// A client sent its request; it waits so long for the first token, in seconds.
+    Sent { request: String, deadline: f64, repeatable: bool },
+    /// A client closed its connection with no answer.
+    Left { request: String },
+    /// A client got its final answer: a status and whether the body came to its end.
+    Answered { request: String, status: u16, whole: bool },
+    /// The gateway closed a client's connection with no answer.
+    Unanswered { request: String },
+}
+
+impl Event {
+    /// The request that this is about.
+    pub fn request(&self) -> &str {
+        match self {
+            Event::Taken { request, .. }
+            | Event::Held { request }
+            | Event::Claimed { request }
+            | Event::Released { request }
+            | Event::Lost { request }
+            | Event::Ended { request, .. }
+            | Event::Began { request, .. }
+            | Event::Written { request, .. }
+            | Event::Replied { request, .. }
+            | Event::Closed { request, .. }
+            | Event::Sent { request, .. }
+            | Event::Left { request }
+            | Event::Answered { request, .. }
+            | Event::Unanswered { request } => request,
+        }
+    }
+}
+
+/// One thing that happened, when and where.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Record {
+    pub at: Micros,
+    /// An engine, a link (`gateway-engine`) or a gateway as its clients name it.
+    pub place: String,
+    #[serde(flatten)]
+    pub event: Event,
+}
+
+/// All records of one trial, in the order in which they came in.
+#[derive(Clone, Debug, Default)]
+pub struct Records(Arc<Mutex<Vec<Record>>>);
+
+impl Records {
+    /// Adds what happens now.
+    pub fn add(&self, place: &str, event: Event) {
+        self.push(Record { at: clock::now(), place: place.to_string(), event });
+    }
+
+    /// Adds what was recorded elsewhere.
+    pub fn push(&self, record: Record) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).push(record);
+    }
+
+    /// All of them so far, in the order of their times.
+    pub fn all(&self) -> Vec<Record> {
+        let mut all = self.0.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        all.sort_by_key(|record| record.at);
+        all
+    }
+
+    /// How many records of one request fit.
+    pub fn count(&self, request: &str, fits: impl Fn(&Event) -> bool) -> usize {
+        let all = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        all.iter().filter(|r| r.event.request() == request && fits(&r.event)).count()
+    }
+}
