Log of each request when it was written, why it was refused, and each release

Change: a request's line has for each attempt when its first byte went out, each release with when the holding began, was ordered and done, and the router's reason for a refusal or failure (an enum of its own, Action::Refuse and Fail carry it). No decision changes; where a retry is hindered by more than one thing the class's rule is named first. Lines that were written before read as before.

--- a/crates/story/src/lib.rs
+++ b/crates/story/src/lib.rs
@@ -43,6 +43,12 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub place: Option<(u32, u32)>,
     pub sent: f64,
+    /// When its first byte went out, on whatever connection; absent where none did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub written: Option<f64>,
+    /// When a sign first showed that it had arrived at its server.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub arrived: Option<f64>,
     /// When its first event came, for one that answered.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub first: Option<f64>,
@@ -62,6 +68,17 @@
     pub memory: Option<f64>,
 }
 
+/// One release of what servers held. Times are milliseconds since the request's arrival.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Release {
+    /// Since when nothing was known to be out that would take it.
+    pub held: f64,
+    pub ordered: f64,
+    /// When a server had taken it, or it was given up; absent while it is under way.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub done: Option<f64>,
+}
+
 /// One request, from its arrival until nothing of it was left.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Story {
@@ -87,6 +104,12 @@
     pub end: End,
     /// When its final answer's last byte was ready, since the arrival.
     pub took: f64,
+    /// Why it was refused or failed, in the router's words.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub why: String,
+    /// Each release of what was held for it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub releases: Vec<Release>,
     pub tries: Vec<Try>,
 }
 
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -18,12 +18,14 @@
                 let connect = by.map(|until| until.saturating_duration_since(Instant::now()));
                 let (core, payload, until) = (self.clone(), job.payload.clone(), job.sent[attempt].until);
                 let wanted = job.pieces.as_ref().map_or_else(Wanted::default, Wanted::of);
+                job.sent[attempt].wanted = wanted.clone();
                 let call = Call::Attempt { server, payload, until, connect, wanted };
                 spawn_local(async move { core.attempt(id, attempt, call, until, cancelled).await });
             }
             Effect::CallBack { attempt } => job.sent[attempt].cancel = None,
             Effect::Release { after_cut } => {
                 let (core, call) = (self.clone(), Call::Release { payload: job.payload.clone() });
+                job.told.release_ordered(inner.clock.at(job.idle), inner.clock.now());
                 // By then servers let go by themselves, and the process may want to end.
                 let until = job.deadline.max(Instant::now() + inner.pin * RELEASE_LIMITS);
                 spawn_local(async move {
@@ -37,7 +39,7 @@
                         }
                         sleep(RELEASE_AGAIN).await;
                     }
-                    core.input(id, Input::Released);
+                    core.released(id);
                 });
             }
             Effect::AskPlace { server } => {
@@ -84,6 +86,9 @@
                 if !matches!(status, request::Status::Connect | request::Status::NotSent) {
                     job.idle = Instant::now();
                 }
+                if let Some(written) = job.sent[attempt].wanted.written() {
+                    job.told.written(attempt, inner.clock.at(written));
+                }
                 let outcome = Outcome {
                     id: RequestId(id),
                     attempt: attempt as u32,
@@ -133,6 +138,20 @@
     }
 }
 
+impl<U: Upstream, R: Decide> Core<U, R> {
+    /// A release has come to its end.
+    fn released(&self, id: u64) {
+        {
+            let mut inner = self.inner.borrow_mut();
+            let now = inner.clock.now();
+            if let Some(job) = inner.jobs.get_mut(&id) {
+                job.told.release_done(now);
+            }
+        }
+        self.input(id, Input::Released);
+    }
+}
+
 /// An outcome in the router's terms.
 pub(super) fn told(status: request::Status) -> Status {
     match status {
--- a/gateway/src/core/job.rs
+++ b/gateway/src/core/job.rs
@@ -6,6 +6,8 @@
 pub(super) struct Sent {
     pub at: Instant,
     pub until: Instant,
+    /// Tells when its first byte went out.
+    pub wanted: Wanted,
     /// Dropping it calls the attempt back.
     pub cancel: Option<oneshot::Sender<()>>,
     pub note: f64,
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -326,15 +326,19 @@
             Action::Send { id, server, timeout } => self.send(id.0, server, timeout),
             Action::Cancel { id, attempt } => self.input(id.0, Input::Cancel { attempt: attempt as usize }),
             Action::Release { id } => self.input(id.0, Input::Release),
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, reason } => {
                 if let Some(job) = self.inner.borrow_mut().jobs.get_mut(&id.0) {
                     job.retry_after = duration(retry_after);
+                    job.told.why(reason);
                 }
                 self.input(id.0, Input::Answer(Final::Refused));
             }
-            Action::Fail { id } => {
+            Action::Fail { id, reason } => {
                 let late = |j: &Job| Instant::now() + duration(20.0) >= j.deadline;
                 let late = self.inner.borrow().jobs.get(&id.0).is_some_and(late);
+                if let Some(job) = self.inner.borrow_mut().jobs.get_mut(&id.0) {
+                    job.told.why(reason);
+                }
                 self.input(id.0, Input::Answer(if late { Final::Deadline } else { Final::Failed }));
             }
             Action::HoldPlace { id, server } => self.input(id.0, Input::Hold { server: server.0 }),
@@ -366,7 +370,8 @@
             let now = Instant::now();
             let until =
                 if wait > 0.0 { job.deadline.min(now + duration(wait) + SLACK) } else { job.deadline };
-            job.sent.push(Sent { at: now, until, cancel: None, note: 0.0, report: None });
+            let wanted = Wanted::default();
+            job.sent.push(Sent { at: now, until, wanted, cancel: None, note: 0.0, report: None });
             let stage = if listed.is_some_and(|l| l.role == Role::Reader) { Stage::Read } else { Stage::Run };
             let sent = inner.clock.at(now);
             let cold = listed.and_then(|l| l.started).is_some_and(|s| sent < s + inner.settings.rules.cold);
--- a/gateway/src/core/replay.rs
+++ b/gateway/src/core/replay.rs
@@ -128,8 +128,10 @@
             }
             Input::Cancel { attempt } => self.order(Action::Cancel { id, attempt: attempt as u32 }),
             Input::Release => self.order(Action::Release { id }),
-            Input::Answer(Final::Refused) => self.order(Action::Refuse { id, retry_after: 5.0 }),
-            Input::Answer(_) => self.order(Action::Fail { id }),
+            Input::Answer(Final::Refused) => {
+                self.order(Action::Refuse { id, retry_after: 5.0, reason: Reason::NoServer })
+            }
+            Input::Answer(_) => self.order(Action::Fail { id, reason: Reason::NoServer }),
             Input::Hold { server } => self.order(Action::HoldPlace { id, server: ServerId(server) }),
             Input::ClientGone => drop(self.client.take()),
             Input::Replied { attempt, reply } => self.reply(attempt, reply),
--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -330,7 +330,7 @@
         sleep(Duration::from_millis(10)).await;
         let copy = Action::Send { id: RequestId(1), server: ServerId(21), timeout: 100.0 };
         core.act(copy.clone());
-        core.act(Action::Fail { id: RequestId(1) });
+        core.act(Action::Fail { id: RequestId(1), reason: Reason::OutOfTime });
         core.act(copy);
         sleep(Duration::from_millis(300)).await;
         assert_eq!((servers.attempts(&[11, 12, 21, 22]), servers.most_out.get()), (1, 1));
--- a/gateway/src/core/trace.rs
+++ b/gateway/src/core/trace.rs
@@ -1,9 +1,9 @@
 //! The one line that the log gets on a request once nothing of it is left: every attempt, its outcome and what its
 //! server said of itself, so that a request can be followed through every gateway that it met.
 
-use deckhub::{Effect, Ms, Report, Request, Settings, Status};
+use deckhub::{Effect, Ms, Reason, Report, Request, Settings, Status};
 use glenrail_lifecycle::request::{Answer, Final, Request as Machine, Stage as Asked, Status as How, Step};
-use glenrail_story::{End, Stage, Story, Try};
+use glenrail_story::{End, Release, Stage, Story, Try};
 
 /// What is kept of a request for its line, beside its machine.
 pub(super) struct Told {
@@ -53,6 +53,31 @@
         }
     }
 
+    pub fn written(&mut self, attempt: usize, at: Ms) {
+        if let Some(t) = self.story.tries.get_mut(attempt) {
+            t.written = Some(at - self.arrived);
+        }
+    }
+
+    /// What is held since then is to be let go.
+    pub fn release_ordered(&mut self, held: Ms, now: Ms) {
+        let (held, ordered) = (held - self.arrived, now - self.arrived);
+        self.story.releases.push(Release { held, ordered, done: None });
+    }
+
+    pub fn release_done(&mut self, now: Ms) {
+        if let Some(release) = self.story.releases.last_mut() {
+            release.done = Some(now - self.arrived);
+        }
+    }
+
+    /// Why the router refuses or fails it.
+    pub fn why(&mut self, reason: Reason) {
+        if self.story.why.is_empty() {
+            self.story.why = format!("{reason:?}");
+        }
+    }
+
     /// When the client was owed nothing more.
     pub fn closed(&mut self, now: Ms) {
         if self.story.took == 0.0 {
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -47,12 +47,12 @@
 #[derive(Clone, Debug, Default)]
 pub struct Wanted {
     pieces: Option<mpsc::WeakSender<Piece>>,
-    out: Rc<Cell<bool>>,
+    written: Rc<Cell<Option<Instant>>>,
 }
 
 impl Wanted {
     pub fn of(pieces: &mpsc::Sender<Piece>) -> Self {
-        Wanted { pieces: Some(pieces.downgrade()), out: Rc::default() }
+        Wanted { pieces: Some(pieces.downgrade()), written: Rc::default() }
     }
 
     /// Nobody does once the client's side is dropped, or the answer was given.
@@ -63,11 +63,16 @@
 
     /// Whether a byte of its attempt is out, or about to be: one given up before that never was at its server.
     pub fn out(&self) -> bool {
-        self.out.get()
+        self.written.get().is_some()
+    }
+
+    /// When its first byte went out.
+    pub fn written(&self) -> Option<Instant> {
+        self.written.get()
     }
 
     pub fn goes_out(&self, out: bool) {
-        self.out.set(out);
+        self.written.set(out.then(Instant::now));
     }
 }
 
--- a/gateway/tests/drive/mod.rs
+++ b/gateway/tests/drive/mod.rs
@@ -184,7 +184,7 @@
                     queue.insert(key(now + after + 0.001, n), Next::Told(ended(status, after, closed)));
                     *attempt += 1;
                 }
-                Action::Refuse { id, .. } | Action::Fail { id } => {
+                Action::Refuse { id, .. } | Action::Fail { id, .. } => {
                     let by = open.remove(&id.0);
                     if held {
                         assert!(by.is_some_and(|by| now <= by + 1.0), "{id:?} is answered twice or late");
--- a/src/api.rs
+++ b/src/api.rs
@@ -231,6 +231,25 @@
     Peer { from: u32, bytes: Vec<u8> },
 }
 
+/// Why a request is refused or failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reason {
+    /// The settings name no such class.
+    UnknownClass,
+    /// Load shedding: it would be late, or no writer would take its state.
+    Shed,
+    /// No server may take it at present.
+    NoServer,
+    /// All attempts that the settings allow have been made.
+    AttemptsSpent,
+    /// The budget of retries is used up.
+    RetryBudget,
+    /// It may have had its effect, and its class must not be repeated.
+    MayHaveRun,
+    /// Its deadline is reached.
+    OutOfTime,
+}
+
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
     /// Attempts of a request are numbered from 0 in the order of their sends.
@@ -251,10 +270,12 @@
     Refuse {
         id: RequestId,
         retry_after: Ms,
+        reason: Reason,
     },
     /// Final, promising nothing.
     Fail {
         id: RequestId,
+        reason: Reason,
     },
     /// Ends a running stream so that its client comes back and goes on elsewhere.
     Move {
--- a/src/policy/held.rs
+++ b/src/policy/held.rs
@@ -7,13 +7,14 @@
 pub const PIN_USED: f64 = 0.8;
 
 impl Router {
-    pub(super) fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
+    pub(super) fn give_up(&mut self, id: RequestId, reason: Reason, out: &mut Vec<Action>) {
         let retry = if self.settings.limits.retry_after { self.settings.limits.max_retry_after } else { 0.0 };
         let Some(job) = self.jobs.get(&id).filter(|j| j.open()) else { return };
         out.push(if job.may_refuse() {
-            Action::Refuse { id, retry_after: retry.min((job.deadline - self.now).max(0.0) / 4.0) }
+            let retry_after = retry.min((job.deadline - self.now).max(0.0) / 4.0);
+            Action::Refuse { id, retry_after, reason }
         } else {
-            Action::Fail { id }
+            Action::Fail { id, reason }
         });
         self.settle(id, out);
     }
--- a/src/policy/requests.rs
+++ b/src/policy/requests.rs
@@ -9,7 +9,7 @@
 impl Router {
     pub(super) fn on_request(&mut self, mut ask: Request, out: &mut Vec<Action>) {
         let Some(class) = self.settings.classes.get(ask.class as usize).cloned() else {
-            out.push(Action::Refuse { id: ask.id, retry_after: 0.0 });
+            out.push(Action::Refuse { id: ask.id, retry_after: 0.0, reason: Reason::UnknownClass });
             return;
         };
         if self.jobs.contains_key(&ask.id) {
@@ -66,14 +66,15 @@
             _ if done => {}
             _ if shed => {
                 self.log.say("load shedding", "late, or for no writer".into(), self.now, out);
-                self.give_up(id, out);
+                self.give_up(id, Reason::Shed, out);
             }
             Some(pick) => self.send(id, pick, out),
             None if may_wait && waits => {}
             None if may_wait => {
                 out.push(Action::Timer { at: self.now + LOOK_AGAIN, key: id.0 << 1 | 1, of: Some(id) })
             }
-            None => self.give_up(id, out),
+            None if spent => self.give_up(id, Reason::AttemptsSpent, out),
+            None => self.give_up(id, Reason::NoServer, out),
         }
     }
 
@@ -117,7 +118,7 @@
         match self.jobs.get(&id).filter(|j| j.open()) {
             None => {}
             Some(_) if key & 1 == 1 => self.advance(id, out),
-            Some(_) => self.give_up(id, out),
+            Some(_) => self.give_up(id, Reason::OutOfTime, out),
         }
     }
 
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -72,8 +72,14 @@
             _ => (took / job.aim().max(1.0)).clamp(RETRY_LEAST, 1.0),
         };
         let too_late = job.deadline - self.now <= 3.0 * self.settings.tick;
-        if too_late || self.retries < cost || !job.may_repeat(self.now) {
-            return self.give_up(id, out);
+        let hindrance = match () {
+            _ if !job.may_repeat(self.now) => Some(Reason::MayHaveRun),
+            _ if too_late => Some(Reason::OutOfTime),
+            _ if self.retries < cost => Some(Reason::RetryBudget),
+            _ => None,
+        };
+        if let Some(reason) = hindrance {
+            return self.give_up(id, reason, out);
         }
         self.retries -= cost;
         self.advance(id, out);
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -50,7 +50,7 @@
             match action {
                 Action::Send { id, server, .. } => self.sent(id.0, server.0),
                 Action::Refuse { id, .. } => self.answer(id.0, true),
-                Action::Fail { id } => self.answer(id.0, false),
+                Action::Fail { id, .. } => self.answer(id.0, false),
                 Action::Release { id } => {
                     if let Some(k) = self.known.get_mut(&id.0) {
                         k.held = k.held && k.attempts.iter().any(|a| a.1);
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -130,10 +130,10 @@
             }
             Action::Cancel { id, attempt } => json!({"verb": "RETRACT", "ticket": id.0, "attempt": attempt}),
             Action::Release { id } => json!({"verb": "CLEAR_STATE", "ticket": id.0}),
-            Action::Refuse { id, retry_after } => {
+            Action::Refuse { id, retry_after, .. } => {
                 json!({"verb": "DECLINE", "ticket": id.0, "come-back": retry_after})
             }
-            Action::Fail { id } => json!({"verb": "FINISH_ERROR", "ticket": id.0}),
+            Action::Fail { id, .. } => json!({"verb": "FINISH_ERROR", "ticket": id.0}),
             Action::Move { id } => json!({"verb": "REBALANCE", "ticket": id.0}),
             Action::HoldPlace { id, server } => {
                 json!({"verb": "RESERVE", "ticket": id.0, "host": host(&server)?})
@@ -212,8 +212,11 @@
             ),
             (Action::Cancel { id, attempt: 1 }, r#"{"verb":"RETRACT","ticket":7,"attempt":1}"#),
             (Action::Release { id }, r#"{"verb":"CLEAR_STATE","ticket":7}"#),
-            (Action::Refuse { id, retry_after: 9.5 }, r#"{"verb":"DECLINE","ticket":7,"come-back":9.5}"#),
-            (Action::Fail { id }, r#"{"verb":"FINISH_ERROR","ticket":7}"#),
+            (
+                Action::Refuse { id, retry_after: 9.5, reason: Reason::Shed },
+                r#"{"verb":"DECLINE","ticket":7,"come-back":9.5}"#,
+            ),
+            (Action::Fail { id, reason: Reason::OutOfTime }, r#"{"verb":"FINISH_ERROR","ticket":7}"#),
             (Action::Move { id }, r#"{"verb":"REBALANCE","ticket":7}"#),
             (Action::HoldPlace { id, server }, r#"{"verb":"RESERVE","ticket":7,"host":"10.0.0.1:80"}"#),
             (Action::Probe { server }, r#"{"verb":"POLL","host":"10.0.0.1:80"}"#),
