Let a write count as out only once a sign shows that it arrived

Cause: Request::timers armed the limit of what is held only while no attempt was out, and Step::Out began when the attempt was ordered; the router's held_since believed the same. A write onto a way that had fallen silent stopped the clock up to the deadline. Ruled out: the dial alone, releases sent in vain, reads that were cut (the reads ended as Read). Change: a connection answers a probe before a held state is staked on it (another is taken otherwise, and nothing ran); a write is written by 0.8 of the limit, a sign of its arrival is asked for, and at 0.92 what none has shown to have arrived is called back and its state let go: Status::Undelivered, failed where the class must not be repeated, read anew where it may. Where probes are not allowed a new connection is the sign. HeldIsLetGo is worded by arrival.

--- a/crates/lifecycle/src/request/mod.rs
+++ b/crates/lifecycle/src/request/mod.rs
@@ -152,7 +152,13 @@
                     self.ended(attempt, Status::NotSent, out)
                 }
                 // Its call has ended by itself.
-                Some(Step::CalledBack) => self.ended(attempt, Status::Cancelled, out),
+                Some(Step::CalledBack) => self.ended(attempt, self.called_back(attempt), out),
+                _ => return Err(self.impossible(&input)),
+            },
+            Input::Arrived { attempt } => match self.step_of(attempt) {
+                Some(Step::Out) => self.attempts[attempt].arrived = true,
+                // The sign crossed its end.
+                Some(Step::CalledBack | Step::Begun | Step::Ended(_)) => {}
                 _ => return Err(self.impossible(&input)),
             },
             Input::StreamEnded { attempt, end } => match self.step_of(attempt) {
@@ -169,7 +175,7 @@
                 _ => return Err(self.impossible(&input)),
             },
             Input::Dropped { attempt } => match self.step_of(attempt) {
-                Some(Step::CalledBack) => self.ended(attempt, Status::Cancelled, out),
+                Some(Step::CalledBack) => self.ended(attempt, self.called_back(attempt), out),
                 _ => return Err(self.impossible(&input)),
             },
             Input::Placed { held } => match self.place {
@@ -217,7 +223,7 @@
             runs_again && !self.faulty(Fault::RunsOrderTwice),
         );
         let go = may && !second && !ended && !runs_again && attempt < self.terms.most;
-        self.attempts.push(Attempt { server, stage, step: Step::Waiting });
+        self.attempts.push(Attempt::new(server, stage));
         if !go {
             self.ended(attempt, Status::NotSent, out);
         }
@@ -236,6 +242,29 @@
         }
     }
 
+    /// How an attempt that was called back ends.
+    fn called_back(&self, attempt: usize) -> Status {
+        match self.attempts[attempt].undelivered {
+            true => Status::Undelivered,
+            false => Status::Cancelled,
+        }
+    }
+
+    /// Calls back what is out and has not been shown to have arrived.
+    fn give_up_undelivered(&mut self, out: &mut Effects) {
+        #[cfg(feature = "mutants")]
+        if self.faulty(Fault::KeepsUndelivered) {
+            return;
+        }
+        for attempt in 0..self.attempts.len() {
+            let Attempt { step, arrived, .. } = self.attempts[attempt];
+            if step == Step::Out && !arrived {
+                self.attempts[attempt].undelivered = true;
+                self.call_back(attempt, out);
+            }
+        }
+    }
+
     /// Nobody wants an answer any more.
     fn call_back_all(&mut self, out: &mut Effects) {
         #[cfg(feature = "mutants")]
@@ -299,6 +328,7 @@
             return out.push(Effect::CallBack { attempt });
         }
         self.attempts[attempt].step = Step::Begun;
+        self.attempts[attempt].arrived = true;
         self.answer = Answer::Streaming;
         self.ran = true;
         // The writer has fetched the state, and its own place is the stream's; one elsewhere is still to be let go.
@@ -313,8 +343,15 @@
     fn ended(&mut self, attempt: usize, status: Status, out: &mut Effects) {
         let Attempt { stage, step, .. } = self.attempts[attempt];
         self.attempts[attempt].step = Step::Ended(status);
+        self.attempts[attempt].arrived = match status {
+            Status::Connect | Status::NotSent => false,
+            _ => self.attempts[attempt].arrived || status.shows_arrival(),
+        };
         if step != Step::Waiting {
-            let lost = matches!(status, Status::Cancelled | Status::Reset | Status::Spoilt | Status::Timeout);
+            let lost = matches!(
+                status,
+                Status::Cancelled | Status::Undelivered | Status::Reset | Status::Spoilt | Status::Timeout
+            );
             let cut = lost && step != Step::Begun;
             // Kept until a release has waited for it: a call for a place may have been cut before.
             self.cut |= cut;
@@ -388,6 +425,7 @@
             Timer::Pin => {
                 self.pin_armed = false;
                 self.drop_place(out);
+                self.give_up_undelivered(out);
                 self.release_due();
             }
         }
@@ -444,12 +482,27 @@
         }
     }
 
+    /// Whether an attempt is out that a sign has shown to have arrived.
+    fn arrived(&self) -> bool {
+        #[cfg(feature = "mutants")]
+        if self.faulty(Fault::CountsWrittenAsArrived) {
+            return self.out();
+        }
+        self.attempts.iter().any(|a| a.open() && a.arrived)
+    }
+
     /// Arms what must be armed where the request stands, and nothing else.
     fn timers(&mut self, out: &mut Effects) {
         let deadline = self.deadline_armed && self.answer == Answer::Owed;
         // A call for a place may have succeeded already.
         let held = self.held != Held::Nothing || self.place != PlaceCall::None;
-        let pin = held && !self.out() && self.release == Release::None && !self.closed();
+        // What is only written stops no clock, and holds up no release.
+        let runs = match self.release {
+            Release::None => !self.closed(),
+            Release::Due => self.attempts.iter().any(|a| a.step == Step::Out && !a.arrived),
+            Release::UnderWay { .. } => false,
+        };
+        let pin = held && !self.arrived() && runs;
         #[cfg(feature = "mutants")]
         let (deadline, pin) = (
             (deadline || self.deadline_armed && self.faulty(Fault::LeavesTimer))
--- a/crates/lifecycle/src/request/words.rs
+++ b/crates/lifecycle/src/request/words.rs
@@ -41,11 +41,19 @@
     Spoilt,
     /// Called back, or its client left. It may have run.
     Cancelled,
+    /// Written, and no sign came in time that it had arrived; called back, since what is held for it may not wait longer.
+    /// It may have run.
+    Undelivered,
     /// Kept back here.
     NotSent,
 }
 
 impl Status {
+    /// Whether this could only come back from a server that had taken the attempt.
+    pub fn shows_arrival(self) -> bool {
+        matches!(self, Status::Served | Status::Read | Status::Error | Status::Declined | Status::Spoilt)
+    }
+
     /// Rule 2: whether the server may have begun what was asked, by what came back.
     pub fn may_have_run(self) -> bool {
         !matches!(self, Status::Declined | Status::Connect | Status::NotSent | Status::Read)
@@ -57,7 +65,7 @@
 pub enum Step {
     /// Ordered; it waits until what may be held by this name has been let go.
     Waiting,
-    /// At its server, or on the way there.
+    /// On its way to its server, or there: [`Attempt::arrived`] says what is known.
     Out,
     /// Called back. Its call is not dropped yet.
     CalledBack,
@@ -71,9 +79,19 @@
     pub server: Server,
     pub stage: Stage,
     pub step: Step,
+    /// A sign has shown that its last byte came to a server that runs. What is only written may never arrive: it stops no
+    /// clock.
+    pub arrived: bool,
+    /// Called back since no such sign came in time.
+    pub undelivered: bool,
 }
 
 impl Attempt {
+    /// One that has been ordered.
+    pub fn new(server: Server, stage: Stage) -> Attempt {
+        Attempt { server, stage, step: Step::Waiting, arrived: false, undelivered: false }
+    }
+
     /// Whether its outcome is still to come.
     pub fn open(&self) -> bool {
         !matches!(self.step, Step::Ended(_))
@@ -169,7 +187,7 @@
 pub enum Timer {
     /// The request's deadline, a little later than the router's own.
     Deadline,
-    /// Something is held and nothing is out: the router has so long to make use of it.
+    /// Something is held and nothing that is out has arrived: the router has so long to make use of it.
     Pin,
 }
 
@@ -194,6 +212,10 @@
         server: Server,
     },
     ClientGone,
+    /// A sign shows that an attempt has arrived at its server.
+    Arrived {
+        attempt: usize,
+    },
     Replied {
         attempt: usize,
         reply: Reply,
@@ -289,6 +311,10 @@
     OverTooEarly,
     LeavesTimer,
     RefusesWhatMayHaveRun,
+    /// What is written counts as arrived.
+    CountsWrittenAsArrived,
+    /// What has not arrived in time is not called back.
+    KeepsUndelivered,
 }
 
 /// What a request is allowed.
--- a/explore/src/check.rs
+++ b/explore/src/check.rs
@@ -221,6 +221,8 @@
     KeepsCallAfterGone => NothingAfterEnd,
     LeavesTimer => NothingLeftAtRest,
     RefusesWhatMayHaveRun => RefusalIsTrue,
+    CountsWrittenAsArrived => HeldIsLetGo,
+    KeepsUndelivered => HeldIsLetGo,
 });
 
 mutants!(SERVER_FAULTS: server_machine::Fault {
--- a/explore/src/corners.rs
+++ b/explore/src/corners.rs
@@ -119,7 +119,35 @@
                 vec![Act::ReleaseArrives, Act::Refuse],
             ],
         ),
+        corner(
+            "write-in-vain",
+            "A write is handed to the machine and never arrives: its state is let go, and it is read and written anew",
+            vec![
+                read(),
+                vec![Act::Send(WRITER), Act::Dial(1), Act::Up(1), Act::WroteInVain(1), Act::Fires(Timer::Pin)],
+                vec![Act::Drops(1), Act::ReleaseArrives, Act::Fail],
+            ],
+        ),
+        corner(
+            "slow-first-token",
+            "A write has arrived, as a sign shows, and its first token takes longer than its state could wait",
+            vec![
+                read(),
+                reaches(1, WRITER),
+                vec![Act::ShowsArrival(1), Act::Serves(1), Act::Delivers(1)],
+                vec![Act::StreamEnds(1, StreamEnd::Whole)],
+            ],
+        ),
         // Found by exploring, each mended in the machine.
+        corner(
+            "release-ordered-beside-a-write-in-vain",
+            "Found: a release that was ordered beside a write in vain waited for its end",
+            vec![
+                read(),
+                vec![Act::Send(WRITER), Act::Dial(1), Act::Up(1), Act::WroteInVain(1), Act::Release],
+                vec![Act::Fires(Timer::Pin), Act::Drops(1), Act::ReleaseArrives, Act::Fail],
+            ],
+        ),
         corner(
             "place-asked-beside-an-attempt-that-timed-out",
             "Found: a place is held while its call is still out and the attempt beside it has timed out",
--- a/explore/src/rules.rs
+++ b/explore/src/rules.rs
@@ -30,7 +30,7 @@
     RefusalIsTrue,
     /// No first byte of a request goes to a server after the word that it drains or is gone.
     NothingToDrained,
-    /// While no attempt is out, whatever a server holds is being let go, or a timer is armed that lets it go.
+    /// While no attempt that has arrived is out, whatever a server holds is being let go, or a timer is armed that lets it go.
     HeldIsLetGo,
     /// Nothing is let go at servers while an attempt is out that may need it or leave it.
     NoReleaseBesideAttempt,
--- a/gateway/src/core/attempt.rs
+++ b/gateway/src/core/attempt.rs
@@ -1,5 +1,9 @@
 //! One attempt's call, and a probe's: sent once, and what becomes of it fed back.
 
+use std::future::pending;
+
+use tokio::time::sleep_until;
+
 use super::*;
 
 impl<U: Upstream, R: Decide> Core<U, R> {
@@ -11,9 +15,16 @@
             // What was to be let go before took all its time.
             return self.input(id, Input::Replied { attempt, reply: request::Reply::NotSent });
         }
-        let Call::Attempt { wanted, .. } = &call else { return };
-        let wanted = wanted.clone();
+        let Call::Attempt { wanted, server, .. } = &call else { return };
+        let (wanted, server) = (wanted.clone(), *server);
         let call = self.upstream.clone().oneshot(call);
+        let replied = async {
+            tokio::select! {
+                biased;
+                reply = timeout_at(until, call) => reply,
+                never = self.shows_arrival(id, attempt, server, &wanted) => match never {},
+            }
+        };
         let reply = tokio::select! {
             biased;
             // Called back while it was dialled, it never was out: the time of what is held for it has run on.
@@ -21,7 +32,7 @@
                 true => Input::Dropped { attempt },
                 false => Input::Replied { attempt, reply: request::Reply::NotSent },
             }),
-            reply = timeout_at(until, call) => reply,
+            reply = replied => reply,
         };
         let Ok(reply) = reply else { return self.input(id, Input::TimedOut { attempt }) };
         let (reply, note, report) = match reply {
@@ -56,6 +67,33 @@
         self.input(id, Input::Replied { attempt, reply });
     }
 
+    /// Asks for a sign that an attempt has arrived, for as long as something waits for that; never ends. Its own answer may take
+    /// any time, and what was written onto a way that has fallen silent never arrives, with no error.
+    async fn shows_arrival(&self, id: u64, attempt: usize, server: ServerId, wanted: &Wanted) -> Infallible {
+        loop {
+            let written = wanted.goes().await;
+            let Some(at) = self.ask_arrival_at(id, written) else { return pending().await };
+            sleep_until(at).await;
+            // Meanwhile it may have gone to another connection.
+            if wanted.written() != Some(written) {
+                continue;
+            }
+            // Nothing waits for it now; a place may come to be held later.
+            let asks =
+                self.inner.borrow().jobs.get(&id).is_some_and(|j| j.machine.armed(request::Timer::Pin));
+            if asks && self.upstream.clone().oneshot(Call::Check { server }).await.is_ok() {
+                self.input(id, Input::Arrived { attempt });
+                return pending().await;
+            }
+            sleep(ARRIVAL_AGAIN).await;
+        }
+    }
+
+    fn ask_arrival_at(&self, id: u64, written: Instant) -> Option<Instant> {
+        let inner = self.inner.borrow();
+        inner.jobs.get(&id).map(|job| job.ask_arrival_at(written, inner.pin_limit))
+    }
+
     /// Where the answer of this attempt goes, if the machine has made it the client's.
     fn passes(&self, id: u64, attempt: usize) -> Option<mpsc::Sender<Piece>> {
         let inner = self.inner.borrow();
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -13,21 +13,22 @@
                 job.sent[attempt].cancel = Some(cancel);
                 let server = ServerId(job.machine.attempts()[attempt].server);
                 // While no connection comes up, the time of what is held runs on, and that in which it may be repeated.
-                let held = job.machine.holds().then(|| job.idle + inner.pin);
+                let held = job.written_by(inner.pin_limit);
+                let confirm = held.is_some() && inner.settings.limits.probes;
                 let by = [held, job.repeat_by()].into_iter().flatten().min();
                 let connect = by.map(|until| until.saturating_duration_since(Instant::now()));
                 let (core, payload, until) = (self.clone(), job.payload.clone(), job.sent[attempt].until);
                 let wanted = job.pieces.as_ref().map_or_else(Wanted::default, Wanted::of);
                 job.sent[attempt].wanted = wanted.clone();
-                let call = Call::Attempt { server, payload, until, connect, wanted };
+                let call = Call::Attempt { server, payload, until, connect, confirm, wanted };
                 spawn_local(async move { core.attempt(id, attempt, call, until, cancelled).await });
             }
             Effect::CallBack { attempt } => job.sent[attempt].cancel = None,
             Effect::Release { after_cut } => {
                 let (core, call) = (self.clone(), Call::Release { payload: job.payload.clone() });
-                job.told.release_ordered(inner.clock.at(job.idle), inner.clock.now());
+                job.told.release_ordered(inner.clock.at(job.unclaimed_since), inner.clock.now());
                 // By then servers let go by themselves, and the process may want to end.
-                let until = job.deadline.max(Instant::now() + inner.pin * RELEASE_LIMITS);
+                let until = job.deadline.max(Instant::now() + inner.pin_limit * RELEASE_LIMITS);
                 spawn_local(async move {
                     if after_cut {
                         sleep(AFTER_CUT).await;
@@ -43,6 +44,9 @@
                 });
             }
             Effect::AskPlace { server } => {
+                if !job.machine.holds() {
+                    job.unclaimed_since = Instant::now();
+                }
                 let call = Call::Hold { server: ServerId(server), payload: job.payload.clone() };
                 let (core, call) = (self.clone(), self.upstream.clone().oneshot(call));
                 let task = spawn_local(async move {
@@ -83,8 +87,9 @@
                 inner.queue.push_back(Event::FirstToken { id, attempt, server, elapsed });
             }
             Effect::TellOutcome { attempt, status, closed } => {
-                if !matches!(status, request::Status::Connect | request::Status::NotSent) {
-                    job.idle = Instant::now();
+                let arrived = job.machine.attempts()[attempt].arrived;
+                if arrived {
+                    job.unclaimed_since = Instant::now();
                 }
                 if let Some(written) = job.sent[attempt].wanted.written() {
                     job.told.written(attempt, inner.clock.at(written));
@@ -97,6 +102,7 @@
                     elapsed: job.elapsed(attempt),
                     note: job.sent[attempt].note,
                     closed,
+                    arrived,
                     report: job.sent[attempt].report.take(),
                 };
                 let Outcome { status, note, report, .. } = outcome;
@@ -112,8 +118,8 @@
             Effect::Arm(timer) => {
                 let at = match timer {
                     request::Timer::Deadline => job.deadline + GUARD,
-                    // From when the holding began: what did not connect since then was never out.
-                    request::Timer::Pin => job.idle + inner.pin,
+                    // From when the holding began: what has not arrived since then was never out.
+                    request::Timer::Pin => job.unclaimed_since + inner.pin_limit.mul_f64(PIN_USED),
                 };
                 let key = inner.timers.arm(at, Due::Request(id, timer));
                 job.timers.push((Due::Request(id, timer), key));
@@ -164,6 +170,7 @@
         request::Status::Reset => Status::Reset,
         request::Status::Spoilt => Status::Spoilt,
         request::Status::Cancelled => Status::Cancelled,
+        request::Status::Undelivered => Status::Undelivered,
         request::Status::NotSent => Status::NotSent,
     }
 }
--- a/gateway/src/core/job.rs
+++ b/gateway/src/core/job.rs
@@ -23,8 +23,8 @@
     pub watch: AbortHandle,
     pub deadline: Instant,
     pub sent: Vec<Sent>,
-    /// When an attempt that had come to its server last ended: what is held waits since then.
-    pub idle: Instant,
+    /// Since when what is held waits for an attempt to take it. Of one that is not known to have arrived, that time ran on.
+    pub unclaimed_since: Instant,
     pub place: Option<AbortHandle>,
     pub retry_after: Duration,
     /// For so long after the first attempt that may have run it may be repeated; `None`: for ever, or never.
@@ -50,6 +50,18 @@
         Some(self.sent[first].at + self.window?)
     }
 
+    /// When a sign of its arrival is asked for after an attempt was written; what is held may not wait for long.
+    pub fn ask_arrival_at(&self, written: Instant, pin_limit: Duration) -> Instant {
+        let usual = written + pin_limit.mul_f64(ARRIVAL_ASKED);
+        let latest = self.unclaimed_since + pin_limit.mul_f64(ARRIVAL_ASKED_LATEST);
+        usual.min(latest).max(written)
+    }
+
+    /// By when an attempt for which something is held must be written, so that there is time to hear whether it arrived.
+    pub fn written_by(&self, pin_limit: Duration) -> Option<Instant> {
+        self.machine.holds().then(|| self.unclaimed_since + pin_limit.mul_f64(WRITTEN_BY))
+    }
+
     pub fn elapsed(&self, attempt: usize) -> Ms {
         self.sent[attempt].at.elapsed().as_secs_f64() * 1000.0
     }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -53,6 +53,14 @@
 const RELEASE_LIMITS: u32 = 4;
 /// Share of the pin limit after which the machine lets go of what the router has not; the router's is 0.8.
 const PIN_USED: f64 = 0.92;
+/// Share of the pin limit by which an attempt that takes what is held must be written: what is left is for a sign of its arrival.
+const WRITTEN_BY: f64 = 0.8;
+/// So long after an attempt was written, as a share of the pin limit, a sign of its arrival is asked for; no later than that
+/// share of the time in which it may be held.
+const ARRIVAL_ASKED: f64 = 0.3;
+const ARRIVAL_ASKED_LATEST: f64 = 0.5;
+/// Pause before a sign that did not come is asked for again.
+const ARRIVAL_AGAIN: Duration = Duration::from_millis(20);
 
 /// The servers as one service, which the core calls.
 pub trait Upstream:
@@ -87,7 +95,7 @@
     clock: Clock,
     settings: Settings,
     terms: Terms,
-    pin: Duration,
+    pin_limit: Duration,
     roles: Vec<Role>,
     members: BTreeMap<ServerId, Listed>,
     queue: VecDeque<Event>,
@@ -156,7 +164,7 @@
         let inner = Inner {
             clock,
             terms: Terms { repeat: Repeat::Freely, most, cancel: settings.limits.cancel },
-            pin: duration(settings.rules.pin_limit * PIN_USED),
+            pin_limit: duration(settings.rules.pin_limit),
             roles: settings.kinds.iter().map(|k| k.role).collect(),
             router,
             settings,
@@ -275,7 +283,7 @@
                 watch: watch.abort_handle(),
                 deadline,
                 sent: Vec::new(),
-                idle: arrived,
+                unclaimed_since: arrived,
                 place: None,
                 retry_after: Duration::ZERO,
                 window,
--- a/gateway/src/core/replay.rs
+++ b/gateway/src/core/replay.rs
@@ -32,6 +32,8 @@
     attempts: Vec<oneshot::Sender<Result<Reply, Failed>>>,
     release: Option<oneshot::Sender<()>>,
     place: Option<oneshot::Sender<Option<bool>>>,
+    /// Servers give signs.
+    signs: bool,
     out: usize,
     most_out: usize,
 }
@@ -79,6 +81,8 @@
                 self.0.borrow_mut().place = Some(tell);
                 told.await.map(Reply::Held).map_err(|_| Failed::Reset)
             }
+            Call::Check { .. } if self.0.borrow().signs => Ok(Reply::Done),
+            Call::Check { .. } => Err(Failed::Connect),
             _ => Ok(Reply::Done),
         }
     }
@@ -103,8 +107,8 @@
 }
 
 const PATIENCE: Ms = 10_000.0;
-/// The time of an attempt that is to run out of it.
-const SHORT: Ms = 1_000.0;
+/// The time of an attempt that is to run out of it, before what is held runs out of its own.
+const SHORT: Ms = 300.0;
 
 async fn settle() {
     for _ in 0..50 {
@@ -134,6 +138,11 @@
             Input::Answer(_) => self.order(Action::Fail { id, reason: Reason::NoServer }),
             Input::Hold { server } => self.order(Action::HoldPlace { id, server: ServerId(server) }),
             Input::ClientGone => drop(self.client.take()),
+            Input::Arrived { .. } => {
+                self.servers.0.borrow_mut().signs = true;
+                sleep(duration(500.0 * ARRIVAL_ASKED)).await;
+                self.servers.0.borrow_mut().signs = false;
+            }
             Input::Replied { attempt, reply } => self.reply(attempt, reply),
             Input::StreamEnded { attempt, end } => {
                 let frame = match end {
--- a/gateway/src/daemon.rs
+++ b/gateway/src/daemon.rs
@@ -148,6 +148,7 @@
         listeners.push(to_hand_over(upgrade::PLATFORM, &listener)?);
         let limits = Limits {
             connect_timeout: duration(p.settings.limits.connect_timeout),
+            probes: p.settings.limits.probes,
             idle: p.conn_idle.mul_f64(IDLE_SHARE),
             public_api: false,
         };
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -3,6 +3,7 @@
 //! Every call is written once. A connection that proves dead before a byte was written is replaced; nothing else
 //! is ever sent again here, because whether to repeat is the module's decision.
 
+mod confirm;
 mod connection;
 mod events;
 mod inlet;
@@ -33,6 +34,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 use tower::Service;
 
+use self::confirm::Unconfirmed;
 use self::connection::{Connection, Peer, Verdict};
 use self::events::Events;
 pub use self::places::Address;
@@ -62,6 +64,8 @@
 #[derive(Clone, Debug)]
 pub struct Limits {
     pub connect_timeout: Duration,
+    /// Whether servers may be probed.
+    pub probes: bool,
     /// Connections idle for so long are closed; well under the server's own time.
     pub idle: Duration,
     /// A 429, or a 503 that says when to come back, means turned away, and other 4xx are the client's own
@@ -106,6 +110,8 @@
     request: Request<Bytes>,
     /// It must be on a connection by then, a kept one too.
     connect: Option<Instant>,
+    /// The connection must have answered something a moment before.
+    confirm: bool,
     /// Its answer is waited for until then.
     until: Option<Instant>,
     wanted: Wanted,
@@ -113,7 +119,7 @@
 
 impl Asked {
     fn aside(what: Ask, request: Request<Bytes>) -> Asked {
-        Asked { what, request, connect: None, until: None, wanted: Wanted::default() }
+        Asked { what, request, connect: None, confirm: false, until: None, wanted: Wanted::default() }
     }
 
     /// What is written if it goes out at this moment; nothing once its time is over, or that of what is held for it, or that in
@@ -262,6 +268,17 @@
         });
     }
 
+    /// Keeps a connection that has just come up and carried nothing.
+    fn keep_unused(&self, server: ServerId, connection: Connection) {
+        {
+            let mut places = self.0.places.borrow_mut();
+            let place = places.get_mut(server).filter(|p| p.serving && p.peer == connection.peer);
+            let Some(place) = place else { return };
+            place.idle.push((Instant::now(), connection));
+        }
+        self.reap();
+    }
+
     /// Closes what has stood idle for too long, for as long as anything stands idle. One task for all: one for each
     /// time that a connection was kept held memory with rate times idle time.
     fn reap(&self) {
@@ -293,11 +310,20 @@
                 return Err(Failed::NotSent);
             }
             let idle = self.idle(server);
-            self.0.counts.borrow_mut().reused += u64::from(idle.is_some());
+            let kept = idle.is_some();
+            self.0.counts.borrow_mut().reused += u64::from(kept);
             let mut connection = match idle {
                 Some(connection) => connection,
                 None => self.opened(server, what, *connect).await?,
             };
+            if asked.confirm {
+                match self.confirm(server, &mut connection, *connect).await {
+                    Ok(()) => {}
+                    // It was closed while it stood idle, which says nothing of its server.
+                    Err(Unconfirmed::Broken) if kept => continue,
+                    Err(unconfirmed) => return Err(unconfirmed.into()),
+                }
+            }
             // Connecting takes time: what was told meanwhile counts at the first byte.
             if !connection.may_write(self.may_get(server, &connection.peer, what)) {
                 return Err(Failed::NotSent);
@@ -450,15 +476,17 @@
 
     async fn answer(self, call: Call) -> Result<Reply, Failed> {
         match call {
-            Call::Attempt { server, payload, until, connect, wanted } => {
+            Call::Attempt { server, payload, until, connect, confirm, wanted } => {
                 let (request, connect) =
                     (attempt_request(&payload), connect.map(|time| Instant::now() + time));
-                let asked = Asked { what: Ask::Attempt, request, connect, until: Some(until), wanted };
+                let asked =
+                    Asked { what: Ask::Attempt, request, connect, confirm, until: Some(until), wanted };
                 self.attempt(server, &asked, payload.whole).await
             }
             Call::Release { payload } => self.release(&payload).await,
             Call::Hold { server, payload } => self.hold(server, &payload).await,
             Call::Probe { server } => self.probe(server).await,
+            Call::Check { server } => self.check(server).await,
             Call::CloseIdle { server } => {
                 if let Some(place) = self.0.places.borrow_mut().get_mut(server) {
                     place.idle.clear();
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -4,7 +4,6 @@
 //! the client side says that the client has gone; dropping the server side without [`Piece::End`] says that the
 //! answer broke off.
 
-use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
@@ -14,7 +13,7 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// Pieces that may wait for a slow client before its stream is no longer read. Each may be as large as an event.
@@ -47,7 +46,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Wanted {
     pieces: Option<mpsc::WeakSender<Piece>>,
-    written: Rc<Cell<Option<Instant>>>,
+    written: Rc<watch::Sender<Option<Instant>>>,
 }
 
 impl Wanted {
@@ -63,16 +62,28 @@
 
     /// Whether a byte of its attempt is out, or about to be: one given up before that never was at its server.
     pub fn out(&self) -> bool {
-        self.written.get().is_some()
+        self.written().is_some()
     }
 
     /// When its first byte went out.
     pub fn written(&self) -> Option<Instant> {
-        self.written.get()
+        *self.written.borrow()
+    }
+
+    /// Until its first byte has gone out; gives when that was.
+    pub async fn goes(&self) -> Instant {
+        loop {
+            if let Some(written) = self.written() {
+                return written;
+            }
+            if self.written.subscribe().changed().await.is_err() {
+                return std::future::pending().await;
+            }
+        }
     }
 
     pub fn goes_out(&self, out: bool) {
-        self.written.set(out.then(Instant::now));
+        self.written.send_replace(out.then(Instant::now));
     }
 }
 
--- a/gateway/src/pools.rs
+++ b/gateway/src/pools.rs
@@ -119,6 +119,7 @@
             let settings = config::one_stage(pool, file.max_deadline_ms as Ms, repeatable);
             let limits = Limits {
                 connect_timeout: Duration::from_millis(pool.connect_ms),
+                probes: false,
                 idle: Duration::from_millis(pool.idle_ms),
                 public_api: true,
             };
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -20,6 +20,9 @@
         payload: Rc<Payload>,
         until: Instant,
         connect: Option<Duration>,
+        /// Its connection has to have answered something a moment before: a state waits for it, and what is written onto a
+        /// connection that has fallen silent never arrives.
+        confirm: bool,
         /// Not a first byte goes out once nobody wants it.
         wanted: Wanted,
     },
@@ -34,6 +37,11 @@
     Probe {
         server: ServerId,
     },
+    /// Asks for a sign that this server, and the way to it, is well at this moment; it is given in an answer or a new
+    /// connection, or the call fails soon.
+    Check {
+        server: ServerId,
+    },
     CloseIdle {
         server: ServerId,
     },
--- a/gateway/tests/drive/mod.rs
+++ b/gateway/tests/drive/mod.rs
@@ -160,6 +160,7 @@
                             elapsed,
                             note: 0.0,
                             closed,
+                            arrived: status.may_have_arrived(),
                             report: None,
                         })
                     };
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -34,6 +34,7 @@
                 payload: Rc::new(payload),
                 until: Instant::now() + AGES,
                 connect: None,
+                confirm: false,
                 wanted: Wanted::default(),
             })
         };
@@ -264,6 +265,7 @@
             payload: payload("x"),
             connect: None,
             until: Instant::now() + AGES,
+            confirm: false,
             wanted: Wanted::default(),
         };
         let both = async { tokio::join!(engine.clone().oneshot(other()), engine.clone().oneshot(other())) };
--- a/gateway/tests/first_byte.rs
+++ b/gateway/tests/first_byte.rs
@@ -157,6 +157,7 @@
                 payload: payload("last byte"),
                 until: Instant::now() + AGES,
                 connect: None,
+                confirm: false,
                 wanted: Wanted::of(&pieces),
             };
             let sending = server.engine.clone().oneshot(call());
@@ -185,6 +186,7 @@
             payload: payload("last byte"),
             until: Instant::now() + AGES,
             connect: Some(Duration::ZERO),
+            confirm: false,
             wanted: Wanted::default(),
         };
         assert!(matches!(server.engine.clone().oneshot(call).await, Err(Failed::NotSent)));
--- a/src/api.rs
+++ b/src/api.rs
@@ -201,9 +201,19 @@
     /// What came back could not be read; it may have run.
     Spoilt,
     Cancelled,
+    /// Written, and no sign came in time that it had arrived: it was called back, and what was held has been let go. It may
+    /// have run.
+    Undelivered,
     NotSent,
 }
 
+impl Status {
+    /// Whether an attempt that ended so can have come to its server.
+    pub fn may_have_arrived(self) -> bool {
+        !matches!(self, Status::ConnectFailed | Status::NotSent)
+    }
+}
+
 #[derive(Clone, Debug)]
 pub struct Outcome {
     pub id: RequestId,
@@ -215,6 +225,8 @@
     pub note: f64,
     /// The request has been closed, by this outcome or earlier.
     pub closed: bool,
+    /// It is known to have come to its server, so that the time of what is held did not run meanwhile.
+    pub arrived: bool,
     pub report: Option<Report>,
 }
 
--- a/src/policy/retries.rs
+++ b/src/policy/retries.rs
@@ -45,7 +45,8 @@
             self.learn(o.id, server);
         }
         // The writer found no state, or has spent it; its reader may only be cut off: let go in any case.
-        let gone = o.status == Status::Full && o.note >= 1.0 || o.status == Status::Spoilt;
+        let no_state = o.status == Status::Full && o.note >= 1.0;
+        let gone = no_state || matches!(o.status, Status::Spoilt | Status::Undelivered);
         if gone && self.jobs.get_mut(&o.id).is_some_and(|j| j.state_at.take().is_some()) {
             out.push(Action::Release { id: o.id });
         }
--- a/src/state/job.rs
+++ b/src/state/job.rs
@@ -28,7 +28,7 @@
     pub attempts: Vec<Attempt>,
     pub state_at: Option<ServerId>,
     pub idle_since: Ms,
-    /// Since when what is held for it waits. An attempt that did not connect was never out: the time ran on.
+    /// Since when what is held for it waits. Of an attempt that is not known to have arrived, the time ran on.
     pub held_since: Ms,
     pub over_share: bool,
     /// The first attempt that may have had an effect: its zone, cell and time.
@@ -78,7 +78,7 @@
         a.well = o.status == Status::Read;
         let ended = *a;
         self.idle_since = now;
-        if !matches!(o.status, Status::ConnectFailed | Status::NotSent) {
+        if o.arrived {
             self.held_since = now;
         }
         self.closed |= o.closed;
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -56,6 +56,7 @@
     pub fn of(status: Status) -> Option<Self> {
         match status {
             Status::ConnectFailed => Some(Symptom::NoConnection),
+            Status::Undelivered => Some(Symptom::Silence),
             Status::Error => Some(Symptom::Error),
             Status::Reset => Some(Symptom::Reset),
             Status::Spoilt => Some(Symptom::Spoilt),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -130,6 +130,7 @@
             elapsed: 50.0,
             note,
             closed: status == Status::Served,
+            arrived: status.may_have_arrived(),
             report: memory.map(|m| Report { memory: Some(m), ..Report::default() }),
         }))
     }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -124,6 +124,7 @@
             elapsed: 30.0,
             note,
             closed,
+            arrived: status.may_have_arrived(),
             report: Some(Report { memory: Some(self.draw.below(120) as f64 / 100.0), ..Report::default() }),
         };
         let actions = self.rig.give(Event::Outcome(outcome));
--- a/tests/silence.rs
+++ b/tests/silence.rs
@@ -25,6 +25,7 @@
             elapsed: 250.0,
             note: 0.0,
             closed: false,
+            arrived: true,
             report: None,
         }));
         rig.give(Event::ClientGone { id: RequestId(id) });
--- a/tests/turned_away.rs
+++ b/tests/turned_away.rs
@@ -83,6 +83,7 @@
                 elapsed: (now - sent) as f64,
                 note: 0.0,
                 closed: status == Status::Served,
+                arrived: status.may_have_arrived(),
                 report: None,
             })
         };
--- a/tests/unseen.rs
+++ b/tests/unseen.rs
@@ -113,6 +113,7 @@
                     elapsed: (at - self.at[&id]) as f64,
                     note: 0.0,
                     closed: true,
+                    arrived: true,
                     report: None,
                 }),
             };
--- a/wirehost/src/wire.rs
+++ b/wirehost/src/wire.rs
@@ -100,6 +100,7 @@
             elapsed,
             note: number(v, "info"),
             closed: flag(v, "finished"),
+            arrived: status(integer(v, "rc")).may_have_arrived(),
             report: pressure(v),
         }),
         "HELD_NOTE" => Event::Place { id, attempt, server, held: integer(v, "sort") == 1 },
