Soak real processes under random faults, count broken invariants, and show a second fault

Cause sought: the same mistake elsewhere. A connection that stands and is silent takes the idle ones beside it along.

--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -1,6 +1,7 @@
 //! What a request's machine says is to be done, carried out.
 
 use super::*;
+use crate::invariants;
 
 impl<U: Upstream, R: Decide> Core<U, R> {
     pub(super) fn carry_out(&self, id: u64, effect: Effect) {
@@ -11,6 +12,7 @@
             Effect::Start { attempt } => {
                 let (cancel, cancelled) = oneshot::channel();
                 job.sent[attempt].cancel = Some(cancel);
+                invariants::check_start(&job.machine, attempt, &job.payload.name);
                 let server = ServerId(job.machine.attempts()[attempt].server);
                 // While no connection comes up, the time of what is held runs on, and that in which it may be repeated.
                 let held = job.written_by(inner.pin_limit);
@@ -26,6 +28,7 @@
             Effect::CallBack { attempt } => job.sent[attempt].cancel = None,
             Effect::Release { after_cut } => {
                 let (core, call) = (self.clone(), Call::Release { payload: job.payload.clone() });
+                job.release_held_since = job.unclaimed_since;
                 job.told.release_ordered(inner.clock.at(job.unclaimed_since), inner.clock.now());
                 // By then servers let go by themselves, and the process may want to end.
                 let until = job.deadline.max(Instant::now() + inner.pin_limit * RELEASE_LIMITS);
@@ -88,7 +91,9 @@
             }
             Effect::TellOutcome { attempt, status, closed } => {
                 let arrived = job.machine.attempts()[attempt].arrived;
-                if arrived {
+                // What a read that was cut may have left is held from now on.
+                let reads = job.machine.attempts()[attempt].stage == Stage::Read;
+                if arrived || reads && job.sent[attempt].wanted.out() {
                     job.unclaimed_since = Instant::now();
                 }
                 if let Some(written) = job.sent[attempt].wanted.written() {
@@ -136,6 +141,7 @@
                     job.watch.abort();
                     job.timers.iter().for_each(|(_, key)| inner.timers.disarm(key));
                     inner.names.remove(&job.payload.name);
+                    invariants::check_end(&job.machine, &job.payload.name);
                     let story = job.told.end(&job.machine, inner.clock.now());
                     log!("{}{story}", glenrail_story::WORD);
                 }
@@ -150,8 +156,11 @@
         {
             let mut inner = self.inner.borrow_mut();
             let now = inner.clock.now();
+            let pin_limit = inner.pin_limit;
             if let Some(job) = inner.jobs.get_mut(&id) {
                 job.told.release_done(now);
+                let held = Instant::now() - job.release_held_since;
+                invariants::check_held(held, pin_limit, &job.payload.name);
             }
         }
         self.input(id, Input::Released);
--- a/gateway/src/core/job.rs
+++ b/gateway/src/core/job.rs
@@ -25,6 +25,8 @@
     pub sent: Vec<Sent>,
     /// Since when what is held waits for an attempt to take it. Of one that is not known to have arrived, that time ran on.
     pub unclaimed_since: Instant,
+    /// The same as the release under way, or the last one, was ordered.
+    pub release_held_since: Instant,
     pub place: Option<AbortHandle>,
     pub retry_after: Duration,
     /// For so long after the first attempt that may have run it may be repeated; `None`: for ever, or never.
--- a/gateway/src/engine/confirm.rs
+++ b/gateway/src/engine/confirm.rs
@@ -76,6 +76,10 @@
                 Err(_) => {
                     self.0.places.borrow_mut().note(server, |reach, now| reach.lost(now));
                     log!("a connection to server {:x} stands and is silent", server.0);
+                    // Those that stood beside it are not tried one after the other.
+                    if let Some(place) = self.0.places.borrow_mut().get_mut(server) {
+                        place.idle.clear();
+                    }
                     return Err(Unconfirmed::Silent);
                 }
             }
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -44,6 +44,7 @@
 use self::stream::{broken, Next, Stream};
 use crate::budget::Budget;
 use crate::exchange::{Head, Payload, Rest, Wanted};
+use crate::invariants::TOLD_AGE;
 use crate::log;
 use crate::upstream::{Call, Failed, Frame, Reply};
 
@@ -330,9 +331,11 @@
             }
             let request = asked.written().ok_or(Failed::NotSent)?;
             let (engine, peer) = (self.clone(), connection.peer.clone());
-            let out = wanted.clone();
+            let (out, told) = (wanted.clone(), Instant::now());
             let clear = move || {
-                let clear = out.still() && engine.may_get(server, &peer, what);
+                // What it says of the time that is left was true when it was made up.
+                let true_still = told.elapsed() <= TOLD_AGE;
+                let clear = true_still && out.still() && engine.may_get(server, &peer, what);
                 out.goes_out(clear);
                 clear
             };
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod front;
 pub mod handed;
 pub mod haproxy;
+pub mod invariants;
 pub mod log;
 pub mod ops;
 pub mod plugin;
--- a/gateway/src/ops.rs
+++ b/gateway/src/ops.rs
@@ -12,6 +12,7 @@
 use crate::counters::{Counters, Counts, Tally};
 use crate::fleet;
 use crate::front::{response, Body, Front};
+use crate::invariants;
 use crate::pools::Pool;
 use crate::rotation::{Denied, Rotation};
 use crate::shutdown::Shutdown;
@@ -75,6 +76,8 @@
             "registry_entries": desk.rotation.listed(),
             "out_of_rotation": sum(|p| p.core.avoided()),
         });
+        figures["invariants_broken"] =
+            invariants::counts().map(|(name, count)| (name.to_string(), Value::from(count))).collect();
         if let Some(fleet) = &desk.fleet {
             figures["fleet"] = fleet.counters();
         }
--- a/trials/src/engine.rs
+++ b/trials/src/engine.rs
@@ -31,6 +31,7 @@
 /// Events of one answer, and the pause between two.
 const EVENTS: usize = 6;
 const EVENT_PAUSE: Duration = Duration::from_millis(25);
+const SEES_CLOSE: Duration = Duration::from_millis(3);
 const LEASES: &str = "/kv/leases/";
 
 /// What an engine does with prompts.
@@ -82,6 +83,8 @@
         let range = self.options.least..=self.options.most.max(self.options.least);
         let time = rand::rng().random_range(range);
         sleep(Duration::from_millis(time)).await;
+        // A connection that was closed meanwhile is seen first, also by a process that stood still.
+        sleep(SEES_CLOSE).await;
     }
 
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Answer {
--- /dev/null
+++ b/trials/src/faults.rs
@@ -0,0 +1,142 @@
+//! Faults that a soak run draws: each begins, lasts a while, and ends; several may be under way at once.
+
+use std::time::Duration;
+
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::Rng;
+use rustix::process::Signal;
+
+use crate::deployment::{Deployment, Fault as StartFault};
+use crate::engine::Role;
+use crate::network::{Condition, Link};
+
+/// The platform allows a gateway to be held up for so long.
+const HELD_UP: Duration = Duration::from_millis(150);
+/// The least and the most time that a fault lasts (ms).
+const LASTS: std::ops::RangeInclusive<u64> = 200..=3_000;
+/// Share of the engines of a role that fall silent together, at most.
+const TOGETHER: f64 = 0.8;
+/// The least and the most that a link delays (ms).
+const DELAYS: std::ops::RangeInclusive<u64> = 10..=120;
+
+/// One fault, with whom it hits.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// The ways to these engines are silent; those that stood are reset at the end if `resets`.
+    Silent { engines: Vec<usize>, resets: bool },
+    /// As [`Fault::Silent`], and no new connection comes up.
+    NeverUp { engines: Vec<usize> },
+    /// One gateway's way to an engine is silent.
+    SilentWay { gateway: usize, engine: usize },
+    /// The connections that stand now are silent for good; new ones are well.
+    SilentConnections { engine: usize },
+    /// The connections that stand now are reset.
+    Reset { engine: usize },
+    /// What passes to and from an engine is late.
+    Late { engine: usize, delay: Duration },
+    /// An engine's process stands still.
+    Stopped { engine: usize },
+    /// An engine is killed and comes back empty.
+    Restarted { engine: usize },
+    /// An engine drains.
+    Drained { engine: usize },
+    /// A gateway's process is held up for a moment.
+    HeldUp { gateway: usize },
+}
+
+/// A fault with its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Draw {
+    pub fault: Fault,
+    pub lasts: Duration,
+}
+
+impl Draw {
+    /// Draws one for this deployment.
+    pub fn random(deployment: &Deployment, random: &mut StdRng) -> Draw {
+        let lasts = Duration::from_millis(random.random_range(LASTS));
+        let engine = random.random_range(0..deployment.engines.len());
+        let gateway = random.random_range(0..deployment.gateways.len());
+        let fault = match random.random_range(0..11) {
+            0 | 1 => Fault::Silent { engines: some_of_a_role(deployment, random), resets: random.random() },
+            2 => Fault::NeverUp { engines: some_of_a_role(deployment, random) },
+            3 => Fault::SilentWay { gateway, engine },
+            4 => Fault::SilentConnections { engine },
+            5 => Fault::Reset { engine },
+            6 => Fault::Late { engine, delay: Duration::from_millis(random.random_range(DELAYS)) },
+            7 => Fault::Stopped { engine },
+            8 => Fault::Restarted { engine },
+            9 => Fault::Drained { engine },
+            _ => return Draw { fault: Fault::HeldUp { gateway }, lasts: HELD_UP },
+        };
+        Draw { fault, lasts }
+    }
+
+    /// Has it begin.
+    pub fn begin(&self, deployment: &mut Deployment) -> Result<(), StartFault> {
+        match &self.fault {
+            Fault::Silent { engines, .. } => set(deployment, engines, Condition::Silent),
+            Fault::NeverUp { engines } => set(deployment, engines, Condition::NeverUp),
+            Fault::SilentWay { gateway, engine } => {
+                deployment.links[&(*gateway, *engine)].set(Condition::Silent);
+            }
+            Fault::SilentConnections { engine } => each(deployment, *engine, Link::silence_open_connections),
+            Fault::Reset { engine } => each(deployment, *engine, Link::reset),
+            Fault::Late { engine, delay } => each(deployment, *engine, |link| link.delay(*delay)),
+            Fault::Stopped { engine } => deployment.engines[*engine].process.signal(Signal::STOP),
+            Fault::Restarted { engine } => {
+                deployment.restart_engine(*engine)?;
+                deployment.publish();
+            }
+            Fault::Drained { engine } => {
+                deployment.engines[*engine].draining = true;
+                deployment.publish();
+            }
+            Fault::HeldUp { gateway } => deployment.gateways[*gateway].process.signal(Signal::STOP),
+        }
+        Ok(())
+    }
+
+    /// Has it end.
+    pub fn end(&self, deployment: &mut Deployment) {
+        match &self.fault {
+            Fault::Silent { engines, resets } => {
+                if *resets {
+                    engines.iter().for_each(|engine| each(deployment, *engine, Link::reset));
+                }
+                set(deployment, engines, Condition::Open);
+            }
+            Fault::NeverUp { engines } => set(deployment, engines, Condition::Open),
+            Fault::SilentWay { gateway, engine } => {
+                deployment.links[&(*gateway, *engine)].set(Condition::Open);
+            }
+            Fault::SilentConnections { .. } | Fault::Reset { .. } | Fault::Restarted { .. } => {}
+            Fault::Late { engine, .. } => each(deployment, *engine, |link| link.delay(Duration::ZERO)),
+            Fault::Stopped { engine } => deployment.engines[*engine].process.signal(Signal::CONT),
+            Fault::Drained { engine } => {
+                deployment.engines[*engine].draining = false;
+                deployment.publish();
+            }
+            Fault::HeldUp { gateway } => deployment.gateways[*gateway].process.signal(Signal::CONT),
+        }
+    }
+}
+
+fn each(deployment: &Deployment, engine: usize, what: impl Fn(&Link)) {
+    deployment.links_to(engine).for_each(what);
+}
+
+fn set(deployment: &Deployment, engines: &[usize], condition: Condition) {
+    engines.iter().for_each(|engine| each(deployment, *engine, |link| link.set(condition)));
+}
+
+/// Some engines of one role, of which the others stay well.
+fn some_of_a_role(deployment: &Deployment, random: &mut StdRng) -> Vec<usize> {
+    let role = if random.random_bool(0.5) { Role::Reader } else { Role::Writer };
+    let of_role = deployment.engines.iter().enumerate().filter(|(_, engine)| engine.spec.role == role);
+    let all: Vec<usize> = of_role.map(|(index, _)| index).collect();
+    let most = ((all.len() as f64 * TOGETHER) as usize).max(1);
+    let count = random.random_range(1..=most);
+    all.choose_multiple(random, count).copied().collect()
+}
--- a/trials/src/main.rs
+++ b/trials/src/main.rs
@@ -1,10 +1,12 @@
-//! The program of the fault trials: `engine` is one stand-in engine, which a trial starts as a process of its own.
+//! The program of the fault trials: `soak` plays random faults over real processes; `engine` is one stand-in engine, which
+//! a trial starts as a process of its own.
 
 use std::io;
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use glenrail_trials::engine;
+use glenrail_trials::deployment::Fault;
+use glenrail_trials::{engine, soak};
 
 #[derive(Parser)]
 #[command(about)]
@@ -17,12 +19,43 @@
 enum Command {
     /// Runs one stand-in engine until it is killed.
     Engine(engine::Options),
+    /// Plays seeds of random, overlapping faults, and succeeds if every invariant held in each.
+    Soak(soak::Options),
 }
 
-fn run(command: Command) -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+/// Why a command ends with a failure.
+#[derive(Debug, thiserror::Error)]
+enum Failure {
+    #[error("{0}")]
+    Io(#[from] io::Error),
+    #[error("{0}")]
+    Start(#[from] Fault),
+    #[error("invariants were broken in {0} seeds")]
+    Broken(usize),
+}
+
+fn soak(options: &soak::Options) -> Result<(), Failure> {
+    let trials = std::env::current_exe()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(3).enable_all().build()?;
+    let mut broken = 0;
+    for seed in options.seed..options.seed + options.seeds {
+        let report = runtime.block_on(soak::run(options, seed, &trials))?;
+        print!("{report}");
+        broken += usize::from(!report.passed());
+    }
+    match broken {
+        0 => Ok(()),
+        broken => Err(Failure::Broken(broken)),
+    }
+}
+
+fn run(command: Command) -> Result<(), Failure> {
     match command {
-        Command::Engine(options) => runtime.block_on(engine::run(options)),
+        Command::Engine(options) => {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+            Ok(runtime.block_on(engine::run(options))?)
+        }
+        Command::Soak(options) => soak(&options),
     }
 }
 
--- /dev/null
+++ b/trials/src/soak.rs
@@ -0,0 +1,184 @@
+//! A soak run: a deployment under load while random faults overlap, judged by the invariants.
+
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use clap::Args;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::RwLock;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, Instant};
+
+use crate::client::{self, Ask};
+use crate::clock;
+use crate::deployment::{Deployment, Fault as StartFault, Spec};
+use crate::faults::Draw;
+use crate::judge::{judge, Violation};
+use crate::record::Records;
+
+/// Clients wait so long for a first token, at most.
+const DEADLINE: Duration = Duration::from_secs(4);
+/// After the last request everything has ended by then.
+const QUIET: Duration = Duration::from_millis(5_500);
+/// The least and the most pause between two faults (ms).
+const BETWEEN: std::ops::RangeInclusive<u64> = 100..=700;
+/// Share of the clients that leave before their answer.
+const LEAVE: f64 = 0.1;
+/// A client that leaves does so within so many milliseconds.
+const LEAVES_WITHIN: u64 = 600;
+
+/// How a soak run is started.
+#[derive(Clone, Debug, Args)]
+pub struct Options {
+    /// The first seed.
+    #[arg(long, default_value_t = 1)]
+    pub seed: u64,
+    /// How many seeds, one after the other.
+    #[arg(long, default_value_t = 1)]
+    pub seeds: u64,
+    /// How long faults are drawn (s).
+    #[arg(long, default_value_t = 20)]
+    pub seconds: u64,
+    #[arg(long, default_value_t = 4)]
+    pub gateways: usize,
+    #[arg(long, default_value_t = 9)]
+    pub readers: usize,
+    #[arg(long, default_value_t = 11)]
+    pub writers: usize,
+    /// Requests a second, at all gateways together.
+    #[arg(long, default_value_t = 60.0)]
+    pub rate: f64,
+    /// Engines may not be probed.
+    #[arg(long)]
+    pub no_probes: bool,
+    /// The gateway's program.
+    #[arg(long, default_value = "target/release/glenrail")]
+    pub gateway: PathBuf,
+}
+
+/// What a run of one seed gave.
+#[derive(Debug)]
+pub struct Report {
+    pub seed: u64,
+    pub draws: Vec<String>,
+    pub requests: usize,
+    /// Answers by status; 0 where there was none.
+    pub statuses: std::collections::BTreeMap<u16, usize>,
+    pub violations: Vec<Violation>,
+    /// What the gateways' logs say of the first violation's request.
+    pub log: Vec<String>,
+    /// Invariants that the gateways' own logs say were broken.
+    pub told: Vec<String>,
+}
+
+impl Report {
+    pub fn passed(&self) -> bool {
+        self.violations.is_empty() && self.told.is_empty()
+    }
+}
+
+impl std::fmt::Display for Report {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        writeln!(
+            f,
+            "seed {}: {} requests, {} faults, statuses {:?}, {} violations, {} told by the gateways",
+            self.seed,
+            self.requests,
+            self.draws.len(),
+            self.statuses,
+            self.violations.len(),
+            self.told.len()
+        )?;
+        if self.passed() {
+            return Ok(());
+        }
+        self.draws.iter().try_for_each(|draw| writeln!(f, "  drawn: {draw}"))?;
+        self.violations.iter().try_for_each(|violation| writeln!(f, "  broken: {violation}"))?;
+        self.log.iter().try_for_each(|line| writeln!(f, "  log: {line}"))?;
+        self.told.iter().try_for_each(|line| writeln!(f, "  told: {line}"))
+    }
+}
+
+/// Plays one seed.
+pub async fn run(options: &Options, seed: u64, trials: &Path) -> Result<Report, StartFault> {
+    let mut spec = Spec::new(options.gateways, options.readers, options.writers);
+    spec.deadline = DEADLINE;
+    spec.probes = !options.no_probes;
+    let pin_limit = spec.pin_limit;
+    let deployment = Deployment::start(spec, trials, &options.gateway).await?;
+    let records = deployment.records.clone();
+    let gateways: Vec<_> = deployment.gateways.iter().map(|g| (g.name.clone(), g.address)).collect();
+    let deployment = Arc::new(RwLock::new(deployment));
+    let until = Instant::now() + Duration::from_secs(options.seconds);
+    let load = tokio::spawn(load(gateways, records.clone(), options.rate, seed, until));
+    let draws = faults(deployment.clone(), seed, until).await?;
+    let statuses = load.await.unwrap_or_default();
+    sleep(QUIET).await;
+    let all = records.all();
+    let violations = judge(&all, pin_limit, clock::now());
+    let deployment = deployment.read().await;
+    let log = violations.first().map_or_else(Vec::new, |violation| {
+        let of_request = all.iter().filter(|record| record.event.request() == violation.request);
+        let seen = of_request.map(|record| serde_json::to_string(record).unwrap_or_default());
+        seen.chain(deployment.log_lines(&violation.request)).collect()
+    });
+    let told = deployment.log_lines("invariant broken");
+    Ok(Report { seed, draws, requests: statuses.values().sum(), statuses, violations, log, told })
+}
+
+/// Draws faults until then, and ends each after its time.
+async fn faults(
+    deployment: Arc<RwLock<Deployment>>, seed: u64, until: Instant,
+) -> Result<Vec<String>, StartFault> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let began = Instant::now();
+    let (mut draws, mut ends) = (Vec::new(), JoinSet::new());
+    while Instant::now() < until {
+        sleep(Duration::from_millis(random.random_range(BETWEEN))).await;
+        let mut held = deployment.write().await;
+        let draw = Draw::random(&held, &mut random);
+        draw.begin(&mut held)?;
+        drop(held);
+        draws.push(format!("{:.3} s {:?} for {:?}", began.elapsed().as_secs_f64(), draw.fault, draw.lasts));
+        let deployment = deployment.clone();
+        ends.spawn(async move {
+            sleep(draw.lasts).await;
+            draw.end(&mut *deployment.write().await);
+        });
+    }
+    while ends.join_next().await.is_some() {}
+    Ok(draws)
+}
+
+/// Sends requests until then, and gives their answers by status.
+async fn load(
+    gateways: Vec<(String, std::net::SocketAddr)>, records: Records, rate: f64, seed: u64, until: Instant,
+) -> std::collections::BTreeMap<u16, usize> {
+    let mut random = StdRng::seed_from_u64(seed ^ 0x5eed);
+    let mut asked = JoinSet::new();
+    let mut number = 0u64;
+    while Instant::now() < until {
+        // Exponential pauses, as independent clients make them.
+        let pause = -(1.0 - random.random::<f64>()).ln() / rate;
+        sleep(Duration::from_secs_f64(pause)).await;
+        number += 1;
+        let repeatable = random.random_bool(0.5);
+        let class = if repeatable { "item-query" } else { "order-chat" };
+        let deadline = DEADLINE.mul_f64(random.random_range(0.5..=1.0));
+        let mut ask = Ask::new(format!("{seed:x}-{number:x}"), class, deadline, repeatable);
+        ask.session = random.random_range(0..200);
+        if random.random_bool(LEAVE) {
+            ask.leaves_after = Some(Duration::from_millis(random.random_range(1..=LEAVES_WITHIN)));
+        }
+        let (name, address) = gateways[random.random_range(0..gateways.len())].clone();
+        let records = records.clone();
+        asked.spawn(async move { client::ask(&name, address, ask, &records).await });
+    }
+    let mut statuses = std::collections::BTreeMap::new();
+    while let Some(status) = asked.join_next().await {
+        *statuses.entry(status.ok().flatten().unwrap_or(0)).or_default() += 1;
+    }
+    statuses
+}
--- a/trials/tests/silent_writers.rs
+++ b/trials/tests/silent_writers.rs
@@ -124,6 +124,49 @@
     });
 }
 
+/// Guards requests whose writers are well, and of whose connections none is: they stand and are silent. No state is left, and
+/// requests are answered again as soon as new connections are used.
+#[test]
+fn connections_that_fall_silent_leave_no_state_and_no_outage() {
+    run(async {
+        let deployment = warm(Spec::new(1, 1, 2)).await;
+        for writer in WRITERS {
+            deployment.links_to(writer).for_each(|link| link.silence_open_connections());
+        }
+        assert_eq!(broken_by_one_of_each_class(&deployment).await, [""; 0]);
+        for (class, repeatable) in CLASSES {
+            let ask = Ask::new(format!("{class}-later"), class, DEADLINE, repeatable);
+            assert_eq!(deployment.ask(0, ask).await, Some(200), "{class}: {:?}", deployment.log_lines(""));
+        }
+        assert_eq!(broken(&deployment), [""; 0]);
+    });
+}
+
+/// Guards what a read may leave that was given up on a way that had fallen silent: its server does not see the close, reads on
+/// to the end and holds the state, after the release.
+#[test]
+fn a_read_given_up_on_a_silent_way_leaves_no_state() {
+    run(async {
+        let mut spec = Spec::new(1, 1, 2);
+        spec.engines[READER].time = (400, 400);
+        let deployment = warm(spec).await;
+        for (class, repeatable) in CLASSES {
+            let mut ask = Ask::new(class, class, DEADLINE, repeatable);
+            ask.leaves_after = Some(Duration::from_millis(200));
+            let silence = async {
+                sleep(Duration::from_millis(100)).await;
+                deployment.links_to(READER).for_each(|link| link.set(Condition::Silent));
+            };
+            tokio::join!(deployment.ask(0, ask), silence);
+            sleep(JUDGED_AFTER).await;
+            deployment.links_to(READER).for_each(|link| link.set(Condition::Open));
+            let records = deployment.records.all();
+            assert_eq!(taken(&records, class, Stage::Read), 1, "{class}: the read had arrived");
+        }
+        assert_eq!(broken(&deployment), [""; 0]);
+    });
+}
+
 /// Guards the judge: it finds a state that nobody takes and nobody lets go.
 #[test]
 fn the_judge_finds_a_state_that_is_left() {
