Let go again of what a read may leave until its server has seen that it was given up

Cause: after a read was cut, one release went out 25 ms later, as if the close had arrived; on a silent way the read goes on to its end and its state is held with nobody left to let it go. Change: at the end of a request, each read that was given up here on an open connection is followed up: its server is asked for a sign (what passes then, the close has passed before) and the release goes out once more; while there is no sign it goes out at each 0.4 of the limit, until the time that the server was told is over. Price: a probe and a release for a read that is given up. Not covered: a request that is sent again meanwhile, whose new attempt a release would hit; its follow-up begins at its end.

--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -142,6 +142,9 @@
                     job.timers.iter().for_each(|(_, key)| inner.timers.disarm(key));
                     inner.names.remove(&job.payload.name);
                     invariants::check_end(&job.machine, &job.payload.name);
+                    for read in job.given_up() {
+                        spawn_local(self.clone().follow_up(read));
+                    }
                     let story = job.told.end(&job.machine, inner.clock.now());
                     log!("{}{story}", glenrail_story::WORD);
                 }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod clock;
 mod effects;
+mod follow_up;
 mod job;
 mod passing;
 mod timers;
