--- a/trials/tests/silent_writers.rs
+++ b/trials/tests/silent_writers.rs
@@ -80,6 +80,20 @@
     });
 }
 
+/// Guards the same where the deployment lets no engine be probed.
+#[test]
+fn states_are_let_go_where_no_engine_may_be_probed() {
+    run(async {
+        let mut spec = Spec::new(1, 1, 2);
+        spec.probes = false;
+        let deployment = warm(spec).await;
+        for writer in WRITERS {
+            deployment.links_to(writer).for_each(|link| link.set(Condition::Silent));
+        }
+        assert_eq!(broken_by_one_of_each_class(&deployment).await, [""; 0]);
+    });
+}
+
 /// Guards the same where the writers' processes stand still: the machine takes the bytes for them.
 #[test]
 fn states_are_let_go_while_all_writers_stand_still() {
