Ask for a sign of arrival by the release of an ended request where nothing may be probed

Cause: a new connection is no sign of a server that runs: a silent way and a stopped process let it come up. Change: where the settings allow no probes, the release of a request that has wholly ended is sent; it changes nothing, any server that runs answers it. Before any request has ended a new connection stays the sign. Left: without probes no connection is asked before the write, so a single silent one is not told from a slow writer.

--- a/gateway/src/core/attempt.rs
+++ b/gateway/src/core/attempt.rs
@@ -81,7 +81,7 @@
             // Nothing waits for it now; a place may come to be held later.
             let asks =
                 self.inner.borrow().jobs.get(&id).is_some_and(|j| j.machine.armed(request::Timer::Pin));
-            if asks && self.upstream.clone().oneshot(Call::Check { server }).await.is_ok() {
+            if asks && self.check(server).await {
                 self.input(id, Input::Arrived { attempt });
                 return pending().await;
             }
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -141,6 +141,7 @@
                     job.watch.abort();
                     job.timers.iter().for_each(|(_, key)| inner.timers.disarm(key));
                     inner.names.remove(&job.payload.name);
+                    inner.ended = Some(job.payload.name.as_str().into());
                     invariants::check_end(&job.machine, &job.payload.name);
                     for read in job.given_up() {
                         spawn_local(self.clone().follow_up(read));
--- a/gateway/src/core/follow_up.rs
+++ b/gateway/src/core/follow_up.rs
@@ -43,7 +43,7 @@
     pub(super) async fn follow_up(self, read: GivenUp) {
         let pause = self.inner.borrow().pin_limit.mul_f64(AGAIN);
         loop {
-            let seen = self.upstream.clone().oneshot(Call::Check { server: read.server }).await.is_ok();
+            let seen = self.check(read.server).await;
             sleep(if seen { AFTER_CUT } else { pause }).await;
             // A request of the same name would lose what it holds.
             if self.inner.borrow().names.contains_key(&read.payload.name) {
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -104,6 +104,8 @@
     jobs: HashMap<u64, Job>,
     /// The requests that have not wholly ended, by the names that servers know them by.
     names: HashMap<String, u64>,
+    /// The last request that has wholly ended.
+    ended: Option<Rc<str>>,
     next: u64,
     timers: Timers,
     /// Waits for the timers.
@@ -174,6 +176,7 @@
             busy: false,
             jobs: HashMap::new(),
             names: HashMap::new(),
+            ended: None,
             next: 0,
             timers: Timers::default(),
             clockwork: None,
@@ -300,6 +303,16 @@
         client
     }
 
+    /// Asks for a sign that a server, and the way to it, is well at this moment.
+    async fn check(&self, server: ServerId) -> bool {
+        let ended = {
+            let inner = self.inner.borrow();
+            // A name that came again is in use.
+            inner.ended.clone().filter(|name| !inner.names.contains_key(&**name))
+        };
+        self.upstream.clone().oneshot(Call::Check { server, ended }).await.is_ok()
+    }
+
     /// Hands one event to the router and carries out what it answers, in order.
     fn feed(&self, event: Event) {
         self.inner.borrow_mut().queue.push_back(event);
--- a/gateway/src/engine/confirm.rs
+++ b/gateway/src/engine/confirm.rs
@@ -13,7 +13,7 @@
 use deckhub::ServerId;
 
 use super::connection::{Connection, Verdict};
-use super::requests::plain_request;
+use super::requests::{lease_request, plain_request};
 use super::{Ask, Asked, Engine, BRIEF};
 use crate::log;
 use crate::upstream::{Failed, Reply};
@@ -102,12 +102,17 @@
         free.then_some(()).ok_or(Unconfirmed::Broken)
     }
 
-    /// A sign of this server that is younger than this call: an answer, or a new connection where it may not be probed.
-    pub(super) async fn check(&self, server: ServerId) -> Result<Reply, Failed> {
+    /// A sign of this server that is younger than this call: an answer, or a new connection where there is nothing to ask.
+    pub(super) async fn check(&self, server: ServerId, ended: Option<&str>) -> Result<Reply, Failed> {
+        let asked = match (self.0.limits.probes, ended) {
+            (true, _) => Some(Asked::aside(Ask::Probe, probe()?)),
+            (false, Some(name)) => Some(Asked::aside(Ask::Release, lease_request(Method::DELETE, name)?)),
+            (false, None) => None,
+        };
         let checked = async {
-            if self.0.limits.probes {
-                self.0.counts.borrow_mut().probes += 1;
-                return self.brief(server, &Asked::aside(Ask::Probe, probe()?)).await.map(drop);
+            if let Some(asked) = &asked {
+                self.0.counts.borrow_mut().probes += u64::from(asked.what == Ask::Probe);
+                return self.brief(server, asked).await.map(drop);
             }
             let connection = self.opened(server, Ask::Probe, None).await?;
             self.keep_unused(server, connection);
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -454,7 +454,7 @@
     }
 
     async fn hold(&self, server: ServerId, payload: &Payload) -> Result<Reply, Failed> {
-        let asked = Asked::aside(Ask::Hold, lease_request(Method::POST, payload)?);
+        let asked = Asked::aside(Ask::Hold, lease_request(Method::POST, &payload.name)?);
         let answer = timeout(HOLD_WAIT, self.brief(server, &asked)).await;
         Ok(Reply::Held(match answer.map_err(|_| Failed::Reset)??.0.status.as_u16() {
             200 => Some(true),
@@ -489,7 +489,7 @@
             Call::Release { payload } => self.release(&payload).await,
             Call::Hold { server, payload } => self.hold(server, &payload).await,
             Call::Probe { server } => self.probe(server).await,
-            Call::Check { server } => self.check(server).await,
+            Call::Check { server, ended } => self.check(server, ended.as_deref()).await,
             Call::CloseIdle { server } => {
                 if let Some(place) = self.0.places.borrow_mut().get_mut(server) {
                     place.idle.clear();
--- a/gateway/src/engine/release.rs
+++ b/gateway/src/engine/release.rs
@@ -24,7 +24,7 @@
 impl Engine {
     /// Asks servers that run, one beside the other, until one has taken it.
     pub(super) async fn release(&self, payload: &Payload) -> Result<Reply, Failed> {
-        let asked = Rc::new(Asked::aside(Ask::Release, lease_request(Method::DELETE, payload)?));
+        let asked = Rc::new(Asked::aside(Ask::Release, lease_request(Method::DELETE, &payload.name)?));
         let now = || self.0.places.borrow().now();
         let (begun, limit) = (now(), LIMIT.as_millis() as u64);
         let mut release = Release::new(self.0.places.borrow().running(), begun, begun + limit);
--- a/gateway/src/engine/requests.rs
+++ b/gateway/src/engine/requests.rs
@@ -56,6 +56,7 @@
     request.header(header::CONTENT_LENGTH, "0").body(Bytes::new()).map_err(|_| Failed::NotSent)
 }
 
-pub(super) fn lease_request(method: Method, payload: &Payload) -> Result<Request<Bytes>, Failed> {
-    plain_request(method, &format!("/kv/leases/{}", payload.name))
+/// About what is held for the request of this name.
+pub(super) fn lease_request(method: Method, name: &str) -> Result<Request<Bytes>, Failed> {
+    plain_request(method, &format!("/kv/leases/{name}"))
 }
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -37,10 +37,12 @@
     Probe {
         server: ServerId,
     },
-    /// Asks for a sign that this server, and the way to it, is well at this moment; it is given in an answer or a new
-    /// connection, or the call fails soon.
+    /// Asks for a sign that this server, and the way to it, is well at this moment, or fails soon.
     Check {
         server: ServerId,
+        /// A request that has wholly ended: where no server may be probed, its release is a call that changes nothing and is
+        /// answered.
+        ended: Option<Rc<str>>,
     },
     CloseIdle {
         server: ServerId,
