Test that a connection is asked before a state is staked on it

Five tests of the engine client alone: the order of probe and write on one connection, a silent connection (nothing goes out, the outcome is one that never ran), too little time, a kept connection that has ended, and a sign of arrival by the release of an ended request.

--- /dev/null
+++ b/gateway/tests/confirm.rs
@@ -0,0 +1,122 @@
+//! Connections that are asked before something that is held is staked on them.
+
+mod common;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::attempts::*;
+use common::*;
+use glenrail::engine::Engine;
+use glenrail::exchange::Wanted;
+use glenrail::upstream::{Call, Failed, Reply};
+use tokio::time::Instant;
+use tower::ServiceExt;
+
+/// A write for which a state is held.
+async fn write(engine: &Engine, connect: Duration) -> (Result<Reply, Failed>, Wanted) {
+    let wanted = Wanted::default();
+    let call = Call::Attempt {
+        server: SERVER,
+        payload: payload("{}"),
+        until: Instant::now() + PATIENCE,
+        connect: Some(connect),
+        confirm: true,
+        wanted: wanted.clone(),
+    };
+    (engine.clone().oneshot(call).await, wanted)
+}
+
+const TIME: Duration = Duration::from_millis(400);
+
+fn before(server: &StandIn) -> Engine {
+    let engine = engine(AGES, 8);
+    engine.learn(true, &[address(SERVER, server, true)], &[]);
+    engine
+}
+
+fn methods(server: &StandIn) -> Vec<String> {
+    server.seen.borrow().iter().map(|seen| seen.method.clone()).collect()
+}
+
+/// Guards the order: the probe is answered first, on the very connection that the write goes out on.
+#[test]
+fn a_write_goes_out_on_a_connection_that_has_just_answered() {
+    run(async {
+        let server = StandIn::start(|_, seen| match seen.method.as_str() {
+            "GET" => Act::Answer(answer(200, &[], "")),
+            _ => stream(),
+        })
+        .await;
+        let engine = before(&server);
+        assert!(matches!(write(&engine, TIME).await.0, Ok(Reply::Answer { .. })));
+        assert_eq!(methods(&server), ["GET", "POST"]);
+        assert_eq!(server.connections.get(), 1);
+    });
+}
+
+/// Guards a state from a connection that stands and is silent: nothing of the request goes out, so it never ran.
+#[test]
+fn nothing_goes_out_on_a_connection_that_is_silent() {
+    run(async {
+        let server = StandIn::start(|_, _| Act::Silence).await;
+        let (engine, began) = (before(&server), Instant::now());
+        let (reply, wanted) = write(&engine, TIME).await;
+        assert!(matches!(reply, Err(Failed::Connect)));
+        assert!(!wanted.out());
+        assert!(began.elapsed() < TIME, "another writer can still be asked");
+        assert_eq!(methods(&server), ["GET"]);
+    });
+}
+
+/// Guards a server's good name: too little time for an answer says nothing of it.
+#[test]
+fn too_short_a_time_says_nothing_of_a_server() {
+    run(async {
+        let server = StandIn::start(|_, _| Act::Silence).await;
+        let engine = before(&server);
+        assert!(matches!(write(&engine, Duration::from_millis(20)).await.0, Err(Failed::NotSent)));
+    });
+}
+
+/// Guards a request whose kept connection was closed by its server: another connection carries it.
+#[test]
+fn a_kept_connection_that_has_ended_is_replaced() {
+    run(async {
+        let closes = Rc::new(Cell::new(false));
+        let server = StandIn::start({
+            let closes = closes.clone();
+            move |_, seen| match seen.method.as_str() {
+                "GET" if closes.replace(false) => Act::Break,
+                "GET" => Act::Answer(answer(200, &[], "")),
+                _ => read(),
+            }
+        })
+        .await;
+        let engine = before(&server);
+        assert!(matches!(attempt(&engine, "{}").await, Ok(Reply::Read { .. })));
+        back_to_the_pool().await;
+        closes.set(true);
+        assert!(matches!(write(&engine, TIME).await.0, Ok(Reply::Read { .. })));
+        assert_eq!((server.count("POST"), server.connections.get()), (2, 2));
+    });
+}
+
+/// Guards the sign of arrival where nothing may be probed: the release of a request that has ended is answered.
+#[test]
+fn a_sign_is_an_answer_and_not_an_open_connection() {
+    run(async {
+        let answers = Rc::new(Cell::new(true));
+        let server = StandIn::start({
+            let answers = answers.clone();
+            move |_, _| if answers.get() { Act::Answer(answer(204, &[], "")) } else { Act::Silence }
+        })
+        .await;
+        let engine = before(&server);
+        let check = || engine.clone().oneshot(Call::Check { server: SERVER, ended: Some("9b1f".into()) });
+        assert!(matches!(check().await, Ok(Reply::Done)));
+        answers.set(false);
+        assert!(matches!(check().await, Err(Failed::Connect)));
+    });
+}
