Ask whether an arrival is waited for at the limit's pace, and log what showed none

Cause: an attempt for which nothing is held looked every 20 ms whether a sign was waited for. It looks each 0.3 of the limit now. A request's line has when a sign showed its arrival, and an attempt that showed none is logged with its request.

--- a/gateway/src/core/attempt.rs
+++ b/gateway/src/core/attempt.rs
@@ -78,17 +78,37 @@
             if wanted.written() != Some(written) {
                 continue;
             }
-            // Nothing waits for it now; a place may come to be held later.
-            let asks =
-                self.inner.borrow().jobs.get(&id).is_some_and(|j| j.machine.armed(request::Timer::Pin));
-            if asks && self.check(server).await {
-                self.input(id, Input::Arrived { attempt });
+            if !self.waits_for_arrival(id) {
+                // A place may come to be held later.
+                let pause = self.inner.borrow().pin_limit.mul_f64(ARRIVAL_ASKED);
+                sleep(pause).await;
+                continue;
+            }
+            if self.check(server).await {
+                self.has_arrived(id, attempt);
                 return pending().await;
             }
             sleep(ARRIVAL_AGAIN).await;
         }
     }
 
+    /// A sign shows that an attempt has come to its server.
+    fn has_arrived(&self, id: u64, attempt: usize) {
+        {
+            let mut inner = self.inner.borrow_mut();
+            let now = inner.clock.now();
+            if let Some(job) = inner.jobs.get_mut(&id) {
+                job.told.shown_to_arrive(attempt, now);
+            }
+        }
+        self.input(id, Input::Arrived { attempt });
+    }
+
+    /// Whether something is held whose time runs on until an attempt is known to have arrived.
+    fn waits_for_arrival(&self, id: u64) -> bool {
+        self.inner.borrow().jobs.get(&id).is_some_and(|job| job.machine.armed(request::Timer::Pin))
+    }
+
     fn ask_arrival_at(&self, id: u64, written: Instant) -> Option<Instant> {
         let inner = self.inner.borrow();
         inner.jobs.get(&id).map(|job| job.ask_arrival_at(written, inner.pin_limit))
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -90,6 +90,13 @@
                 inner.queue.push_back(Event::FirstToken { id, attempt, server, elapsed });
             }
             Effect::TellOutcome { attempt, status, closed } => {
+                if status == request::Status::Undelivered {
+                    let server = job.machine.attempts()[attempt].server;
+                    log!(
+                        "request {}: no sign that it arrived at server {server:x}; called back",
+                        job.payload.name
+                    );
+                }
                 let arrived = job.machine.attempts()[attempt].arrived;
                 // What a read that was cut may have left is held from now on.
                 let reads = job.machine.attempts()[attempt].stage == Stage::Read;
--- a/gateway/src/core/trace.rs
+++ b/gateway/src/core/trace.rs
@@ -59,6 +59,13 @@
         }
     }
 
+    /// A sign shows that it has come to its server.
+    pub fn shown_to_arrive(&mut self, attempt: usize, now: Ms) {
+        if let Some(t) = self.story.tries.get_mut(attempt) {
+            t.arrived = Some(now - self.arrived);
+        }
+    }
+
     /// What is held since then is to be let go.
     pub fn release_ordered(&mut self, held: Ms, now: Ms) {
         let (held, ordered) = (held - self.arrived, now - self.arrived);
