Have the explorer say that a limit which comes lets go of what is held

Change: when the limit comes and nothing that has arrived is out, a release is under way or an attempt is called back, or HeldIsLetGo is broken.

--- a/explore/src/request.rs
+++ b/explore/src/request.rs
@@ -535,6 +535,10 @@
             Act::Fires(timer) => {
                 self.armed[timer as usize] = false;
                 self.feed(setup, Input::Due(timer), log);
+                if timer == Timer::Pin && !self.over && self.holds_unclaimed() && !self.lets_go() {
+                    // Its limit has come: to wait for it once more is none of the ways out.
+                    self.violate(Rule::HeldIsLetGo);
+                }
             }
         }
         self.check();
@@ -805,16 +809,22 @@
         if self.refused && self.runs > 0 && self.machine.terms().repeat == Repeat::Never {
             self.violate(Rule::RefusalIsTrue);
         }
-        let held = self.servers.iter().any(|s| s.state || s.place);
-        // One that is called back is dropped at once, and the release follows.
-        let called_back = self.machine.attempts().iter().any(|a| a.step == Step::CalledBack);
-        let waits = self.release.is_some() || self.armed[Timer::Pin as usize] || called_back;
-        let cared_for = !self.over && waits;
-        if held && !self.calls.iter().any(Call::arrived) && !cared_for {
+        let cared_for = !self.over && (self.lets_go() || self.armed[Timer::Pin as usize]);
+        if self.holds_unclaimed() && !cared_for {
             self.violate(Rule::HeldIsLetGo);
         }
     }
 
+    /// Whether a server holds something and no attempt that has arrived is out.
+    fn holds_unclaimed(&self) -> bool {
+        self.servers.iter().any(|s| s.state || s.place) && !self.calls.iter().any(Call::arrived)
+    }
+
+    /// Whether a release is under way, or an attempt is called back: that one is dropped at once, and the release follows.
+    fn lets_go(&self) -> bool {
+        self.release.is_some() || self.machine.attempts().iter().any(|a| a.step == Step::CalledBack)
+    }
+
     /// Whether a world in which nothing more can happen has come to rest as it should.
     pub fn rests_well(&self) -> bool {
         self.over
