--- a/crates/lifecycle/src/request/words.rs
+++ b/crates/lifecycle/src/request/words.rs
@@ -92,6 +92,11 @@
         Attempt { server, stage, step: Step::Waiting, arrived: false, undelivered: false }
     }
 
+    /// Rule 2: whether it has ended and may have had the request's effect.
+    pub fn may_have_run(&self) -> bool {
+        self.stage == Stage::Run && matches!(self.step, Step::Ended(status) if status.may_have_run())
+    }
+
     /// Whether its outcome is still to come.
     pub fn open(&self) -> bool {
         !matches!(self.step, Step::Ended(_))
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -28,8 +28,8 @@
             Effect::CallBack { attempt } => job.sent[attempt].cancel = None,
             Effect::Release { after_cut } => {
                 let (core, call) = (self.clone(), Call::Release { payload: job.payload.clone() });
-                job.release_held_since = job.unclaimed_since;
-                job.told.release_ordered(inner.clock.at(job.unclaimed_since), inner.clock.now());
+                let held_since = job.unclaimed_since;
+                job.told.release_ordered(inner.clock.at(held_since), inner.clock.now());
                 // By then servers let go by themselves, and the process may want to end.
                 let until = job.deadline.max(Instant::now() + inner.pin_limit * RELEASE_LIMITS);
                 spawn_local(async move {
@@ -43,7 +43,7 @@
                         }
                         sleep(RELEASE_AGAIN).await;
                     }
-                    core.released(id);
+                    core.released(id, held_since);
                 });
             }
             Effect::AskPlace { server } => {
@@ -162,16 +162,15 @@
 }
 
 impl<U: Upstream, R: Decide> Core<U, R> {
-    /// A release has come to its end.
-    fn released(&self, id: u64) {
+    /// A release of what has been held since then has come to its end.
+    fn released(&self, id: u64, held_since: Instant) {
         {
             let mut inner = self.inner.borrow_mut();
             let now = inner.clock.now();
             let pin_limit = inner.pin_limit;
             if let Some(job) = inner.jobs.get_mut(&id) {
                 job.told.release_done(now);
-                let held = Instant::now() - job.release_held_since;
-                invariants::check_held(held, pin_limit, &job.payload.name);
+                invariants::check_held(held_since.elapsed(), pin_limit, &job.payload.name);
             }
         }
         self.input(id, Input::Released);
--- a/gateway/src/core/job.rs
+++ b/gateway/src/core/job.rs
@@ -25,8 +25,6 @@
     pub sent: Vec<Sent>,
     /// Since when what is held waits for an attempt to take it. Of one that is not known to have arrived, that time ran on.
     pub unclaimed_since: Instant,
-    /// The same as the release under way, or the last one, was ordered.
-    pub release_held_since: Instant,
     pub place: Option<AbortHandle>,
     pub retry_after: Duration,
     /// For so long after the first attempt that may have run it may be repeated; `None`: for ever, or never.
@@ -45,10 +43,7 @@
 
     /// Rule 2: until when a further attempt may be written, once one may have run.
     pub fn repeat_by(&self) -> Option<Instant> {
-        let ran = |a: &request::Attempt| {
-            a.stage == Stage::Run && matches!(a.step, Step::Ended(status) if status.may_have_run())
-        };
-        let first = self.machine.attempts().iter().position(ran)?;
+        let first = self.machine.attempts().iter().position(request::Attempt::may_have_run)?;
         Some(self.sent[first].at + self.window?)
     }
 
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -288,7 +288,6 @@
                 deadline,
                 sent: Vec::new(),
                 unclaimed_since: arrived,
-                release_held_since: arrived,
                 place: None,
                 retry_after: Duration::ZERO,
                 window,
--- a/gateway/src/engine/confirm.rs
+++ b/gateway/src/engine/confirm.rs
@@ -5,15 +5,14 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::{Method, Request};
+use http::Method;
 use http_body_util::{BodyExt, Limited};
 use tokio::time::{timeout, Instant};
 
 use deckhub::ServerId;
 
 use super::connection::{Connection, Verdict};
-use super::requests::{lease_request, plain_request};
+use super::requests::{lease_request, load_request};
 use super::{Ask, Asked, Engine, BRIEF};
 use crate::log;
 use crate::upstream::{Failed, Reply};
@@ -25,10 +24,6 @@
 /// Waits that may be repeated since this process was held up.
 const REPEATS: usize = 2;
 
-fn probe() -> Result<Request<Bytes>, Failed> {
-    plain_request(Method::GET, "/status/load")
-}
-
 /// Why a connection is not to be written to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Unconfirmed {
@@ -91,7 +86,7 @@
         if !connection.may_write(self.may_get(server, &connection.peer, Ask::Probe)) {
             return Err(Unconfirmed::KeptBack);
         }
-        let request = probe().map_err(|_| Unconfirmed::KeptBack)?;
+        let request = load_request().map_err(|_| Unconfirmed::KeptBack)?;
         let response = match connection.send(request, || true).await {
             Ok(response) => response,
             Err(Verdict::KeptBack) => return Err(Unconfirmed::KeptBack),
@@ -105,7 +100,7 @@
     /// A sign of this server that is younger than this call: an answer, or a new connection where there is nothing to ask.
     pub(super) async fn check(&self, server: ServerId, ended: Option<&str>) -> Result<Reply, Failed> {
         let asked = match (self.0.limits.probes, ended) {
-            (true, _) => Some(Asked::aside(Ask::Probe, probe()?)),
+            (true, _) => Some(Asked::aside(Ask::Probe, load_request()?)),
             (false, Some(name)) => Some(Asked::aside(Ask::Release, lease_request(Method::DELETE, name)?)),
             (false, None) => None,
         };
@@ -115,7 +110,7 @@
                 return self.brief(server, asked).await.map(drop);
             }
             let connection = self.opened(server, Ask::Probe, None).await?;
-            self.keep_unused(server, connection);
+            self.stand_idle(server, connection);
             Ok(())
         };
         match timeout(ANSWERS_WITHIN, checked).await {
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -40,7 +40,7 @@
 pub use self::places::Address;
 use self::places::Places;
 use self::reply::Tail;
-use self::requests::{attempt_request, lease_request, plain_request, tell_left};
+use self::requests::{attempt_request, lease_request, load_request, tell_left};
 use self::stream::{broken, Next, Stream};
 use crate::budget::Budget;
 use crate::exchange::{Head, Payload, Rest, Wanted};
@@ -256,23 +256,16 @@
         let engine = self.clone();
         spawn_local(async move {
             if timeout(FREE_WITHIN, connection.sender.ready()).await.is_ok_and(|r| r.is_ok()) {
-                {
-                    let mut places = engine.0.places.borrow_mut();
-                    let place = places.get_mut(server);
-                    // The list may have told meanwhile that the server now is somewhere else.
-                    let place = place.filter(|p| p.serving && p.peer == connection.peer);
-                    let Some(place) = place else { return };
-                    place.idle.push((Instant::now(), connection));
-                }
-                engine.reap();
+                engine.stand_idle(server, connection);
             }
         });
     }
 
-    /// Keeps a connection that has just come up and carried nothing.
-    fn keep_unused(&self, server: ServerId, connection: Connection) {
+    /// Has a connection that carries nothing wait for the next request.
+    fn stand_idle(&self, server: ServerId, connection: Connection) {
         {
             let mut places = self.0.places.borrow_mut();
+            // The list may have told meanwhile that the server now is somewhere else.
             let place = places.get_mut(server).filter(|p| p.serving && p.peer == connection.peer);
             let Some(place) = place else { return };
             place.idle.push((Instant::now(), connection));
@@ -464,7 +457,7 @@
     }
 
     async fn probe(&self, server: ServerId) -> Result<Reply, Failed> {
-        let asked = Asked::aside(Ask::Probe, plain_request(Method::GET, "/status/load")?);
+        let asked = Asked::aside(Ask::Probe, load_request()?);
         self.0.counts.borrow_mut().probes += 1;
         self.0.places.borrow_mut().note(server, |reach, now| reach.asked(now));
         let answer = timeout(PROBE_WAIT, self.brief(server, &asked)).await;
--- a/gateway/src/engine/requests.rs
+++ b/gateway/src/engine/requests.rs
@@ -51,11 +51,16 @@
     request.headers_mut().extend(left.ok().map(|v| (REQ_DEADLINE, v)));
 }
 
-pub(super) fn plain_request(method: Method, path: &str) -> Result<Request<Bytes>, Failed> {
+fn plain_request(method: Method, path: &str) -> Result<Request<Bytes>, Failed> {
     let request = Request::builder().method(method).uri(path).header(header::HOST, "api.internal");
     request.header(header::CONTENT_LENGTH, "0").body(Bytes::new()).map_err(|_| Failed::NotSent)
 }
 
+/// Asks a server for its load: a probe.
+pub(super) fn load_request() -> Result<Request<Bytes>, Failed> {
+    plain_request(Method::GET, "/status/load")
+}
+
 /// About what is held for the request of this name.
 pub(super) fn lease_request(method: Method, name: &str) -> Result<Request<Bytes>, Failed> {
     plain_request(method, &format!("/kv/leases/{name}"))
--- a/gateway/src/invariants.rs
+++ b/gateway/src/invariants.rs
@@ -4,10 +4,9 @@
 //! the counters.
 
 use std::cell::Cell;
-use std::fmt;
 use std::time::Duration;
 
-use glenrail_lifecycle::request::{Answer, Repeat, Request, Stage, Step};
+use glenrail_lifecycle::request::{Answer, Repeat, Request, Stage};
 
 /// What is held may wait so much longer than the settings say, by the platform's word.
 const HELD_SLACK: Duration = Duration::from_millis(350);
@@ -72,11 +71,8 @@
     let others = || machine.attempts().iter().enumerate().filter(move |(other, _)| *other != attempt);
     let open = others().any(|(_, a)| a.open());
     check(!open, Invariant::OneAttempt, request, || format!("attempt {attempt} starts beside another"));
-    let ran = |a: &glenrail_lifecycle::request::Attempt| {
-        a.stage == Stage::Run && matches!(a.step, Step::Ended(status) if status.may_have_run())
-    };
     let runs = machine.attempts()[attempt].stage == Stage::Run;
-    let again = machine.terms().repeat == Repeat::Never && runs && others().any(|(_, a)| ran(a));
+    let again = machine.terms().repeat == Repeat::Never && runs && others().any(|(_, a)| a.may_have_run());
     check(!again, Invariant::RunsOnce, request, || format!("attempt {attempt} repeats what may have run"));
     let ended = machine.closed();
     check(!ended, Invariant::NothingAfterEnd, request, || format!("attempt {attempt} starts after the end"));
@@ -99,11 +95,5 @@
     Invariant::ALL.into_iter().map(|invariant| (invariant.name(), broken(invariant)))
 }
 
-impl fmt::Display for Invariant {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(self.name())
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/trials/src/engine.rs
+++ b/trials/src/engine.rs
@@ -7,7 +7,7 @@
 use std::fs;
 use std::io::{self, Write};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -214,7 +214,7 @@
 
 /// Serves until the process is ended.
 pub async fn run(options: Options) -> io::Result<()> {
-    make_folder(&options.states)?;
+    fs::create_dir_all(&options.states)?;
     let listener = TcpListener::bind(options.listen).await?;
     let engine = Arc::new(Engine { options });
     loop {
@@ -232,7 +232,3 @@
         });
     }
 }
-
-fn make_folder(path: &Path) -> io::Result<()> {
-    fs::create_dir_all(path)
-}
