--- a/crates/request-lifecycle/src/lib.rs
+++ b/crates/request-lifecycle/src/lib.rs
@@ -25,6 +25,7 @@
 
 pub mod client;
 pub mod discovery_polling;
+pub mod evidence;
 mod planting;
 pub mod reachability;
 pub mod request;
--- a/crates/request-lifecycle/src/request/attempts.rs
+++ b/crates/request-lifecycle/src/request/attempts.rs
@@ -6,6 +6,7 @@
     Attempt, AttemptState, Effect, Effects, Release, Reply, Request, Reservation, ResponseState, RetrySafety,
     Server, Stage, Status, StreamEnd,
 };
+use crate::evidence::Observation;
 
 impl Request {
     fn attempt_state(&self, attempt: usize) -> Option<AttemptState> {
@@ -210,14 +211,14 @@
 
     /// Ends an attempt and reports its one outcome.
     fn end_attempt(&mut self, attempt: usize, status: Status, effects: &mut Effects) {
-        let Attempt { stage, state, delivered, .. } = self.attempts[attempt];
+        let Attempt { state, delivered, .. } = self.attempts[attempt];
         self.attempts[attempt].state = AttemptState::Ended(status);
         self.attempts[attempt].delivered = match status {
             Status::ConnectFailed | Status::NotSent => false,
             _ => delivered || status.shows_arrival(),
         };
         if state != AttemptState::Queued {
-            self.note_left_behind(stage, state, status);
+            self.note_left_behind(attempt, state, status);
         }
         if self.has_fault(Fault::LosesOutcome) && status == Status::Cancelled {
             return;
@@ -229,21 +230,18 @@
     }
 
     /// Notes what an attempt that was sent may have left at its server; `state` is the one before its end.
-    fn note_left_behind(&mut self, stage: Stage, state: AttemptState, status: Status) {
-        let lost = matches!(
-            status,
-            Status::Cancelled
-                | Status::Undelivered
-                | Status::Reset
-                | Status::MalformedResponse
-                | Status::Timeout
-        );
-        let cut = lost && state != AttemptState::Streaming;
+    fn note_left_behind(&mut self, attempt: usize, state: AttemptState, status: Status) {
+        let stage = self.attempts[attempt].stage;
+        let cut_by = status.cut_by().filter(|_| state != AttemptState::Streaming);
+        let cut = cut_by.is_some();
         // Stays set until a release has waited for it: a call for a slot may have been cut before.
         self.cut_since_release |= cut;
         // A prefill may have completed just as its connection was cut. The KV state that it left must be released
         // before the request is sent again, or that attempt would find it.
         if cut && stage == Stage::Prefill && !self.has_fault(Fault::ForgetsCutRead) {
+            let work_ended = cut_by.is_some_and(Observation::proves_work_ended);
+            self.attempts[attempt].unnoticed_close =
+                !work_ended && !self.has_fault(Fault::TakesCloseAsNoticed);
             self.reserve(Reservation::KvState);
             self.make_release_due();
         }
--- a/crates/request-lifecycle/src/request/messages/attempt.rs
+++ b/crates/request-lifecycle/src/request/messages/attempt.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Server;
+use crate::evidence::Observation;
 
 /// What an attempt asks of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -56,9 +57,19 @@
         )
     }
 
-    /// Whether the gateway itself closed a connection that was open, which its server may not have noticed.
-    pub fn closes_open_connection(self) -> bool {
-        matches!(self, Status::Cancelled | Status::Timeout | Status::Undelivered)
+    /// What was seen last of an attempt that was cut off before its answer was complete; `None` for any other.
+    pub fn cut_by(self) -> Option<Observation> {
+        match self {
+            Status::Cancelled | Status::Undelivered | Status::Timeout => Some(Observation::OwnClose),
+            Status::Reset => Some(Observation::Reset),
+            Status::MalformedResponse => Some(Observation::AnswerHere),
+            Status::Served
+            | Status::Prefilled
+            | Status::Error
+            | Status::Rejected
+            | Status::ConnectFailed
+            | Status::NotSent => None,
+        }
     }
 
     /// Whether the server may have begun what was asked.
@@ -98,12 +109,16 @@
     pub delivered: bool,
     /// It was cancelled because no sign of delivery came in time.
     pub undelivered: bool,
+    /// It was cut off, and nothing proves that its server will not work on it any more.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub unnoticed_close: bool,
 }
 
 impl Attempt {
     /// An attempt that the router has ordered and that is not sent yet.
     pub fn new(server: Server, stage: Stage) -> Attempt {
-        Attempt { server, stage, state: AttemptState::Queued, delivered: false, undelivered: false }
+        let state = AttemptState::Queued;
+        Attempt { server, stage, state, delivered: false, undelivered: false, unnoticed_close: false }
     }
 
     /// Whether it has ended and may have had the request's effect.
--- a/crates/request-lifecycle/src/request/messages/input.rs
+++ b/crates/request-lifecycle/src/request/messages/input.rs
@@ -67,13 +67,13 @@
         /// The attempt.
         attempt: usize,
     },
-    /// Report of the engine: the server of a prefill that was cut off does not answer, so it may not have noticed the close.
-    #[serde(rename = "CutUnseen")]
-    CloseUnconfirmed,
-    /// Report of the engine: every server of a prefill that was cut off has answered since its connection was closed, so it
-    /// has noticed the close.
+    /// Report of the engine: the server of a prefill that was cut off works on it no more, as its end of the connection
+    /// proves, or since the longest time is over in which it may.
     #[serde(rename = "CutSeen")]
-    CloseConfirmed,
+    CloseConfirmed {
+        /// The attempt.
+        attempt: usize,
+    },
     /// Report of the engine: a decode server's answer to the call that reserves a slot.
     #[serde(rename = "Placed")]
     SlotAnswered {
@@ -81,6 +81,9 @@
         #[serde(rename = "held")]
         reserved: Option<bool>,
     },
+    /// Report of the engine: the release that waited for servers to notice a cut is sent now.
+    #[serde(rename = "ReleaseOut")]
+    ReleaseSent,
     /// Report of the engine: a release has ended, successfully or not.
     Released,
     /// Report of the caller's clock: an armed timer expired.
--- a/crates/request-lifecycle/src/request/messages/reservation.rs
+++ b/crates/request-lifecycle/src/request/messages/reservation.rs
@@ -22,6 +22,8 @@
     None,
     /// It starts as soon as no attempt is at a server.
     Due,
+    /// It started after a cut, and is sent a little later, or as soon as the servers are known to have noticed.
+    Waiting,
     /// It is in progress.
     InProgress {
         /// Whether something was reserved after it began, so that another release must follow.
--- a/crates/request-lifecycle/src/request/mod.rs
+++ b/crates/request-lifecycle/src/request/mod.rs
@@ -48,10 +48,6 @@
     may_have_executed: bool,
     /// A call was cut off since the last release, and its server may not have noticed yet.
     cut_since_release: bool,
-    /// A prefill was cut off on an open connection, and its server does not answer: it may not have noticed, complete the
-    /// prefill, and hold KV state that no release has met.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    unconfirmed_close: bool,
     deadline_armed: bool,
     lease_armed: bool,
     is_finished: bool,
@@ -72,7 +68,6 @@
             slot_request: SlotRequest::None,
             may_have_executed: false,
             cut_since_release: false,
-            unconfirmed_close: false,
             deadline_armed: true,
             lease_armed: false,
             is_finished: false,
@@ -120,12 +115,12 @@
 
     /// Whether servers hold something for the request, or may.
     pub fn has_reservation(&self) -> bool {
-        self.reservation != Reservation::None
+        self.reservation != Reservation::None || self.has_unnoticed_close()
     }
 
     /// Whether a prefill that was cut off may still complete at its server.
-    pub fn has_unconfirmed_close(&self) -> bool {
-        self.unconfirmed_close
+    pub fn has_unnoticed_close(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.unnoticed_close)
     }
 
     /// Whether nothing of the request is left; it takes no further input.
--- a/crates/request-lifecycle/src/request/planted_faults.rs
+++ b/crates/request-lifecycle/src/request/planted_faults.rs
@@ -49,8 +49,12 @@
     RefusesWhatMayHaveRun,
     /// An attempt that was only written counts as delivered.
     CountsWrittenAsArrived,
-    /// A release that was accepted counts as having met what a cut-off prefill leaves, whenever its server notices.
+    /// The gateway's own close counts as noticed by the server.
     TakesCloseAsNoticed,
+    /// A release that any server has answered counts as proof that the servers of cut-off prefills have noticed.
+    TakesReleaseAsNotice,
+    /// The deadline that servers were told counts as proof that they work no more, although it began at their clock.
+    TakesDeadlineAsNotice,
     /// An attempt that was not delivered before the lease limit is not cancelled.
     KeepsUndelivered,
 }
--- a/crates/request-lifecycle/src/request/reservations.rs
+++ b/crates/request-lifecycle/src/request/reservations.rs
@@ -10,8 +10,8 @@
     /// Only what may be reserved is released: a needless call costs a server work, and could hit another request of
     /// the same identifier. What was reserved after a release began has asked for another release by itself.
     pub(super) fn order_release(&mut self) {
-        let in_progress = matches!(self.release, Release::InProgress { .. });
-        if self.reservation != Reservation::None && !in_progress {
+        let has_started = matches!(self.release, Release::Waiting | Release::InProgress { .. });
+        if self.has_reservation() && !has_started {
             self.make_release_due();
         }
     }
@@ -41,43 +41,62 @@
         Ok(())
     }
 
+    /// The release that waited is sent: what servers reserve from now on is met only by another one.
+    pub(super) fn on_release_sent(&mut self) -> Result<(), Unexpected> {
+        if self.release != Release::Waiting {
+            return Err(Unexpected);
+        }
+        self.release = Release::InProgress { repeat: false };
+        Ok(())
+    }
+
     pub(super) fn on_released(&mut self) -> Result<(), Unexpected> {
-        let Release::InProgress { repeat } = self.release else { return Err(Unexpected) };
-        // A server that has not noticed a cut may not have noticed by the next release either.
-        self.cut_since_release |= self.unconfirmed_close;
+        let repeat = match self.release {
+            Release::InProgress { repeat } => repeat,
+            Release::Waiting => false,
+            Release::None | Release::Due => return Err(Unexpected),
+        };
         if repeat {
             self.release = Release::Due;
             return Ok(());
         }
         self.release = Release::None;
         self.reservation = Reservation::None;
-        // The prefill may still complete after this release.
-        let may_be_reserved_again = self.unconfirmed_close && !self.is_closed();
-        if may_be_reserved_again && !self.has_fault(Fault::TakesCloseAsNoticed) {
-            self.reservation = Reservation::KvState;
+        if self.has_fault(Fault::TakesReleaseAsNotice) {
+            self.forget_unnoticed_closes();
         }
         Ok(())
     }
 
-    /// A prefill that was cut off may complete after its release. Of a closed request, what comes so late is the driver's to
-    /// release.
-    pub(super) fn on_close_unconfirmed(&mut self) {
-        if self.is_closed() {
-            return;
+    /// The server of a prefill that was cut off works on it no more: what it has left is met by a release sent from now on.
+    pub(super) fn on_close_confirmed(&mut self, attempt: usize) -> Result<(), Unexpected> {
+        if !self.take_unnoticed_close(attempt)? {
+            return Ok(());
         }
-        self.unconfirmed_close = true;
-        if self.reservation == Reservation::None && !self.has_fault(Fault::TakesCloseAsNoticed) {
-            self.reservation = Reservation::KvState;
+        if self.release == Release::Waiting {
+            return Ok(());
         }
+        self.reserve(Reservation::KvState);
+        // An attempt at a server may use or renew what is released; its end decides.
+        if !self.at_server() {
+            self.make_release_due();
+        }
+        Ok(())
     }
 
-    /// The servers of all prefills that were cut off have noticed: what these have left is met by the next release.
-    pub(super) fn on_close_confirmed(&mut self) {
-        let was_unconfirmed = std::mem::take(&mut self.unconfirmed_close);
-        let is_unreleased = self.reservation != Reservation::None && self.release == Release::None;
-        // An attempt at a server may have reserved anew what is held now; its end decides.
-        if was_unconfirmed && is_unreleased && !self.at_server() {
-            self.make_release_due();
+    /// Whether nothing had proved so far that the attempt's server has noticed.
+    fn take_unnoticed_close(&mut self, attempt: usize) -> Result<bool, Unexpected> {
+        let attempt = self.attempts.get_mut(attempt).ok_or(Unexpected)?;
+        if attempt.is_open() {
+            return Err(Unexpected);
+        }
+        Ok(std::mem::take(&mut attempt.unnoticed_close))
+    }
+
+    /// What the planted faults take for proof that servers have noticed.
+    pub(super) fn forget_unnoticed_closes(&mut self) {
+        for attempt in &mut self.attempts {
+            attempt.unnoticed_close = false;
         }
     }
 
@@ -95,6 +114,8 @@
     pub(super) fn make_release_due(&mut self) {
         match &mut self.release {
             Release::InProgress { repeat } => *repeat = true,
+            // It is sent later, so it meets this too.
+            Release::Waiting => {}
             release => *release = Release::Due,
         }
     }
@@ -122,8 +143,9 @@
     pub(super) fn start_due_release(&mut self, effects: &mut Effects) {
         let may_start = !self.at_server() || self.has_fault(Fault::ReleasesWhileOut);
         if self.release == Release::Due && may_start {
-            self.release = Release::InProgress { repeat: false };
-            effects.push(Effect::Release { after_cut: std::mem::take(&mut self.cut_since_release) });
+            let after_cut = std::mem::take(&mut self.cut_since_release);
+            self.release = if after_cut { Release::Waiting } else { Release::InProgress { repeat: false } };
+            effects.push(Effect::Release { after_cut });
         }
     }
 }
--- a/crates/request-lifecycle/src/request/timers.rs
+++ b/crates/request-lifecycle/src/request/timers.rs
@@ -3,8 +3,7 @@
 use super::planted_faults::Fault;
 use super::transitions::Unexpected;
 use super::{
-    AttemptState, Effect, Effects, FinalResponse, Release, Request, Reservation, ResponseState, SlotRequest,
-    Timer,
+    AttemptState, Effect, Effects, FinalResponse, Release, Request, ResponseState, SlotRequest, Timer,
 };
 
 impl Request {
@@ -21,6 +20,9 @@
 
     fn on_deadline(&mut self, effects: &mut Effects) {
         self.deadline_armed = false;
+        if self.has_fault(Fault::TakesDeadlineAsNotice) {
+            self.forget_unnoticed_closes();
+        }
         if self.response == ResponseState::Pending {
             self.respond(FinalResponse::DeadlineExceeded, effects);
             // To the router this is the same as a client that left: nobody waits any more.
@@ -53,15 +55,15 @@
     /// Whether servers may hold something that no delivered attempt uses.
     fn needs_lease_limit(&self) -> bool {
         // A call for a slot may have succeeded before its answer is here.
-        let may_be_reserved = self.reservation != Reservation::None || self.slot_request != SlotRequest::None;
+        let may_be_reserved = self.has_reservation() || self.slot_request != SlotRequest::None;
         // An attempt that is only written may never arrive: it neither stops the clock nor may it delay a release for ever.
         let clock_runs = match self.release {
-            Release::None => !self.is_closed(),
+            Release::None => !self.is_closed() || self.has_unnoticed_close(),
             Release::Due => self
                 .attempts
                 .iter()
                 .any(|attempt| attempt.state == AttemptState::InFlight && !attempt.delivered),
-            Release::InProgress { .. } => false,
+            Release::Waiting | Release::InProgress { .. } => false,
         };
         may_be_reserved && !self.has_delivered_attempt() && clock_runs && !self.has_fault(Fault::NoPinLimit)
     }
--- a/crates/request-lifecycle/src/request/transitions.rs
+++ b/crates/request-lifecycle/src/request/transitions.rs
@@ -41,9 +41,9 @@
             Input::StreamEnded { attempt, end } => self.on_stream_ended(attempt, end, effects)?,
             Input::TimedOut { attempt } => self.on_attempt_timeout(attempt, effects)?,
             Input::CancelCompleted { attempt } => self.on_cancel_completed(attempt, effects)?,
-            Input::CloseUnconfirmed => self.on_close_unconfirmed(),
-            Input::CloseConfirmed => self.on_close_confirmed(),
+            Input::CloseConfirmed { attempt } => self.on_close_confirmed(attempt)?,
             Input::SlotAnswered { reserved } => self.on_slot_answered(reserved, effects)?,
+            Input::ReleaseSent => self.on_release_sent()?,
             Input::Released => self.on_released()?,
             Input::TimerExpired(timer) => self.on_timer_expired(timer, effects)?,
         }
@@ -64,7 +64,8 @@
     fn finish_if_nothing_left(&mut self, effects: &mut Effects) {
         let closed = self.is_closed() && !self.has_fault(Fault::NeverOver);
         let releasing = self.release != Release::None;
-        let pending = self.in_flight() || releasing || self.slot_request != SlotRequest::None;
+        let may_be_left = self.slot_request != SlotRequest::None || self.has_unnoticed_close();
+        let pending = self.in_flight() || releasing || may_be_left;
         let pending = pending && !(self.has_fault(Fault::OverTooEarly) && releasing);
         if closed && !pending {
             self.is_finished = true;
--- a/fault-tests/tests/unresponsive_decode_servers.rs
+++ b/fault-tests/tests/unresponsive_decode_servers.rs
@@ -8,7 +8,7 @@
 use glenrail_fault_tests::clock;
 use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
 use glenrail_fault_tests::judge::{attempts_delivered, judge, Invariant};
-use glenrail_fault_tests::network::Condition;
+use glenrail_fault_tests::network::{Condition, Link};
 use glenrail_fault_tests::record::Stage;
 use rustix::process::Signal;
 use tokio::time::sleep;
@@ -149,7 +149,7 @@
     block_on(async {
         let deployment = warmed_up(DeploymentSpec::new(1, 1, 2)).await;
         for server in DECODE_SERVERS {
-            deployment.links_to(server).for_each(glenrail_fault_tests::network::Link::stall_open_connections);
+            deployment.links_to(server).for_each(Link::stall_open_connections);
         }
         assert_eq!(violations_of_one_request_a_class(&deployment).await, [""; 0]);
         for (class, repeatable) in CLASSES {
@@ -168,7 +168,7 @@
         spec.probes = false;
         let deployment = warmed_up(spec).await;
         for server in DECODE_SERVERS {
-            deployment.links_to(server).for_each(glenrail_fault_tests::network::Link::stall_open_connections);
+            deployment.links_to(server).for_each(Link::stall_open_connections);
         }
         assert_eq!(violations_of_one_request_a_class(&deployment).await, [""; 0]);
     });
@@ -222,6 +222,37 @@
     });
 }
 
+/// Guards against an answer on another connection as proof of a close: the server gets a read late and never its close, while
+/// it answers on new connections; the read ends after that, and its state is let go in time.
+#[test]
+fn a_prefill_that_ends_after_its_server_answered_elsewhere_leaves_no_state() {
+    block_on(async {
+        for (class, repeatable) in CLASSES {
+            let mut spec = DeploymentSpec::new(1, 1, 2);
+            spec.engines[PREFILL_SERVER].service_time_ms = (400, 400);
+            let deployment = warmed_up(spec).await;
+            let mut ask = ClientRequest::new(class, class, DEADLINE, repeatable);
+            ask.disconnects_after = Some(Duration::from_millis(200));
+            deployment.engines[PREFILL_SERVER].process.signal(Signal::STOP);
+            let stall = async {
+                sleep(Duration::from_millis(100)).await;
+                deployment.links_to(PREFILL_SERVER).for_each(Link::stall_open_connections);
+            };
+            tokio::join!(deployment.send(0, ask), stall);
+            sleep(Duration::from_millis(200)).await;
+            deployment.engines[PREFILL_SERVER].process.signal(Signal::CONT);
+            sleep(Duration::from_millis(400) + JUDGED_AFTER).await;
+            let records = deployment.records.all();
+            assert_eq!(
+                attempts_delivered(&records, class, Stage::Prefill),
+                1,
+                "{class}: the read had arrived"
+            );
+            assert_eq!(violations(&deployment), [""; 0]);
+        }
+    });
+}
+
 /// Guards the judge: it finds a state that nobody takes and nobody lets go.
 #[test]
 fn the_judge_finds_a_state_that_nobody_releases() {
--- a/gateway/src/core/admission.rs
+++ b/gateway/src/core/admission.rs
@@ -95,7 +95,6 @@
             deadline,
             calls: Vec::new(),
             unclaimed_since: arrived,
-            released_at: None,
             slot_request: None,
             retry_after: Duration::ZERO,
             idempotency_window,
--- a/gateway/src/core/delivery.rs
+++ b/gateway/src/core/delivery.rs
@@ -6,6 +6,7 @@
 use std::convert::Infallible;
 use std::future::pending;
 
+use glenrail_request_lifecycle::evidence::Observation;
 use glenrail_request_lifecycle::request::{Input, Timer};
 use glenrail_router::ServerId;
 use tokio::time::{sleep, sleep_until, Instant};
@@ -35,7 +36,7 @@
                 sleep(pause).await;
                 continue;
             }
-            if self.is_reachable(server).await {
+            if self.ask_elsewhere(server).await.is_some_and(Observation::suggests_delivery) {
                 self.confirm_delivered(id, attempt);
                 return pending().await;
             }
@@ -43,11 +44,11 @@
         }
     }
 
-    /// Whether a server, and the network path to it, responds now.
-    pub(super) async fn is_reachable(&self, server: ServerId) -> bool {
+    /// Asks whether a server responds now, on another connection than the attempt's.
+    async fn ask_elsewhere(&self, server: ServerId) -> Option<Observation> {
         let finished_request = self.inner.borrow().finished_request();
         let call = Call::VerifyReachable { server, finished_request };
-        self.upstream.clone().oneshot(call).await.is_ok()
+        self.upstream.clone().oneshot(call).await.ok().map(|_| Observation::AnswerElsewhere)
     }
 
     fn confirm_delivered(&self, id: u64, attempt: usize) {
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -7,7 +7,6 @@
 use tokio::time::Instant;
 use tower::ServiceExt;
 
-use super::timing::CANCEL_PROPAGATION_DELAY;
 use super::{Core, DecisionPolicy, Upstream};
 use crate::exchange::{CancelToken, Failure, ResponsePart};
 use crate::invariants;
@@ -20,9 +19,7 @@
         match effect {
             Effect::StartAttempt { attempt } => self.start_attempt(id, attempt),
             Effect::CancelAttempt { attempt } => self.cancel_attempt(id, attempt),
-            Effect::Release { after_cut } => {
-                self.start_release(id, after_cut.then_some(CANCEL_PROPAGATION_DELAY));
-            }
+            Effect::Release { after_cut } => self.start_release(id, after_cut),
             Effect::RequestSlot { server } => self.request_slot(id, ServerId(server)),
             Effect::CancelSlotRequest => self.cancel_slot_request(id),
             Effect::Respond(response) => self.respond(id, response),
@@ -154,8 +151,8 @@
         if let Some(written) = call.cancel_token.first_byte_at() {
             request.record.first_byte_written(attempt, inner.clock.at(written));
         }
-        if !closed && state.stage == Stage::Prefill && status.closes_open_connection() {
-            spawn_local(self.clone().confirm_close(id, attempt, server));
+        if state.unnoticed_close {
+            spawn_local(self.clone().confirm_close(id, attempt));
         }
         let outcome = AttemptOutcome {
             id: RequestId(id),
@@ -198,9 +195,6 @@
         let name = &request.payload.request_id;
         inner.last_finished = inner.ids_by_name.remove_entry(name).map(|(name, _)| name);
         invariants::check_end(&request.machine, name);
-        for prefill in request.unconfirmed_prefills() {
-            spawn_local(self.clone().release_orphaned_state(prefill));
-        }
         let record = request.record.finish(&request.machine, inner.clock.now());
         log!("{}{record}", glenrail_access_log::LINE_PREFIX);
     }
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -11,12 +11,12 @@
 mod admission;
 mod attempt;
 mod clock;
+mod close_notice;
 #[cfg(debug_assertions)]
 mod consistency;
 mod delivery;
 mod effects;
 mod forwarding;
-mod orphaned_state;
 mod probe;
 mod release;
 mod request_record;
--- a/gateway/src/core/release.rs
+++ b/gateway/src/core/release.rs
@@ -1,7 +1,5 @@
 //! Releases of the leases that servers hold for a request.
 
-use std::time::Duration;
-
 use glenrail_request_lifecycle::request::Input;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
@@ -17,8 +15,8 @@
 struct PendingRelease {
     request: u64,
     call: Call,
-    /// Pause before the first call.
-    initial_delay: Option<Duration>,
+    /// Whether it waits before its first call for servers to notice a cut.
+    after_cut: bool,
     /// Since when the lease is unclaimed.
     unclaimed_since: Instant,
     /// When the release is given up.
@@ -26,8 +24,8 @@
 }
 
 impl<U: Upstream, R: DecisionPolicy> Core<U, R> {
-    /// Starts the release of all leases of a request, after `initial_delay` if there is one.
-    pub(super) fn start_release(&self, id: u64, initial_delay: Option<Duration>) {
+    /// Starts the release of all leases of a request.
+    pub(super) fn start_release(&self, id: u64, after_cut: bool) {
         let mut inner = self.inner.borrow_mut();
         let inner = &mut *inner;
         let Some(request) = inner.requests.get_mut(&id) else { return };
@@ -36,7 +34,7 @@
         let release = PendingRelease {
             request: id,
             call: Call::Release { payload: request.payload.clone() },
-            initial_delay,
+            after_cut,
             unclaimed_since,
             // By then servers release by themselves, and the process may be about to end.
             give_up_at: request.deadline.max(Instant::now() + inner.lease_limit * RELEASE_RETRY_LEASE_LIMITS),
@@ -46,8 +44,9 @@
 
     /// Calls until a server has accepted the release, or its time is over.
     async fn run_release(self, release: PendingRelease) {
-        if let Some(delay) = release.initial_delay {
-            sleep(delay).await;
+        if release.after_cut {
+            self.await_close_notices(release.request).await;
+            self.step(release.request, Input::ReleaseSent);
         }
         let mut sent_at = Instant::now();
         while self.upstream.clone().oneshot(release.call.clone()).await.is_err() {
@@ -71,7 +70,6 @@
                 request.record.release_finished(now);
                 let name = &request.payload.request_id;
                 invariants::check_lease_time(unclaimed_since.elapsed(), lease_limit, name);
-                request.released_at = Some(sent_at);
                 // What is reserved from here on was reserved after this release.
                 request.unclaimed_since = request.unclaimed_since.max(sent_at);
             }
--- a/gateway/src/core/request_state.rs
+++ b/gateway/src/core/request_state.rs
@@ -28,8 +28,6 @@
     pub cancel: Option<oneshot::Sender<()>>,
     /// What its server reported besides the reply.
     pub report: ServerReport,
-    /// When its server was first known to have noticed that its connection was closed.
-    pub close_confirmed_at: Option<Instant>,
 }
 
 /// What a server reported besides its reply.
@@ -44,7 +42,7 @@
 impl AttemptCall {
     pub fn new(ordered_at: Instant, deadline: Instant) -> Self {
         let (cancel_token, report) = (CancelToken::default(), ServerReport::default());
-        AttemptCall { ordered_at, deadline, cancel_token, cancel: None, report, close_confirmed_at: None }
+        AttemptCall { ordered_at, deadline, cancel_token, cancel: None, report }
     }
 
     /// Milliseconds since the router ordered the attempt.
@@ -67,8 +65,6 @@
     /// Since when the request's lease waits for an attempt to claim it; an attempt that is not known to have been delivered
     /// does not stop that time.
     pub unclaimed_since: Instant,
-    /// When the last release that has ended was sent.
-    pub released_at: Option<Instant>,
     /// The call that asks for a slot, while it is in flight.
     pub slot_request: Option<AbortHandle>,
     /// The Retry-After of a rejection.
@@ -88,6 +84,12 @@
         self.is_idempotent || !self.machine.may_have_run()
     }
 
+    /// Forgets what only a further attempt would send.
+    pub fn forget_content(&mut self) {
+        let request_id = self.payload.request_id.clone();
+        self.payload = Rc::new(Payload { request_id, ..Payload::default() });
+    }
+
     /// Until when a further attempt may be written, once one may have run.
     pub fn retry_deadline(&self) -> Option<Instant> {
         let first = self.machine.attempts().iter().position(Attempt::may_have_run)?;
--- a/gateway/src/core/routing.rs
+++ b/gateway/src/core/routing.rs
@@ -157,6 +157,8 @@
             // The client sees the end of its answer; its disconnection means nothing any more.
             request.response = None;
             request.disconnect_watch.abort();
+            // Releases need no more than its id; the rest may be large, and a cut may go unnoticed for long.
+            request.forget_content();
         }
     }
 }
--- a/gateway/src/core/tests/leases.rs
+++ b/gateway/src/core/tests/leases.rs
@@ -188,6 +188,22 @@
     }
 }
 
+/// The longest time without a release that a server has accepted, in a time of observation that begins with the first.
+async fn longest_without_release(servers: &ScriptedServers, observed: Duration) -> Duration {
+    wait_for_call(servers, CallKind::ReleaseAccepted).await;
+    let (mut releases, mut last, mut longest) = (1, Instant::now(), Duration::ZERO);
+    let observed_until = Instant::now() + observed;
+    while Instant::now() < observed_until {
+        sleep(Duration::from_millis(1)).await;
+        if servers.count(CallKind::ReleaseAccepted) > releases {
+            releases = servers.count(CallKind::ReleaseAccepted);
+            last = Instant::now();
+        }
+        longest = longest.max(last.elapsed());
+    }
+    longest
+}
+
 /// Guards the lease limit while a prefill that was given up has not seen its close, and the next one is not known to have
 /// arrived: what the first leaves at its end, after its release, is released within the limit.
 #[test]
@@ -195,19 +211,10 @@
     paused(async {
         let servers = ScriptedServers::new(|_, _| (0, ScriptedReply::NoReply));
         servers.unreachable.set(true);
+        servers.misses_closes.set(true);
         let core = core_with_policy(&servers, RepeatsPrefill);
         let client = core.submit(request(0, 10_000.0));
-        wait_for_call(&servers, CallKind::ReleaseAccepted).await;
-        let (mut releases, mut last, mut longest) = (1, Instant::now(), Duration::ZERO);
-        let observed_until = Instant::now() + Duration::from_millis(1_500);
-        while Instant::now() < observed_until {
-            sleep(Duration::from_millis(1)).await;
-            if servers.count(CallKind::ReleaseAccepted) > releases {
-                releases = servers.count(CallKind::ReleaseAccepted);
-                last = Instant::now();
-            }
-            longest = longest.max(last.elapsed());
-        }
+        let longest = longest_without_release(&servers, Duration::from_millis(1_500)).await;
         drop(client);
         wait_for_call(&servers, CallKind::ReleaseAccepted).await;
         sleep(Duration::from_millis(500)).await;
@@ -229,3 +236,56 @@
         assert_eq!((servers.attempts(&PREFILL_SERVERS), servers.count(CallKind::Release)), (2, 1));
     });
 }
+
+/// Guards against an answer on another connection as proof of a close: a server that answers everything else, and has not
+/// noticed that a prefill was cut off, may end it at any later time. Its client has left.
+#[test]
+fn a_server_that_answers_elsewhere_has_not_noticed_a_close() {
+    paused(async {
+        let servers = ScriptedServers::new(|_, _| (0, ScriptedReply::NoReply));
+        servers.misses_closes.set(true);
+        let core = core(&servers);
+        let client = core.submit(request(0, 2_000.0));
+        wait_for_call(&servers, CallKind::Attempt).await;
+        sleep(Duration::from_millis(100)).await;
+        drop(client);
+        // Beyond the deadline that the server was told: it counts from the arrival there.
+        let longest = longest_without_release(&servers, Duration::from_secs(10)).await;
+        assert!(longest <= Duration::from_millis(550), "nothing was released for {longest:?}");
+    });
+}
+
+/// Guards the follow-up's end: once the server has ended the connection, one more release meets what the prefill has left.
+#[test]
+fn a_release_follows_the_notice_of_a_close_and_none_after_it() {
+    paused(async {
+        let servers = ScriptedServers::new(|_, _| (0, ScriptedReply::NoReply));
+        servers.misses_closes.set(true);
+        let core = core(&servers);
+        let client = core.submit(request(0, 2_000.0));
+        wait_for_call(&servers, CallKind::Attempt).await;
+        sleep(Duration::from_millis(100)).await;
+        drop(client);
+        wait_for_call(&servers, CallKind::ReleaseAccepted).await;
+        let before = servers.count(CallKind::Release);
+        servers.attempt_tokens.borrow().iter().for_each(|token| token.note(Observation::ServerClose));
+        wait_until_idle(&core).await;
+        assert_eq!(servers.count(CallKind::Release), before + 1);
+    });
+}
+
+/// Guards a process and its memory: what the network may have held back is not waited for without end.
+#[test]
+fn a_close_that_no_server_notices_is_followed_up_for_a_bounded_time() {
+    paused(async {
+        let servers = ScriptedServers::new(|_, _| (0, ScriptedReply::NoReply));
+        servers.misses_closes.set(true);
+        let core = core(&servers);
+        let (client, begun) = (core.submit(request(0, 2_000.0)), Instant::now());
+        wait_for_call(&servers, CallKind::Attempt).await;
+        drop(client);
+        wait_until_idle(&core).await;
+        let longest = MAX_NETWORK_HOLD + Duration::from_millis(2_500);
+        assert!((MAX_NETWORK_HOLD..longest).contains(&begun.elapsed()), "{:?}", begun.elapsed());
+    });
+}
--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::{self, StreamExt};
+use glenrail_request_lifecycle::evidence::Observation;
 use glenrail_request_lifecycle::request::{Effect, Stage};
 use glenrail_router::{AttemptOutcome, AttemptStatus, RejectReason};
 use proptest::prelude::*;
@@ -18,9 +19,9 @@
 use tokio::task::LocalSet;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::timing::{CANCEL_PROPAGATION_DELAY, DEADLINE_GUARD, DELIVERY_CHECK_SHARE};
+use super::timing::{CANCEL_PROPAGATION_DELAY, DEADLINE_GUARD, DELIVERY_CHECK_SHARE, MAX_NETWORK_HOLD};
 use super::*;
-use crate::exchange::{Failure, Payload, Request, ResponseHead, ResponsePart};
+use crate::exchange::{CancelToken, Failure, Payload, Request, ResponseHead, ResponsePart};
 use crate::upstream::Frame;
 
 const PREFILL_SERVERS: [u64; 2] = [11, 12];
@@ -75,14 +76,25 @@
     releases_to_lose: Rc<Cell<usize>>,
     /// No server answers when it is asked whether it can be reached.
     unreachable: Rc<Cell<bool>>,
+    /// No server notices that an attempt was cut off.
+    misses_closes: Rc<Cell<bool>>,
+    /// The attempts so far.
+    attempt_tokens: Rc<RefCell<Vec<CancelToken>>>,
 }
 
-/// An attempt that is in flight until this is dropped.
-struct InFlight(Rc<Cell<usize>>);
+/// An attempt that is in flight until this is dropped; then its server ends the connection, if it notices.
+struct InFlight {
+    count: Rc<Cell<usize>>,
+    misses_closes: Rc<Cell<bool>>,
+    token: CancelToken,
+}
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.count.set(self.count.get() - 1);
+        if !self.misses_closes.get() {
+            self.token.note(Observation::ServerClose);
+        }
     }
 }
 
@@ -97,6 +109,8 @@
             max_in_flight: Rc::default(),
             releases_to_lose: Rc::default(),
             unreachable: Rc::default(),
+            misses_closes: Rc::default(),
+            attempt_tokens: Rc::default(),
         }
     }
 
@@ -129,7 +143,7 @@
                 let timeout = deadline.saturating_duration_since(Instant::now());
                 self.attempt_timeouts.borrow_mut().push(timeout);
                 self.connect_timeouts.borrow_mut().push(connect_timeout);
-                let in_flight = self.begin_attempt();
+                let in_flight = self.begin_attempt(&cancel_token);
                 let (delay, scripted) = (self.script)(number, server);
                 cancel_token.set_written(!scripted.is_unwritten());
                 sleep(Duration::from_millis(delay)).await;
@@ -142,10 +156,12 @@
         }
     }
 
-    fn begin_attempt(&self) -> InFlight {
+    fn begin_attempt(&self, token: &CancelToken) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
         self.max_in_flight.set(self.max_in_flight.get().max(self.in_flight.get()));
-        InFlight(self.in_flight.clone())
+        let (count, misses_closes) = (self.in_flight.clone(), self.misses_closes.clone());
+        self.attempt_tokens.borrow_mut().push(token.clone());
+        InFlight { count, misses_closes, token: token.clone() }
     }
 
     async fn answer_release(&self) -> Result<Reply, CallError> {
--- a/gateway/src/core/tests/replay.rs
+++ b/gateway/src/core/tests/replay.rs
@@ -127,8 +127,8 @@
             Input::Delivered { .. } => self.confirm_delivery().await,
             Input::Replied { attempt, reply } => self.reply(attempt, reply),
             Input::StreamEnded { attempt, end } => self.end_stream(attempt, end).await,
-            // No stored trace has a server that is asked for its close and does not answer.
-            Input::CloseUnconfirmed | Input::CloseConfirmed => unreachable!("{input:?}"),
+            Input::CloseConfirmed { attempt } => self.confirm_close(attempt),
+            Input::ReleaseSent => sleep(CANCEL_PROPAGATION_DELAY + Duration::from_millis(2)).await,
             Input::TimedOut { .. } => sleep(duration(SHORT_TIMEOUT + 5.0)).await,
             Input::CancelCompleted { .. } => {}
             Input::SlotAnswered { reserved } => {
@@ -171,8 +171,13 @@
         self.servers.0.borrow_mut().is_reachable = false;
     }
 
+    /// The server of an attempt that was cut off ends its connection.
+    fn confirm_close(&self, attempt: usize) {
+        let call = self.started.iter().position(|started| *started == attempt).expect("it was sent");
+        self.servers.0.borrow().tokens[call].note(Observation::ServerClose);
+    }
+
     async fn accept_release(&self) {
-        sleep(CANCEL_PROPAGATION_DELAY + Duration::from_millis(2)).await;
         let release = self.servers.0.borrow_mut().release.take();
         release.expect("a release is in flight").send(()).expect("and awaited");
     }
--- a/gateway/src/core/tests/replay/servers.rs
+++ b/gateway/src/core/tests/replay/servers.rs
@@ -18,6 +18,8 @@
     /// Every call, in order.
     pub(super) started: Vec<StartedCall>,
     pub(super) attempts: Vec<oneshot::Sender<Result<Reply, CallError>>>,
+    /// One for each attempt, in the same order.
+    pub(super) tokens: Vec<CancelToken>,
     pub(super) release: Option<oneshot::Sender<()>>,
     pub(super) slot_request: Option<oneshot::Sender<Option<bool>>>,
     /// Whether servers answer the check whether they can be reached.
@@ -50,6 +52,7 @@
         match call {
             Call::Attempt { cancel_token, .. } => {
                 cancel_token.set_written(true);
+                self.0.borrow_mut().tokens.push(cancel_token);
                 self.attempt().await
             }
             Call::Release { .. } => {
@@ -65,8 +68,6 @@
                 replied.await.map(Reply::SlotReserved).map_err(|_| CallError::Reset)
             }
             Call::VerifyReachable { .. } if self.0.borrow().is_reachable => Ok(Reply::Done),
-            // Asked whether it has noticed that a prefill was cut off: in no trace is that known.
-            Call::VerifyReachable { .. } if self.0.borrow().in_flight == 0 => std::future::pending().await,
             Call::VerifyReachable { .. } => Err(CallError::ConnectFailed),
             _ => Ok(Reply::Done),
         }
--- a/gateway/src/core/tests/stored.rs
+++ b/gateway/src/core/tests/stored.rs
@@ -45,6 +45,7 @@
 }
 const CANCEL: Input = Input::Cancel { attempt: 0 };
 const CANCEL_COMPLETED: Input = Input::CancelCompleted { attempt: 0 };
+const CLOSE_CONFIRMED: Input = Input::CloseConfirmed { attempt: 0 };
 const FAILED: Input = Input::Respond(FinalResponse::Failed);
 
 /// A prefill that was delivered, and a decode.
@@ -101,8 +102,15 @@
             reject,
         ]
     };
-    let cancelled =
-        vec![prefill(), reserve_slot(), Input::ClientDisconnected, CANCEL_COMPLETED, Input::Released];
+    let cancelled = vec![
+        prefill(),
+        reserve_slot(),
+        Input::ClientDisconnected,
+        CANCEL_COMPLETED,
+        CLOSE_CONFIRMED,
+        Input::ReleaseSent,
+        Input::Released,
+    ];
     [Some(true), Some(false), None].into_iter().map(answered).chain([cancelled])
 }
 
@@ -114,7 +122,15 @@
     vec![
         vec![execute(), replied(0, MachineReply::Unprocessable)],
         vec![Input::Send { server: 11, stage: Stage::Prefill, permitted: false }, FAILED],
-        vec![prefill(), CANCEL, CANCEL_COMPLETED, Input::Released, FAILED],
+        vec![
+            prefill(),
+            CANCEL,
+            CANCEL_COMPLETED,
+            CLOSE_CONFIRMED,
+            Input::ReleaseSent,
+            Input::Released,
+            FAILED,
+        ],
         vec![execute(), Input::TimedOut { attempt: 0 }, FAILED],
         vec![
             prefill(),
@@ -181,7 +197,7 @@
 fn the_stored_traces_contain_every_input_and_effect() {
     let inputs =
         "Send Cancel Release Answer Hold ClientGone Arrived Replied StreamEnded TimedOut Dropped Placed \
-        Released Due";
+        CutSeen ReleaseOut Released Due";
     let effects =
         "Start CallBack Release AskPlace DropPlace Answer PassOn TellFirst TellOutcome TellGone TellPlace \
         Arm Disarm Over";
--- a/gateway/src/core/timing.rs
+++ b/gateway/src/core/timing.rs
@@ -6,10 +6,14 @@
 
 use std::time::Duration;
 
-/// Pause between cancelling a prefill and releasing what it may have left, so that the server has seen the cancellation
-/// by then.
+/// Longest pause between cancelling a prefill and releasing what it may have left: a server that is well has ended the
+/// connection too by then.
 pub(super) const CANCEL_PROPAGATION_DELAY: Duration = Duration::from_millis(25);
 
+/// What the network has held back may arrive for so long after an attempt was cut off. From its arrival on a server works for
+/// at most the time that it was told.
+pub(super) const MAX_NETWORK_HOLD: Duration = Duration::from_secs(30);
+
 /// An attempt times out so much later than the router ordered: the router's own timer for the same moment comes first,
 /// and with it the reason.
 pub(super) const ATTEMPT_TIMEOUT_SLACK: Duration = Duration::from_millis(2);
@@ -43,7 +47,3 @@
 
 /// Pause before a delivery check that failed is retried.
 pub(super) const DELIVERY_CHECK_RETRY_DELAY: Duration = Duration::from_millis(20);
-
-/// While a server does not respond, what a cancelled prefill may have left there is released again after this share of
-/// the lease limit.
-pub(super) const ORPHAN_RELEASE_RETRY_SHARE: f64 = 0.4;
--- a/gateway/src/engine/attempt.rs
+++ b/gateway/src/engine/attempt.rs
@@ -63,7 +63,7 @@
 
     /// A stream whose first event is there.
     async fn streamed_reply(
-        &self, server: ServerId, head: ResponseHead, body: Incoming, connection: Connection,
+        &self, server: ServerId, head: ResponseHead, body: Incoming, mut connection: Connection,
     ) -> Result<Reply, CallError> {
         if !is_event_stream(&head) {
             log!("a response of server {:x} is no event stream", server.0);
@@ -77,6 +77,7 @@
             StreamStep::Events(first) => first,
             StreamStep::End | StreamStep::Paused => return Err(CallError::Reset),
         };
+        connection.begin_stream();
         let open = OpenStream { engine: self.clone(), server, report, stream, connection };
         let following = try_unfold(Some(open), |open| async move {
             match open {
--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use glenrail_request_lifecycle::evidence::Observation;
 use glenrail_request_lifecycle::server::{self, Effect, Input, Stage};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -20,10 +21,11 @@
 use tokio::task::{spawn_local, AbortHandle};
 
 use super::body_tap::BodyTap;
+use super::closing::{ClosingConnection, ClosingSender};
 use super::response_reader::ResponseReader;
 use super::write_gate::WriteGate;
 use crate::counted_socket::CountedSocket;
-use crate::exchange::StreamRemainder;
+use crate::exchange::{CancelToken, StreamRemainder};
 use crate::log;
 
 /// Most bytes read at once, more than the largest head. A part of a stream is not larger, unless one event is: hyper's own
@@ -64,12 +66,18 @@
     /// The body of the current response, as it is read.
     pub tap: Rc<BodyTap>,
     task: AbortHandle,
-    _slot: OwnedSemaphorePermit,
+    slot: Option<OwnedSemaphorePermit>,
+    /// The attempt that was written last; it is told when its server has ended the connection.
+    attempt: Option<CancelToken>,
+    /// Takes the connection where an attempt on it is cut off.
+    closing: ClosingSender,
 }
 
 impl Connection {
     /// Opens a connection, which occupies the slot for as long as it is open.
-    pub async fn open(peer: Peer, slot: OwnedSemaphorePermit) -> io::Result<Connection> {
+    pub async fn open(
+        peer: Peer, slot: OwnedSemaphorePermit, closing: ClosingSender,
+    ) -> io::Result<Connection> {
         let socket = TcpStream::connect(&peer.address).await?;
         socket.set_nodelay(true)?;
         let socket = CountedSocket::new(socket);
@@ -85,8 +93,21 @@
         });
         let mut machine = server::Connection::default();
         step(&mut machine, Input::Connected);
-        let task = task.abort_handle();
-        Ok(Connection { peer, machine, sender, socket, gate, awaiting_head, tap, task, _slot: slot })
+        let (task, slot) = (task.abort_handle(), Some(slot));
+        let attempt = None;
+        Ok(Connection {
+            peer,
+            machine,
+            sender,
+            socket,
+            gate,
+            awaiting_head,
+            tap,
+            task,
+            slot,
+            attempt,
+            closing,
+        })
     }
 
     /// Whether a request may be written; `may_receive`: whether the server may receive it now.
@@ -116,6 +137,9 @@
             Err(error) => error,
         };
         let effect = step(&mut self.machine, Input::Broken);
+        if let Some(attempt) = &self.attempt {
+            attempt.note(observation(&error));
+        }
         if self.gate.has_blocked() {
             return Err(SendFailure::Withheld);
         }
@@ -131,9 +155,20 @@
         if !is_serving {
             step(&mut self.machine, Input::Drained);
         }
+        self.attempt = None;
         step(&mut self.machine, Input::ResponseComplete) == Effect::Reuse
     }
 
+    /// Notes the attempt that is written next.
+    pub fn carry(&mut self, attempt: &CancelToken) {
+        self.attempt = Some(attempt.clone());
+    }
+
+    /// The stream of the attempt has begun: nothing that its server does for it later has to be known.
+    pub fn begin_stream(&mut self) {
+        self.attempt = None;
+    }
+
     /// Adds one to `count` when the request that is sent next has been handed to the kernel completely.
     pub fn count_when_written(&self, request: &Request<Bytes>, count: Rc<Cell<u64>>) {
         self.socket.count_after(encoded_length(request), count);
@@ -156,6 +191,17 @@
     }
 }
 
+/// What a failed response shows of the connection.
+fn observation(error: &hyper::Error) -> Observation {
+    if error.is_incomplete_message() {
+        Observation::ServerClose
+    } else if error.is_parse() {
+        Observation::AnswerHere
+    } else {
+        Observation::Reset
+    }
+}
+
 /// Feeds the machine. An input that it calls impossible is logged, and has the caller close the connection.
 fn step(machine: &mut server::Connection, input: Input) -> Effect {
     machine.step(input).unwrap_or_else(|invalid| {
@@ -166,13 +212,23 @@
 
 /// A connection that is dropped is closed at once, whatever it carries: so an attempt is cancelled. The socket itself is
 /// shut down here, since its task ends only when it runs next, and the next attempt of the request must not find this one
-/// still open.
+/// still open. Where an attempt is cut off, only the sending ends: the server's own end shows that it has noticed.
 impl Drop for Connection {
     fn drop(&mut self) {
-        if self.machine.stage() != Stage::HandedOver {
-            let _ = SockRef::from(&*self.socket.socket).shutdown(Shutdown::Both);
-        }
         self.task.abort();
+        let is_cut = matches!(self.machine.stage(), Stage::Writing | Stage::AwaitingHead | Stage::Streaming);
+        let cut_attempt = self.attempt.take().filter(|attempt| is_cut && attempt.is_written());
+        let how = match (self.machine.stage(), &cut_attempt) {
+            (Stage::HandedOver, _) => return,
+            (_, Some(_)) => Shutdown::Write,
+            (_, None) => Shutdown::Both,
+        };
+        let is_open = SockRef::from(&*self.socket.socket).shutdown(how).is_ok();
+        if let Some((attempt, slot)) = cut_attempt.zip(self.slot.take()).filter(|_| is_open) {
+            let socket = self.socket.socket.clone();
+            // An engine that has ended waits for nothing.
+            let _ = self.closing.send(ClosingConnection { socket, attempt, slot });
+        }
     }
 }
 
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -8,6 +8,7 @@
 
 mod attempt;
 mod body_tap;
+mod closing;
 mod connection;
 mod control_calls;
 mod event_stream;
@@ -39,6 +40,7 @@
 use tower::Service;
 
 use self::attempt::ResponseMode;
+use self::closing::ClosingConnections;
 use self::requests::attempt_request;
 use self::server_request::{RequestKind, ServerRequest};
 pub use self::server_table::ServerAddress;
@@ -74,6 +76,7 @@
     /// Whether streams in flight are to be handed over to the successor process.
     handing_over: watch::Sender<bool>,
     attempts_written: Rc<Cell<u64>>,
+    closing: ClosingConnections,
     counts: RefCell<Counts>,
 }
 
@@ -93,6 +96,7 @@
             is_reaping: Cell::new(false),
             handing_over: watch::Sender::new(false),
             attempts_written: Rc::default(),
+            closing: ClosingConnections::default(),
             counts: RefCell::default(),
         }))
     }
--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -5,7 +5,7 @@
 use glenrail_request_lifecycle::reachability::Reachability;
 use glenrail_router::ServerId;
 use tokio::sync::OwnedSemaphorePermit;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, yield_now};
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::connection::{Connection, Peer};
@@ -80,8 +80,9 @@
         let peer = self.0.servers.borrow().get(server).map(|record| record.peer.clone());
         let peer = peer.ok_or(CallError::NotSent)?;
         // Without a slot nothing is known of the server: the lack is here.
-        let slot = self.acquire_slot().ok_or(CallError::NotSent)?;
-        match timeout(limit, Connection::open(peer, slot)).await {
+        let slot = self.acquire_slot().await.ok_or(CallError::NotSent)?;
+        let closing = self.closing_sender();
+        match timeout(limit, Connection::open(peer, slot, closing)).await {
             Ok(Ok(connection)) => Ok(connection),
             // So short a time says nothing about the server.
             Err(_) if limit < usual / 2 => Err(CallError::NotSent),
@@ -92,12 +93,16 @@
         }
     }
 
-    /// A slot for one more connection; where there is none, all idle connections are closed for it.
-    fn acquire_slot(&self) -> Option<OwnedSemaphorePermit> {
+    /// A slot for one more connection; where there is none, all idle connections are closed for it, and those that wait for
+    /// their servers' ends.
+    async fn acquire_slot(&self) -> Option<OwnedSemaphorePermit> {
         if let Ok(slot) = self.0.connection_slots.clone().try_acquire_owned() {
             return Some(slot);
         }
         self.close_idle();
+        self.0.closing.abandon();
+        // Their tasks end in the next turn of the loop.
+        yield_now().await;
         self.0.connection_slots.clone().try_acquire_owned().ok()
     }
 
--- a/gateway/src/engine/send.rs
+++ b/gateway/src/engine/send.rs
@@ -76,6 +76,7 @@
             stated_at: Instant::now(),
         };
         if kind == RequestKind::Attempt {
+            connection.carry(&request.cancel_token);
             connection.count_when_written(&to_write, self.0.attempts_written.clone());
         }
         connection.send(to_write, move || gate.pass()).await
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use glenrail_request_lifecycle::evidence::Observation;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -50,7 +51,8 @@
     pub payload: Rc<Payload>,
 }
 
-/// Whether an attempt is still needed, and whether it was written; shared by the core and the connection that writes it.
+/// Whether an attempt is still needed, whether it was written, and whether its server has ended its work for it; shared by the
+/// core and the connection that writes it.
 ///
 /// It is asked immediately before the first byte is written: the task that observes the client's disconnection may run only
 /// after the one that writes, and not every deployment allows the cancellation of attempts.
@@ -58,12 +60,13 @@
 pub struct CancelToken {
     parts: Option<mpsc::WeakSender<ResponsePart>>,
     first_byte_at: Rc<watch::Sender<Option<Instant>>>,
+    work_ended: Rc<watch::Sender<bool>>,
 }
 
 impl CancelToken {
     /// A token for an attempt whose response goes to this channel.
     pub fn for_response(parts: &mpsc::Sender<ResponsePart>) -> Self {
-        CancelToken { parts: Some(parts.downgrade()), first_byte_at: Rc::default() }
+        CancelToken { parts: Some(parts.downgrade()), ..CancelToken::default() }
     }
 
     /// Whether the attempt is still needed: neither has the client's side been dropped nor was the request answered.
@@ -95,6 +98,25 @@
         }
     }
 
+    /// Notes what was seen of the connection on which the attempt was written, after it was cut off.
+    pub fn note(&self, observation: Observation) {
+        if observation.proves_work_ended() {
+            self.work_ended.send_replace(true);
+        }
+    }
+
+    /// Whether the server is known to work on the attempt no more.
+    pub fn has_work_ended(&self) -> bool {
+        *self.work_ended.borrow()
+    }
+
+    /// Waits until the server is known to work on the attempt no more.
+    pub async fn work_ended(&self) {
+        let mut ended = self.work_ended.subscribe();
+        // An error would be the sender's end, and `self` has the sender.
+        let _ = ended.wait_for(|ended| *ended).await;
+    }
+
     /// Says that the first byte is written now, or that none was, since the connection is replaced.
     pub fn set_written(&self, is_written: bool) {
         self.first_byte_at.send_replace(is_written.then(Instant::now));
--- a/model-checker/src/corners/request.rs
+++ b/model-checker/src/corners/request.rs
@@ -33,6 +33,7 @@
         reservation_corners(),
         lost_reservation_corners(),
         delivery_corners(),
+        unnoticed_close_corners(),
         release_regressions(),
         slot_regressions(),
         hand_over_corners(),
@@ -75,6 +76,7 @@
                     Action::Serve(1),
                     Action::ClientDisconnects,
                     Action::CancelCompletes(1),
+                    Action::ReleaseSent,
                     Action::ReleaseCompletes,
                 ],
             ],
@@ -89,6 +91,7 @@
                     Action::Serve(1),
                     Action::ClientDisconnects,
                     Action::ReceiveReply(1),
+                    Action::ReleaseSent,
                     Action::ReleaseCompletes,
                 ],
             ],
@@ -138,6 +141,8 @@
                 vec![
                     Action::ConnectionBreaks(0),
                     Action::ServeAbandoned(0),
+                    Action::ConfirmClose(0),
+                    Action::ReleaseSent,
                     Action::ReleaseCompletes,
                     Action::Fail,
                 ],
@@ -181,7 +186,8 @@
                     Action::SlotReserved,
                     Action::SlotCallNoticesClose,
                 ],
-                vec![Action::CancelCompletes(0), Action::NoticeClose(0), Action::ReleaseCompletes],
+                vec![Action::CancelCompletes(0), Action::NoticeClose(0), Action::ConfirmClose(0)],
+                vec![Action::ReleaseSent, Action::ReleaseCompletes],
             ],
         ),
         corner(
@@ -207,7 +213,7 @@
             vec![
                 prefilled(),
                 vec![Action::Send(DECODE), Action::Connect(1), Action::Connected(1), Action::WriteToDeadConnection(1), Action::TimerExpires(Timer::LeaseLimit)],
-                vec![Action::CancelCompletes(1), Action::ReleaseCompletes, Action::Fail],
+                vec![Action::CancelCompletes(1), Action::ReleaseSent, Action::ReleaseCompletes, Action::Fail],
             ],
         ),
         corner(
@@ -223,6 +229,23 @@
     ]
 }
 
+/// A server notices late that a prefill was cut off.
+fn unnoticed_close_corners() -> Vec<Corner<Setup>> {
+    vec![
+        corner(
+            "read-ends-after-its-release",
+            "A read that was cut off runs after its release, while its server answers others; then its server notices",
+            vec![
+                arrives(0, PREFILL),
+                vec![Action::AttemptTimesOut(0), Action::ReleaseSent, Action::ReleaseCompletes],
+                vec![Action::ServeAbandoned(0), Action::TimerExpires(Timer::LeaseLimit)],
+                vec![Action::ReleaseCompletes, Action::Fail, Action::ConfirmClose(0)],
+                vec![Action::ReleaseCompletes],
+            ],
+        ),
+    ]
+}
+
 /// Counterexamples found by exploring, and fixed in the machine: releases and queued attempts.
 fn release_regressions() -> Vec<Corner<Setup>> {
     vec![
@@ -241,6 +264,7 @@
                 vec![
                     Action::TimerExpires(Timer::LeaseLimit),
                     Action::CancelCompletes(1),
+                    Action::ReleaseSent,
                     Action::ReleaseCompletes,
                     Action::Fail,
                 ],
@@ -256,9 +280,10 @@
                     Action::AttemptTimesOut(0),
                     Action::SlotReserved,
                 ],
+                vec![Action::ConfirmClose(0), Action::ReleaseSent, Action::ReleaseCompletes],
                 vec![
-                    Action::ReleaseCompletes,
                     Action::TimerExpires(Timer::LeaseLimit),
+                    Action::ReleaseSent,
                     Action::ReleaseCompletes,
                     Action::Fail,
                 ],
@@ -273,8 +298,13 @@
                 Action::Send(PREFILL),
                 Action::AttemptTimesOut(0),
                 Action::Send(DECODE),
+                Action::ReleaseSent,
                 Action::TimerExpires(Timer::Deadline),
                 Action::ReleaseCompletes,
+                Action::TimerExpires(Timer::LeaseLimit),
+                Action::ConfirmClose(0),
+                Action::ReleaseCompletes,
+                Action::ReleaseCompletes,
             ],
         },
     ]
@@ -321,7 +351,7 @@
                     Action::SlotReserved,
                     Action::SlotCallNoticesClose,
                 ],
-                vec![Action::ReleaseCompletes],
+                vec![Action::ReleaseSent, Action::ReleaseCompletes],
             ]
             .concat(),
         },
--- a/model-checker/src/coverage.rs
+++ b/model-checker/src/coverage.rs
@@ -65,7 +65,7 @@
     "timer",
     "arrived",
     "cut seen",
-    "cut unseen",
+    "release out",
 ];
 
 /// The row of an input: by the state of its attempt, or of the request where it concerns none.
@@ -93,8 +93,8 @@
         Input::Released => (of_request, 11),
         Input::TimerExpired(_) => (of_request, 12),
         Input::Delivered { attempt } => (of_attempt(attempt), 13),
-        Input::CloseConfirmed => (of_request, 14),
-        Input::CloseUnconfirmed => (of_request, 15),
+        Input::CloseConfirmed { attempt } => (of_attempt(attempt), 14),
+        Input::ReleaseSent => (of_request, 15),
     }
 }
 
@@ -125,9 +125,9 @@
     (5, 11),
     (5, 12),
     (1, 13),
-    (5, 14),
-    (6, 14),
+    (4, 14),
     (5, 15),
+    (6, 15),
 ];
 
 /// Marks the row that the machine of a request is about to walk.
--- a/model-checker/src/mutants.rs
+++ b/model-checker/src/mutants.rs
@@ -49,6 +49,8 @@
     CountsWrittenAsArrived => HeldIsLetGo,
     KeepsUndelivered => HeldIsLetGo,
     TakesCloseAsNoticed => HeldIsLetGo,
+    TakesReleaseAsNotice => HeldIsLetGo,
+    TakesDeadlineAsNotice => HeldIsLetGo,
 });
 
 mutants!(
--- a/model-checker/src/request/action.rs
+++ b/model-checker/src/request/action.rs
@@ -66,12 +66,9 @@
     /// A server notices that an attempt's connection is closed.
     #[serde(rename = "SeesCut")]
     NoticeClose(u8),
-    /// The server of an attempt whose connection the gateway closed does not answer.
-    #[serde(rename = "ShowsCutUnseen")]
-    MissConfirmation,
-    /// The gateway learns that the servers of all attempts whose connections it closed have noticed.
+    /// The gateway learns that the server of an attempt that was cut off works on it no more.
     #[serde(rename = "ShowsCutSeen")]
-    ConfirmClose,
+    ConfirmClose(u8),
     /// An attempt's connection does not come up.
     #[serde(rename = "Refused")]
     ConnectFails(u8),
@@ -86,6 +83,9 @@
     CancelCompletes(u8),
     /// The stream of an attempt ends.
     StreamEnds(u8, StreamEnd),
+    /// The release that waited for servers to notice a cut is sent.
+    #[serde(rename = "ReleaseGoesOut")]
+    ReleaseSent,
     /// A release reaches the servers.
     #[serde(rename = "ReleaseArrives")]
     ReleaseCompletes,
@@ -129,16 +129,9 @@
 
 impl World {
     /// Whether this happens sooner or later by itself: it is neither a fault nor an order, and nothing that may be
-    /// missing for ever. What was written to a dead connection may never arrive, and nothing need show an arrival or that
-    /// a close was noticed.
+    /// missing for ever. What was written to a dead connection may never arrive, and nothing need show an arrival.
     pub fn is_inevitable(&self, action: Action) -> bool {
-        let optional = matches!(
-            action,
-            Action::ArriveLate(_)
-                | Action::ConfirmDelivery(_)
-                | Action::MissConfirmation
-                | Action::ConfirmClose
-        );
+        let optional = matches!(action, Action::ArriveLate(_) | Action::ConfirmDelivery(_));
         !action.is_order() && !optional && !self.is_fault(action)
     }
 
--- a/model-checker/src/request/calls.rs
+++ b/model-checker/src/request/calls.rs
@@ -48,8 +48,6 @@
     pub(super) answer_begun: bool,
     /// It was written to a connection that is dead without an error.
     pub(super) on_dead_connection: bool,
-    /// The gateway has closed its connection.
-    pub(super) closed_here: bool,
 }
 
 impl Call {
@@ -62,7 +60,6 @@
             work: ServerWork::NotReceived,
             answer_begun: false,
             on_dead_connection: false,
-            closed_here: false,
         }
     }
 
@@ -71,6 +68,23 @@
         matches!(self.state, CallState::Starting | CallState::Open)
     }
 
+    /// Its connection is closed before its answer has come; its server may not have noticed.
+    pub(super) fn cut(&mut self) {
+        // What a dead connection has held back may arrive at any time, and long before the connection's end does.
+        let may_arrive = self.on_dead_connection && self.work == ServerWork::NotReceived;
+        // Else what the server did is done, whether or not its answer is read.
+        let may_run = may_arrive || self.work == ServerWork::Received;
+        self.work = if may_run { ServerWork::Abandoned } else { ServerWork::Done };
+        self.close();
+    }
+
+    /// Nothing of a closed connection matters any more.
+    pub(super) fn close(&mut self) {
+        self.state = CallState::Closed;
+        self.on_dead_connection = false;
+        self.connection = Connection::default();
+    }
+
     /// Whether its last byte has arrived at a server and its connection is open.
     pub(super) fn has_arrived(&self) -> bool {
         self.is_open() && self.work != ServerWork::NotReceived
@@ -168,7 +182,7 @@
             return self.receive_first_event(setup, attempt, log);
         }
         self.step_connection(attempt, server::Input::ResponseComplete);
-        self.call_mut(attempt).state = CallState::Closed;
+        self.call_mut(attempt).close();
         self.feed(setup, Input::Replied { attempt: attempt.into(), reply }, log);
     }
 
@@ -199,8 +213,7 @@
             call.state = CallState::Open;
             return;
         }
-        call.state = CallState::Closed;
-        call.work = if call.work == ServerWork::Received { ServerWork::Abandoned } else { ServerWork::Done };
+        call.cut();
         let reply = if effect == server::Effect::NeverRan { Reply::ConnectFailed } else { Reply::Reset };
         self.feed(setup, Input::Replied { attempt: attempt.into(), reply }, log);
     }
@@ -208,15 +221,7 @@
     /// The gateway closes its end.
     fn close(&mut self, attempt: u8) {
         self.step_connection(attempt, server::Input::Abandoned);
-        let call = self.call_mut(attempt);
-        call.state = CallState::Closed;
-        call.closed_here = true;
-        call.work = match call.work {
-            ServerWork::Received => ServerWork::Abandoned,
-            // What the server did is done, whether or not its answer is read; and what was written to a dead connection
-            // can only arrive together with the connection's end.
-            _ => ServerWork::Done,
-        };
+        self.call_mut(attempt).cut();
     }
 
     pub(super) fn attempt_times_out(&mut self, setup: &Setup, attempt: u8, log: &mut Log) {
@@ -248,7 +253,7 @@
         };
         self.step_connection(attempt, input);
         let call = self.call_mut(attempt);
-        call.state = CallState::Closed;
+        call.close();
         call.work = ServerWork::Done;
         self.feed(setup, Input::StreamEnded { attempt: attempt.into(), end }, log);
     }
--- a/model-checker/src/request/effects.rs
+++ b/model-checker/src/request/effects.rs
@@ -3,7 +3,7 @@
 use glenrail_request_lifecycle::request::{Effect, FinalResponse};
 
 use super::calls::{Call, CallState};
-use super::reservations::SlotCall;
+use super::reservations::{ReleaseCall, SlotCall};
 use super::{Setup, World};
 use crate::rules::Rule;
 
@@ -60,7 +60,8 @@
         if self.has_open_call() {
             self.violate(Rule::NoReleaseBesideAttempt);
         }
-        if self.release.replace(after_cut).is_some() {
+        let call = if after_cut { ReleaseCall::Waiting } else { ReleaseCall::Sent { after_cut } };
+        if self.release.replace(call).is_some() {
             self.violate(Rule::NoSendBesideRelease);
         }
     }
--- a/model-checker/src/request/enabled.rs
+++ b/model-checker/src/request/enabled.rs
@@ -6,7 +6,7 @@
 use glenrail_request_lifecycle::server;
 
 use super::calls::{Call, CallState, ServerWork};
-use super::reservations::SlotCall;
+use super::reservations::{ReleaseCall, SlotCall};
 use super::{Action, Setup, World};
 
 /// Ends of a stream that are faults.
@@ -84,6 +84,16 @@
         if call.is_open() {
             self.enabled_ends(attempt, call, state, actions);
         }
+        self.enabled_for_close(attempt, call, actions);
+    }
+
+    /// The server's end of a connection that was cut off proves that it has noticed, and comes only after that; so does the
+    /// end of the longest time in which it may still work.
+    fn enabled_for_close(&self, attempt: u8, call: &Call, actions: &mut Vec<Action>) {
+        let is_unnoticed = self.machine.attempts()[usize::from(attempt)].unnoticed_close;
+        if !self.is_finished && is_unnoticed && call.work != ServerWork::Abandoned {
+            actions.push(Action::ConfirmClose(attempt));
+        }
     }
 
     fn enabled_for_server_work(&self, attempt: u8, call: &Call, actions: &mut Vec<Action>) {
@@ -153,20 +163,13 @@
     }
 
     fn enabled_for_release(&self, actions: &mut Vec<Action>) {
-        if !self.is_finished && self.machine.has_unconfirmed_close() && !self.has_unnoticed_close() {
-            actions.push(Action::ConfirmClose);
-        }
-        let may_miss = !self.machine.has_unconfirmed_close() && self.has_unnoticed_cut();
-        if !self.is_finished && !self.machine.is_closed() && may_miss {
-            actions.push(Action::MissConfirmation);
-        }
-        let Some(after_cut) = self.release else { return };
-        // A release after a cut waits until servers have noticed every closed connection, as long as that takes; but not for
-        // a server that does not answer, while the request goes on.
-        let is_early = self.machine.has_unconfirmed_close() && !self.machine.is_closed();
-        let waits = if is_early { self.has_unnoticed_break() } else { self.has_unnoticed_close() };
-        if !(after_cut && waits) {
-            actions.push(Action::ReleaseCompletes);
+        let slot_call_is_unnoticed = matches!(self.slot_call, SlotCall::Abandoned { .. });
+        match self.release {
+            None => {}
+            Some(ReleaseCall::Waiting) => actions.push(Action::ReleaseSent),
+            // Nothing proves that a server has noticed that the call for a slot was cut off: it is taken to within the wait.
+            Some(ReleaseCall::Sent { after_cut: true }) if slot_call_is_unnoticed => {}
+            Some(ReleaseCall::Sent { .. }) => actions.push(Action::ReleaseCompletes),
         }
     }
 
--- a/model-checker/src/request/mod.rs
+++ b/model-checker/src/request/mod.rs
@@ -23,7 +23,7 @@
 
 pub use self::action::Action;
 use self::calls::Call;
-use self::reservations::SlotCall;
+use self::reservations::{ReleaseCall, SlotCall};
 use self::servers::Server;
 pub use self::setup::Setup;
 use crate::rules::Rule;
@@ -48,8 +48,7 @@
     /// One call for each attempt.
     calls: Vec<Call>,
     servers: Vec<Server>,
-    /// The release in progress, if any: whether it waits until servers have noticed closed connections.
-    release: Option<bool>,
+    release: Option<ReleaseCall>,
     slot_call: SlotCall,
     remaining: Remaining,
     client_disconnected: bool,
--- a/model-checker/src/request/reservations.rs
+++ b/model-checker/src/request/reservations.rs
@@ -1,8 +1,7 @@
 //! Slots and releases: the calls that reserve a slot at a server or release what servers hold.
 
-use glenrail_request_lifecycle::request::{Input, Stage};
+use glenrail_request_lifecycle::request::Input;
 
-use super::calls::{Call, ServerWork};
 use super::{Log, Setup, World};
 
 /// The call that reserves a slot.
@@ -24,6 +23,18 @@
     },
 }
 
+/// The release that has started.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(super) enum ReleaseCall {
+    /// It is not sent yet: servers may notice before that what was cut off.
+    Waiting,
+    /// It is on its way to the servers.
+    Sent {
+        /// Whether a call was cut off before it.
+        after_cut: bool,
+    },
+}
+
 impl World {
     /// A decode server that runs the request reserves no further slot for it. The protocol leaves open only whether it
     /// does so while a prefill is in flight.
@@ -31,22 +42,9 @@
         !self.calls.iter().any(|call| call.server == server && call.answer_begun)
     }
 
-    /// Whether a server has not noticed yet that the gateway closed a connection.
-    pub(super) fn has_unnoticed_close(&self) -> bool {
-        self.calls.iter().any(|call| call.work == ServerWork::Abandoned)
-            || matches!(self.slot_call, SlotCall::Abandoned { .. })
-    }
-
-    /// Whether a server has not noticed yet that the gateway cut its prefill off.
-    pub(super) fn has_unnoticed_cut(&self) -> bool {
-        let is_cut = |call: &Call| call.stage == Stage::Prefill && call.closed_here;
-        self.calls.iter().any(|call| call.work == ServerWork::Abandoned && is_cut(call))
-    }
-
-    /// Whether a server has not noticed yet that a connection broke, or that the call for a slot is closed.
-    pub(super) fn has_unnoticed_break(&self) -> bool {
-        self.calls.iter().any(|call| call.work == ServerWork::Abandoned && !call.closed_here)
-            || matches!(self.slot_call, SlotCall::Abandoned { .. })
+    pub(super) fn send_release(&mut self, setup: &Setup, log: &mut Log) {
+        self.release = Some(ReleaseCall::Sent { after_cut: true });
+        self.feed(setup, Input::ReleaseSent, log);
     }
 
     pub(super) fn release_completes(&mut self, setup: &Setup, log: &mut Log) {
--- a/model-checker/src/request/transitions.rs
+++ b/model-checker/src/request/transitions.rs
@@ -38,8 +38,9 @@
             Action::ReceiveReply(attempt) => self.receive_reply(setup, attempt, log),
             Action::ServeAbandoned(attempt) => self.serve_abandoned(attempt),
             Action::NoticeClose(attempt) => self.call_mut(attempt).work = ServerWork::Done,
-            Action::MissConfirmation => self.feed(setup, Input::CloseUnconfirmed, log),
-            Action::ConfirmClose => self.feed(setup, Input::CloseConfirmed, log),
+            Action::ConfirmClose(attempt) => {
+                self.feed(setup, Input::CloseConfirmed { attempt: attempt.into() }, log);
+            }
             Action::ConnectFails(attempt) => {
                 self.lose_connection(setup, attempt, server::Input::ConnectFailed, log);
             }
@@ -49,6 +50,7 @@
             Action::AttemptTimesOut(attempt) => self.attempt_times_out(setup, attempt, log),
             Action::CancelCompletes(attempt) => self.cancel_completes(setup, attempt, log),
             Action::StreamEnds(attempt, end) => self.stream_ends(setup, attempt, end, log),
+            Action::ReleaseSent => self.send_release(setup, log),
             Action::ReleaseCompletes => self.release_completes(setup, log),
             Action::SlotReserved => self.slot_reserved(),
             Action::SlotCallNoticesClose => self.slot_call_notices_close(),
