Fail a request instead of rejecting it while a cut prefill of it may still run

Cause, by the model checker and a core test: `may_have_run` counted what has run and what is open; a prefill stops being open when this side has dropped it, while its server may not have noticed.

Change: an attempt whose work is not known to have ended counts as one that may have run, so a rejection becomes a failure until its server has ended the connection. Where the server is well that is a round trip.

Evidence: the core's a_request_whose_cut_prefill_may_still_run_is_not_rejected fails without the change; the model checker's world checks each rejection against every attempt that a server has or may yet get, prefills too, and finds the old rule (planted fault RefusesBesideUnnoticedClose) in five steps.

--- a/crates/request-lifecycle/src/request/mod.rs
+++ b/crates/request-lifecycle/src/request/mod.rs
@@ -106,11 +106,14 @@
         self.attempts.iter().any(Attempt::may_be_at_server)
     }
 
-    /// Whether an attempt may have had the request's effect.
+    /// Whether an attempt may have had the request's effect, or may still run.
     ///
-    /// Nobody knows this of an attempt in flight, of a prefill neither, so it counts as one that may have.
+    /// Nobody knows this of an attempt in flight or of one whose server may not have noticed that it was cut off, of a
+    /// prefill neither, so they count as attempts that may have.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_executed || self.at_server()
+        let may_still_run =
+            self.has_unnoticed_close() && !self.has_fault(planted_faults::Fault::RefusesBesideUnnoticedClose);
+        self.may_have_executed || self.at_server() || may_still_run
     }
 
     /// Whether servers hold something for the request, or may.
--- a/crates/request-lifecycle/src/request/planted_faults.rs
+++ b/crates/request-lifecycle/src/request/planted_faults.rs
@@ -55,6 +55,8 @@
     TakesReleaseAsNotice,
     /// The deadline that servers were told counts as proof that they work no more, although it began at their clock.
     TakesDeadlineAsNotice,
+    /// The client is notified of a rejection although a prefill that was cut off may still run.
+    RefusesBesideUnnoticedClose,
     /// An attempt that was not delivered before the lease limit is not cancelled.
     KeepsUndelivered,
 }
--- a/gateway/src/core/tests/leases.rs
+++ b/gateway/src/core/tests/leases.rs
@@ -289,3 +289,55 @@
         assert!((MAX_NETWORK_HOLD..longest).contains(&begun.elapsed()), "{:?}", begun.elapsed());
     });
 }
+
+/// A policy that cancels a request's first prefill after 200 ms, and rejects the request once that has ended.
+struct RejectsAfterCut;
+
+impl DecisionPolicy for RejectsAfterCut {
+    fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => {
+                actions.push(send(request.id, PREFILL_SERVERS[0]));
+                actions.push(Action::Timer { at: now + 200.0, key: request.id.0, request: Some(request.id) });
+            }
+            Event::Timer { key } if key >> REJECTS_AT_BIT == 0 => {
+                actions.push(Action::Cancel { id: RequestId(key), attempt: 0 });
+            }
+            Event::Timer { key } => {
+                let id = RequestId(key & !(1 << REJECTS_AT_BIT));
+                let reason = RejectReason::NoServerAvailable;
+                actions.push(Action::Reject { id, retry_after: 5.0, reason });
+            }
+            Event::Outcome(AttemptOutcome { id, .. }) => {
+                let key = id.0 | 1 << REJECTS_AT_BIT;
+                actions.push(Action::Timer { at: now + 100.0, key, request: Some(id) });
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Marks the timer at which [`RejectsAfterCut`] rejects.
+const REJECTS_AT_BIT: u32 = 32;
+
+/// The answer to a request of this class that is rejected 100 ms after its prefill was cut off.
+fn answer_after_cut(class: u32, misses_closes: bool) -> Option<ResponsePart> {
+    paused(async move {
+        let servers = ScriptedServers::new(|_, _| (0, ScriptedReply::NoReply));
+        servers.misses_closes.set(misses_closes);
+        let core = core_with_policy(&servers, RejectsAfterCut);
+        response_parts(core.submit(request(class, 10_000.0))).await.pop().flatten()
+    })
+}
+
+/// Guards what a rejection says: a request that must not be repeated is not rejected while a prefill that was cut off may
+/// still run at its server.
+#[test]
+fn a_request_whose_cut_prefill_may_still_run_is_not_rejected() {
+    let failed = answer_after_cut(1, true);
+    assert!(matches!(failed, Some(ResponsePart::Failed(Failure::Upstream))), "{failed:?}");
+    let rejected = answer_after_cut(1, false);
+    assert!(matches!(rejected, Some(ResponsePart::Rejected(_))), "its server has noticed: {rejected:?}");
+    let rejected = answer_after_cut(0, true);
+    assert!(matches!(rejected, Some(ResponsePart::Rejected(_))), "it may be repeated: {rejected:?}");
+}
--- a/model-checker/src/corners/request.rs
+++ b/model-checker/src/corners/request.rs
@@ -243,6 +243,17 @@
                 vec![Action::ReleaseCompletes],
             ],
         ),
+        corner(
+            "refusal-beside-a-cut-read",
+            "A refusal is ordered while a read that was cut off may still run: the answer is a failure",
+            vec![
+                vec![Action::Send(PREFILL), Action::Connect(0), Action::Connected(0)],
+                vec![Action::WriteToDeadConnection(0), Action::Cancel(0), Action::CancelCompletes(0)],
+                vec![Action::Reject, Action::ReleaseSent, Action::ReleaseCompletes],
+                vec![Action::ServeAbandoned(0), Action::TimerExpires(Timer::LeaseLimit)],
+                vec![Action::ReleaseCompletes, Action::ConfirmClose(0), Action::ReleaseCompletes],
+            ],
+        ),
     ]
 }
 
--- a/model-checker/src/mutants.rs
+++ b/model-checker/src/mutants.rs
@@ -51,6 +51,7 @@
     TakesCloseAsNoticed => HeldIsLetGo,
     TakesReleaseAsNotice => HeldIsLetGo,
     TakesDeadlineAsNotice => HeldIsLetGo,
+    RefusesBesideUnnoticedClose => RefusalIsTrue,
 });
 
 mutants!(
--- a/model-checker/src/request/effects.rs
+++ b/model-checker/src/request/effects.rs
@@ -1,8 +1,8 @@
 //! Carries out what the request's machine asks for, as the gateway's driver does, and checks each effect.
 
-use glenrail_request_lifecycle::request::{Effect, FinalResponse};
+use glenrail_request_lifecycle::request::{Effect, FinalResponse, RetrySafety};
 
-use super::calls::{Call, CallState};
+use super::calls::{Call, CallState, ServerWork};
 use super::reservations::{ReleaseCall, SlotCall};
 use super::{Setup, World};
 use crate::rules::Rule;
@@ -75,11 +75,20 @@
     fn respond(&mut self, response: FinalResponse) {
         self.final_responses += 1;
         self.was_rejected |= response == FinalResponse::Rejected;
+        let is_at_most_once = self.machine.policy().retry_safety == RetrySafety::AtMostOnce;
+        if response == FinalResponse::Rejected && is_at_most_once && self.may_still_run() {
+            self.violate(Rule::RefusalIsTrue);
+        }
         if self.final_responses > 1 || self.streams > 0 || self.client_disconnected {
             self.violate(Rule::OneFinalAnswer);
         }
     }
 
+    /// Whether a server works on an attempt, a prefill too, or may still.
+    fn may_still_run(&self) -> bool {
+        self.calls.iter().any(|call| matches!(call.work, ServerWork::Received | ServerWork::Abandoned))
+    }
+
     fn forward_stream(&mut self) {
         self.streams += 1;
         if self.streams > 1 || self.final_responses > 0 || self.client_disconnected {
