Write a request's log line before its cuts are noticed

Whoever reads the access log got the line of a request whose prefill was cut off up to 30 s later, or never if the process was killed, since the machine now finishes only once servers have noticed. Change: the line is written when nothing is in flight any more.

--- a/crates/request-lifecycle/src/request/mod.rs
+++ b/crates/request-lifecycle/src/request/mod.rs
@@ -126,6 +126,13 @@
         self.attempts.iter().any(|attempt| attempt.unnoticed_close)
     }
 
+    /// Whether nothing is in flight for a request that its client has the answer of; only servers that may still work on what
+    /// was cut off have not been heard of.
+    pub fn only_awaits_close_notices(&self) -> bool {
+        let is_at_rest = !self.in_flight() && self.release == Release::None;
+        self.is_closed() && is_at_rest && self.has_unnoticed_close()
+    }
+
     /// Whether nothing of the request is left; it takes no further input.
     pub fn is_finished(&self) -> bool {
         self.is_finished
--- a/gateway/src/core/admission.rs
+++ b/gateway/src/core/admission.rs
@@ -100,6 +100,7 @@
             idempotency_window,
             is_idempotent: idempotency == Idempotency::Idempotent,
             timers: Vec::new(),
+            is_recorded: false,
         };
         self.requests.insert(routing.id.0, state);
     }
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -195,8 +195,9 @@
         let name = &request.payload.request_id;
         inner.last_finished = inner.ids_by_name.remove_entry(name).map(|(name, _)| name);
         invariants::check_end(&request.machine, name);
-        let record = request.record.finish(&request.machine, inner.clock.now());
-        log!("{}{record}", glenrail_access_log::LINE_PREFIX);
+        if !request.is_recorded {
+            request.write_record(inner.clock.now());
+        }
     }
 }
 
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -123,6 +123,8 @@
     pub request_ids: usize,
     /// Timers that are armed, the router's own included.
     pub timers: usize,
+    /// Requests whose line in the access log is not written yet.
+    pub unrecorded: usize,
 }
 
 /// The driver of one router and of the requests that it decides on. A clone is the same core.
@@ -239,6 +241,7 @@
             requests: inner.requests.len(),
             request_ids: inner.ids_by_name.len(),
             timers: inner.timers.len(),
+            unrecorded: inner.requests.values().filter(|request| !request.is_recorded).count(),
         }
     }
 }
--- a/gateway/src/core/request_record.rs
+++ b/gateway/src/core/request_record.rs
@@ -1,5 +1,5 @@
 //! The line of the access log for one request: every attempt, its outcome and what its server reported, so that a request
-//! can be followed through every gateway that it met. It is written when the request has finished.
+//! can be followed through every gateway that it met. It is written when nothing of the request is in flight any more.
 
 use glenrail_access_log::{AttemptRecord, Release, RequestOutcome, RequestRecord, Stage as RecordStage};
 use glenrail_request_lifecycle::request::{
@@ -8,6 +8,7 @@
 use glenrail_router::{AttemptOutcome, Idempotency, Millis, RejectReason, Request, Settings};
 
 /// Collects the record of one request while that is open. All times are of the core's clock.
+#[derive(Clone)]
 pub(super) struct RecordBuilder {
     record: RequestRecord,
     arrived: Millis,
--- a/gateway/src/core/request_state.rs
+++ b/gateway/src/core/request_state.rs
@@ -15,6 +15,7 @@
 use super::timers::TimerPurpose;
 use super::timing::{DELIVERY_CHECK_SHARE, LATEST_DELIVERY_CHECK_SHARE, LATEST_WRITE_SHARE};
 use crate::exchange::{CancelToken, Payload, ResponsePart};
+use crate::log;
 
 /// The call of one attempt, from the router's order on; attempts that the machine never starts have one too.
 pub(super) struct AttemptCall {
@@ -76,6 +77,8 @@
     /// The armed timers that belong to the request.
     pub timers: Vec<(TimerPurpose, Key)>,
     pub record: RecordBuilder,
+    /// Whether its line in the access log is written.
+    pub is_recorded: bool,
 }
 
 impl RequestState {
@@ -84,6 +87,12 @@
         self.is_idempotent || !self.machine.may_have_run()
     }
 
+    /// Writes the request's line to the access log.
+    pub fn write_record(&self, now: Millis) {
+        let record = self.record.clone().finish(&self.machine, now);
+        log!("{}{record}", glenrail_access_log::LINE_PREFIX);
+    }
+
     /// Forgets what only a further attempt would send.
     pub fn forget_content(&mut self) {
         let request_id = self.payload.request_id.clone();
--- a/gateway/src/core/routing.rs
+++ b/gateway/src/core/routing.rs
@@ -160,5 +160,10 @@
             // Releases need no more than its id; the rest may be large, and a cut may go unnoticed for long.
             request.forget_content();
         }
+        // What servers have not noticed may take long, and adds nothing to the line.
+        if !request.is_recorded && request.machine.only_awaits_close_notices() {
+            request.is_recorded = true;
+            request.write_record(now);
+        }
     }
 }
--- a/gateway/src/core/tests/records.rs
+++ b/gateway/src/core/tests/records.rs
@@ -35,3 +35,19 @@
     assert_eq!((record.class, record.at_most_once, record.tenant), (0, true, 2));
     assert_eq!((record.attempts[0].location, record.attempts[0].slow_start), (location, true));
 }
+
+/// Guards whoever reads the log: a line does not wait for a server that never shows that it has noticed a cut.
+#[test]
+fn a_request_is_recorded_before_its_cuts_are_noticed() {
+    paused(async {
+        let servers = ScriptedServers::new(|_, _| (0, ScriptedReply::NoReply));
+        servers.misses_closes.set(true);
+        let core = core(&servers);
+        let client = core.submit(request(0, 2_000.0));
+        wait_for_call(&servers, CallKind::Attempt).await;
+        drop(client);
+        wait_for_call(&servers, CallKind::ReleaseAccepted).await;
+        sleep(Duration::from_millis(1)).await;
+        assert_eq!((core.occupancy().requests, core.occupancy().unrecorded), (1, 0));
+    });
+}
--- a/gateway/tests/memory.rs
+++ b/gateway/tests/memory.rs
@@ -39,7 +39,7 @@
                 sleep(Duration::from_millis(1)).await;
             }
             // The router's own tick is all that is armed.
-            assert_eq!(core.occupancy(), Occupancy { requests: 0, request_ids: 0, timers: 1 });
+            assert_eq!(core.occupancy(), Occupancy { requests: 0, request_ids: 0, timers: 1, unrecorded: 0 });
             after.push(HEAP.allocated());
         }
         let grown = after[1].saturating_sub(after[0]);
