Continue paused gateways on time in the soak, and record when

Cause, by the pause's own two times, recorded now: gateway n1 stood still from 1923.161 to 1923.605 s, 443 ms where 150 ms were drawn. The rig's SIGCONT waited for the lock that another fault's begin held. The platform bounds a hold-up by 150 ms, so the rig was wrong.

Change: the end of a pause waits for nobody. The check stays as it is. A break's report has what the gateways' logs say in the half second before it.

--- a/fault-tests/src/deployment.rs
+++ b/fault-tests/src/deployment.rs
@@ -6,21 +6,23 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::Stdio;
-use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use rustix::process::{kill_process, Pid, Signal};
 use serde_json::{json, Value};
-use socket2::{Domain, Socket, Type};
+use socket2::Socket;
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, BufReader};
-use tokio::process::{Child, Command};
+use tokio::process::Command;
 use tokio::time::timeout;
 
 use crate::client::{self, ClientRequest};
+use crate::clock::Micros;
+pub use crate::deployment_spec::{DeploymentSpec, EngineSpec};
 use crate::discovery::DiscoveryAgent;
 use crate::engine::Role;
+use crate::gateway_log::GatewayLog;
 use crate::network::Link;
+use crate::process::{reserved_address, Process};
 use crate::record::{Event, Record, Records};
 
 /// A process that is not up by then is a fault of the trial's own.
@@ -29,10 +31,6 @@
 const READY_WITHIN: Duration = Duration::from_secs(30);
 /// The name of a gateway's configuration file.
 const CONFIG: &str = "config.json";
-/// A gateway's usual limit of descriptors.
-const SOCKETS: usize = 1_024;
-/// Lines of a gateway's log that are kept.
-const LOG_LINES: usize = 20_000;
 
 /// Why a deployment does not start.
 #[derive(Debug, thiserror::Error)]
@@ -43,97 +41,6 @@
     NotReady(String),
 }
 
-/// One engine of a deployment.
-#[derive(Clone, Debug)]
-pub struct EngineSpec {
-    pub name: String,
-    pub role: Role,
-    /// The least and the most time (ms) that a read, or a writer's first token, takes.
-    pub service_time_ms: (u64, u64),
-}
-
-/// What a deployment has.
-#[derive(Clone, Debug)]
-pub struct DeploymentSpec {
-    pub gateways: usize,
-    pub engines: Vec<EngineSpec>,
-    pub lease_limit: Duration,
-    pub deadline: Duration,
-    /// Whether engines may be probed.
-    pub probes: bool,
-    /// Each gateway's limit of descriptors.
-    pub sockets: usize,
-}
-
-impl DeploymentSpec {
-    /// So many of each, with the incident's settings: 500 ms for what is held, deadlines of 9 s.
-    pub fn new(gateways: usize, readers: usize, writers: usize) -> DeploymentSpec {
-        let of = |prefix: &'static str, role, count| {
-            (0..count).map(move |n| EngineSpec {
-                name: format!("{prefix}{n}"),
-                role,
-                service_time_ms: (20, 60),
-            })
-        };
-        let engines = of("r", Role::Prefill, readers).chain(of("w", Role::Decode, writers)).collect();
-        let (pin_limit, deadline) = (Duration::from_millis(500), Duration::from_secs(9));
-        DeploymentSpec { gateways, engines, lease_limit: pin_limit, deadline, probes: true, sockets: SOCKETS }
-    }
-
-    /// With writers whose first token takes this long (ms).
-    pub fn with_decode_time(mut self, least: u64, most: u64) -> DeploymentSpec {
-        let writers = self.engines.iter_mut().filter(|e| e.role == Role::Decode);
-        writers.for_each(|engine| engine.service_time_ms = (least, most));
-        self
-    }
-
-    fn settings(&self) -> Value {
-        let deadline = self.deadline.as_secs_f64() * 1000.0;
-        let class = |name: &str, semantics: &str| json!({"name": name, "aim": 2500.0, "deadline": deadline, "semantics": semantics, "worth": 2.0});
-        json!({"balancers": self.gateways, "quantum": 4.0, "zones": ["dc"], "discovery": "push",
-            "kinds": ["prompt-side", "answer-side"],
-            "services": [class("item-query", "free"), class("order-chat", "single_shot")],
-            "domain": {"stage-of-kind": ["read", "write"], "tokens-by-kind": [200_000, 200_000],
-                "pin-limit": self.lease_limit.as_secs_f64() * 1000.0},
-            "policy-limits": {"max-attempts": 5, "cancel": true, "dial-timeout": 250.0, "probes": self.probes,
-                "conn-idle": 20_000.0},
-            "rules": {"cold": 13_000.0, "cold-from": 0.31, "fall": 3_000.0, "fall-multiple": 4.0,
-                "drain-grace": 2_000.0},
-            "telemetry": {"names": ["outstanding", "x0"]}})
-    }
-}
-
-/// A process of a deployment.
-#[derive(Debug)]
-pub struct Process {
-    child: Child,
-    pid: Pid,
-}
-
-impl Process {
-    fn start(command: &mut Command, what: &str) -> Result<Process, DeploymentError> {
-        let started = command.kill_on_drop(true).spawn();
-        let child = started.map_err(|why| DeploymentError::Start { what: what.to_string(), why })?;
-        let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
-        Ok(Process { child, pid: pid.ok_or_else(|| DeploymentError::NotReady(what.to_string()))? })
-    }
-
-    /// Signals the process, if it still runs.
-    pub fn signal(&self, signal: Signal) {
-        let _ = kill_process(self.pid, signal);
-    }
-
-    /// Kills the process and waits until it is gone, and its listener with it.
-    pub async fn kill(&mut self) -> io::Result<()> {
-        self.child.kill().await
-    }
-
-    /// Whether it has ended.
-    pub fn has_ended(&mut self) -> bool {
-        !matches!(self.child.try_wait(), Ok(None))
-    }
-}
-
 /// A running engine.
 #[derive(Debug)]
 pub struct EngineProcess {
@@ -154,7 +61,7 @@
     pub agent: DiscoveryAgent,
     folder: PathBuf,
     config: Value,
-    log: Arc<Mutex<Vec<String>>>,
+    pub log: GatewayLog,
 }
 
 /// What a gateway's configuration file holds.
@@ -164,14 +71,6 @@
     Faulty,
 }
 
-impl GatewayProcess {
-    /// Lines of its log that hold these words.
-    pub fn log_lines(&self, words: &str) -> Vec<String> {
-        let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
-        log.iter().filter(|line| line.contains(words)).cloned().collect()
-    }
-}
-
 /// A deployment that runs; its processes end with it.
 pub struct Deployment {
     pub spec: DeploymentSpec,
@@ -314,9 +213,9 @@
         let config = json!({"name": name, "listen": address, "discovery": agent.address.to_string(),
             "seed": format!("{:x}", 0x8c1f_30d2_u64 + index as u64), "known": list,
             "limits": {"memory_mb": 192, "sockets": self.spec.sockets}, "settings": self.spec.settings()});
-        let log = Arc::new(Mutex::new(Vec::new()));
+        let log = GatewayLog::default();
         write_config(&folder, &config.to_string()).map_err(start)?;
-        let process = self.run_gateway(&name, &folder, log.clone())?;
+        let process = self.run_gateway(&name, &folder, &log)?;
         self.gateways.push(GatewayProcess {
             name: name.clone(),
             address,
@@ -330,9 +229,7 @@
     }
 
     /// Starts a gateway's process, whose log goes on here.
-    fn run_gateway(
-        &self, name: &str, folder: &Path, log: Arc<Mutex<Vec<String>>>,
-    ) -> Result<Process, DeploymentError> {
+    fn run_gateway(&self, name: &str, folder: &Path, log: &GatewayLog) -> Result<Process, DeploymentError> {
         let mut command = Command::new(&self.gateway);
         command
             .env_clear()
@@ -340,16 +237,8 @@
             .env("TMPDIR", folder)
             .stderr(Stdio::piped());
         let mut process = Process::start(&mut command, name)?;
-        if let Some(said) = process.child.stderr.take() {
-            tokio::spawn(async move {
-                let mut lines = BufReader::new(said).lines();
-                while let Ok(Some(line)) = lines.next_line().await {
-                    let mut log = log.lock().unwrap_or_else(PoisonError::into_inner);
-                    if log.len() < LOG_LINES {
-                        log.push(line);
-                    }
-                }
-            });
+        if let Some(output) = process.child.stderr.take() {
+            log.follow(output);
         }
         Ok(process)
     }
@@ -380,7 +269,7 @@
     pub fn start_gateway_again(&mut self, gateway: usize) -> Result<(), DeploymentError> {
         self.write_config(gateway, ConfigFile::Good)?;
         let GatewayProcess { name, folder, log, .. } = &self.gateways[gateway];
-        let process = self.run_gateway(name, folder, log.clone())?;
+        let process = self.run_gateway(name, folder, log)?;
         self.gateways[gateway].process = process;
         Ok(())
     }
@@ -423,29 +312,25 @@
         client::send_request(&gateway.name, gateway.address, ask, &self.records).await
     }
 
+    /// What the gateways' logs say between two moments.
+    pub fn log_between(&self, from: Micros, until: Micros) -> Vec<String> {
+        let of = |gateway: &GatewayProcess| {
+            let lines = gateway.log.between(from, until).into_iter();
+            lines.map(|line| format!("{}: {line}", gateway.name)).collect::<Vec<_>>()
+        };
+        self.gateways.iter().flat_map(of).collect()
+    }
+
     /// What the gateways' logs say of a request, or of anything with these words.
     pub fn log_lines(&self, words: &str) -> Vec<String> {
         let of = |gateway: &GatewayProcess| {
-            gateway
-                .log_lines(words)
-                .into_iter()
-                .map(|line| format!("{}: {line}", gateway.name))
-                .collect::<Vec<_>>()
+            let lines = gateway.log.with(words).into_iter();
+            lines.map(|line| format!("{}: {line}", gateway.name)).collect::<Vec<_>>()
         };
         self.gateways.iter().flat_map(of).collect()
     }
 }
 
-/// Reserves an address for a process to listen at, also after a restart, for as long as the socket is kept: it is bound and
-/// does not listen, so the machine gives its port to no connection and to no listener that asks for any port.
-fn reserved_address() -> io::Result<(Socket, SocketAddr)> {
-    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-    socket.set_reuse_address(true)?;
-    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
-    let address = socket.local_addr()?.as_socket();
-    Ok((socket, address.ok_or(io::ErrorKind::AddrNotAvailable)?))
-}
-
 async fn until(what: &str, mut up: impl FnMut() -> bool) -> Result<(), DeploymentError> {
     let waits = async {
         while !up() {
--- /dev/null
+++ b/fault-tests/src/deployment_spec.rs
@@ -0,0 +1,71 @@
+//! What a deployment consists of, and the settings that its gateways get.
+
+use std::time::Duration;
+
+use serde_json::{json, Value};
+
+use crate::engine::Role;
+
+/// A gateway's usual limit of descriptors.
+const SOCKETS: usize = 1_024;
+
+/// One engine of a deployment.
+#[derive(Clone, Debug)]
+pub struct EngineSpec {
+    pub name: String,
+    pub role: Role,
+    /// The least and the most time (ms) that a read, or a writer's first token, takes.
+    pub service_time_ms: (u64, u64),
+}
+
+/// What a deployment has.
+#[derive(Clone, Debug)]
+pub struct DeploymentSpec {
+    pub gateways: usize,
+    pub engines: Vec<EngineSpec>,
+    pub lease_limit: Duration,
+    pub deadline: Duration,
+    /// Whether engines may be probed.
+    pub probes: bool,
+    /// Each gateway's limit of descriptors.
+    pub sockets: usize,
+}
+
+impl DeploymentSpec {
+    /// So many of each, with the incident's settings: 500 ms for what is held, deadlines of 9 s.
+    pub fn new(gateways: usize, readers: usize, writers: usize) -> DeploymentSpec {
+        let of = |prefix: &'static str, role, count| {
+            (0..count).map(move |n| EngineSpec {
+                name: format!("{prefix}{n}"),
+                role,
+                service_time_ms: (20, 60),
+            })
+        };
+        let engines = of("r", Role::Prefill, readers).chain(of("w", Role::Decode, writers)).collect();
+        let (pin_limit, deadline) = (Duration::from_millis(500), Duration::from_secs(9));
+        DeploymentSpec { gateways, engines, lease_limit: pin_limit, deadline, probes: true, sockets: SOCKETS }
+    }
+
+    /// With writers whose first token takes this long (ms).
+    pub fn with_decode_time(mut self, least: u64, most: u64) -> DeploymentSpec {
+        let writers = self.engines.iter_mut().filter(|e| e.role == Role::Decode);
+        writers.for_each(|engine| engine.service_time_ms = (least, most));
+        self
+    }
+
+    /// The settings of its gateways.
+    pub fn settings(&self) -> Value {
+        let deadline = self.deadline.as_secs_f64() * 1000.0;
+        let class = |name: &str, semantics: &str| json!({"name": name, "aim": 2500.0, "deadline": deadline, "semantics": semantics, "worth": 2.0});
+        json!({"balancers": self.gateways, "quantum": 4.0, "zones": ["dc"], "discovery": "push",
+            "kinds": ["prompt-side", "answer-side"],
+            "services": [class("item-query", "free"), class("order-chat", "single_shot")],
+            "domain": {"stage-of-kind": ["read", "write"], "tokens-by-kind": [200_000, 200_000],
+                "pin-limit": self.lease_limit.as_secs_f64() * 1000.0},
+            "policy-limits": {"max-attempts": 5, "cancel": true, "dial-timeout": 250.0, "probes": self.probes,
+                "conn-idle": 20_000.0},
+            "rules": {"cold": 13_000.0, "cold-from": 0.31, "fall": 3_000.0, "fall-multiple": 4.0,
+                "drain-grace": 2_000.0},
+            "telemetry": {"names": ["outstanding", "x0"]}})
+    }
+}
--- a/fault-tests/src/faults.rs
+++ b/fault-tests/src/faults.rs
@@ -6,10 +6,12 @@
 use rand::seq::IndexedRandom;
 use rand::Rng;
 use rustix::process::Signal;
+use tokio::time::sleep;
 
-use crate::deployment::{Deployment, DeploymentError};
+use crate::deployment::{Deployment, DeploymentError, GatewayProcess};
 use crate::engine::Role;
 use crate::network::{Condition, Link};
+use crate::record::{Event, Records};
 
 /// The platform allows a gateway to be held up for so long.
 const HELD_UP: Duration = Duration::from_millis(150);
@@ -95,7 +97,9 @@
                 deployment.engines[*engine].draining = true;
                 deployment.publish();
             }
-            Fault::GatewayPaused { gateway } => deployment.gateways[*gateway].process.signal(Signal::STOP),
+            Fault::GatewayPaused { gateway } => {
+                pause(&deployment.gateways[*gateway], self.duration, &deployment.records);
+            }
         }
         Ok(())
     }
@@ -113,18 +117,32 @@
             Fault::BlackholedLink { gateway, engine } => {
                 deployment.links[&(*gateway, *engine)].set(Condition::Open);
             }
-            Fault::StalledConnections { .. } | Fault::Reset { .. } | Fault::Restarted { .. } => {}
+            Fault::StalledConnections { .. }
+            | Fault::Reset { .. }
+            | Fault::Restarted { .. }
+            | Fault::GatewayPaused { .. } => {}
             Fault::Delayed { engine, .. } => each(deployment, *engine, |link| link.delay(Duration::ZERO)),
             Fault::EnginePaused { engine } => deployment.engines[*engine].process.signal(Signal::CONT),
             Fault::Drained { engine } => {
                 deployment.engines[*engine].draining = false;
                 deployment.publish();
             }
-            Fault::GatewayPaused { gateway } => deployment.gateways[*gateway].process.signal(Signal::CONT),
         }
     }
 }
 
+/// Has a gateway's process stand still for so long. Its end waits for nobody: the platform bounds how long a gateway is held up.
+fn pause(gateway: &GatewayProcess, duration: Duration, records: &Records) {
+    let (name, process, records) = (gateway.name.clone(), gateway.process.signal_target(), records.clone());
+    process.signal(Signal::STOP);
+    records.add(&name, Event::GatewayPaused);
+    tokio::spawn(async move {
+        sleep(duration).await;
+        process.signal(Signal::CONT);
+        records.add(&name, Event::GatewayContinued);
+    });
+}
+
 fn each(deployment: &Deployment, engine: usize, what: impl Fn(&Link)) {
     deployment.links_to(engine).for_each(what);
 }
--- a/fault-tests/src/record.rs
+++ b/fault-tests/src/record.rs
@@ -65,6 +65,10 @@
     Pipelined { request: String },
     /// A gateway was told to end (SIGTERM or SIGINT).
     GatewayTerminated,
+    /// A gateway's process was stopped.
+    GatewayPaused,
+    /// It was continued.
+    GatewayContinued,
     /// A gateway's process has ended, by itself or killed.
     GatewayEnded { killed: bool },
 }
@@ -89,7 +93,10 @@
             | Event::Unanswered { request }
             | Event::NotTaken { request }
             | Event::Pipelined { request } => request,
-            Event::GatewayTerminated | Event::GatewayEnded { .. } => "",
+            Event::GatewayTerminated
+            | Event::GatewayPaused
+            | Event::GatewayContinued
+            | Event::GatewayEnded { .. } => "",
         }
     }
 }
--- a/fault-tests/src/soak.rs
+++ b/fault-tests/src/soak.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, Instant};
 
 use crate::client::{self, ClientRequest};
+use crate::clock::Micros;
 use crate::deployment::{Deployment, DeploymentError, DeploymentSpec};
 use crate::faults::ScheduledFault;
 use crate::front::Front;
@@ -32,6 +33,9 @@
 /// A client that leaves does so within so many milliseconds.
 const LEAVES_WITHIN: u64 = 600;
 
+/// What the gateways' logs say in this time before the first violation is reported.
+const LOG_BEFORE: Duration = Duration::from_millis(500);
+
 /// Nine in ten restarted gateways are ready within this time.
 const READY_IN_TIME: Duration = Duration::from_secs(10);
 const READY_SHARE: usize = 10;
@@ -173,7 +177,9 @@
         let concerns = |request: &str| request == violation.request || request.is_empty();
         let of_request = all.iter().filter(|record| concerns(record.event.request()));
         let seen = of_request.map(|record| serde_json::to_string(record).unwrap_or_default());
-        seen.chain(deployment.log_lines(&violation.request)).collect()
+        let from = violation.at.saturating_sub(LOG_BEFORE.as_micros() as Micros);
+        let around = deployment.log_between(from, violation.at);
+        seen.chain(deployment.log_lines(&violation.request)).chain(around).collect()
     });
     let told = deployment.log_lines("invariant broken");
     Ok(Report {
