Have connections answer from a process's first request on where probes are off

Every restart opens that window again, for each process.

Cause: where probes are off the release of a finished request stood for the probe, and before any had finished a new connection counted as one that delivers. A link that accepts connections and passes nothing on is met by the first write.

Change: the release of an id that the process has made itself, and gives to no request, stands for the probe from the first moment. The check by a new connection is gone, and with it the name of the last finished request.

--- a/fault-tests/tests/unresponsive_decode_servers.rs
+++ b/fault-tests/tests/unresponsive_decode_servers.rs
@@ -174,6 +174,20 @@
     });
 }
 
+/// Guards the first requests of a process where no engine may be probed: its links to the decode servers come up and pass nothing.
+#[test]
+fn first_requests_leave_no_state_at_blackholed_links_where_probes_are_off() {
+    block_on(async {
+        let mut spec = DeploymentSpec::new(1, 1, 2);
+        spec.probes = false;
+        let deployment = Deployment::start(spec, program(), &gateway()).await.expect("it starts");
+        for server in DECODE_SERVERS {
+            deployment.links_to(server).for_each(|link| link.set(Condition::Blackholed));
+        }
+        assert_eq!(violations_of_one_request_a_class(&deployment).await, [""; 0]);
+    });
+}
+
 /// Guards slow writers from the sign that stands for the probe: what takes 1.5 s to its first token is read once and written
 /// once.
 #[test]
--- a/gateway/src/core/delivery.rs
+++ b/gateway/src/core/delivery.rs
@@ -13,9 +13,9 @@
 use tower::ServiceExt;
 
 use super::timing::{DELIVERY_CHECK_RETRY_DELAY, DELIVERY_CHECK_SHARE};
-use super::{Core, DecisionPolicy, Inner, Upstream};
+use super::{Core, DecisionPolicy, Upstream};
 use crate::exchange::CancelToken;
-use crate::upstream::{Call, ConnectionCheck};
+use crate::upstream::Call;
 
 impl<U: Upstream, R: DecisionPolicy> Core<U, R> {
     /// Checks the delivery of an attempt for as long as a lease waits for it; never ends.
@@ -46,8 +46,7 @@
 
     /// Asks whether a server responds now, on another connection than the attempt's.
     async fn ask_elsewhere(&self, server: ServerId) -> Option<Observation> {
-        let finished_request = self.inner.borrow().finished_request();
-        let call = Call::VerifyReachable { server, finished_request };
+        let call = Call::VerifyReachable { server };
         self.upstream.clone().oneshot(call).await.ok().map(|_| Observation::AnswerElsewhere)
     }
 
@@ -74,18 +73,3 @@
         Some(request.delivery_check_at(written, inner.lease_limit))
     }
 }
-
-impl<R> Inner<R> {
-    /// The name of a request that has finished, and that no open request has again.
-    fn finished_request(&self) -> Option<String> {
-        self.last_finished.as_ref().filter(|name| !self.ids_by_name.contains_key(*name)).cloned()
-    }
-
-    /// What must show that a connection delivers before an attempt that a lease waits for is written to it.
-    pub(super) fn connection_check(&self) -> ConnectionCheck {
-        if self.settings.limits.probes {
-            return ConnectionCheck::Probe;
-        }
-        self.finished_request().map_or(ConnectionCheck::NewConnection, ConnectionCheck::ReleaseOf)
-    }
-}
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -51,7 +51,7 @@
         let connect_timeout =
             write_deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
         let connection_check =
-            if lease_deadline.is_some() { inner.connection_check() } else { ConnectionCheck::None };
+            if lease_deadline.is_some() { ConnectionCheck::Answer } else { ConnectionCheck::None };
         let Some(request) = inner.requests.get_mut(&id) else { return };
         let deadline = request.calls[attempt].deadline;
         let cancel_token =
@@ -193,7 +193,7 @@
             inner.timers.disarm(key);
         }
         let name = &request.payload.request_id;
-        inner.last_finished = inner.ids_by_name.remove_entry(name).map(|(name, _)| name);
+        inner.ids_by_name.remove(name);
         invariants::check_end(&request.machine, name);
         if !request.is_recorded {
             request.write_record(inner.clock.now());
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -98,8 +98,6 @@
     requests: HashMap<u64, RequestState>,
     /// The requests that have not finished, by the ids that servers know them by.
     ids_by_name: HashMap<String, u64>,
-    /// The name of the request that finished last.
-    last_finished: Option<String>,
     last_id: u64,
     timers: Timers,
     /// Waits for the timers.
@@ -182,7 +180,6 @@
             is_processing: false,
             requests: HashMap::new(),
             ids_by_name: HashMap::new(),
-            last_finished: None,
             last_id: 0,
             timers: Timers::default(),
             timer_task: None,
--- a/gateway/src/engine/liveness.rs
+++ b/gateway/src/engine/liveness.rs
@@ -2,7 +2,7 @@
 //!
 //! An open connection may fall silent with no error, and bytes that were handed to the kernel may never be delivered. Before
 //! an attempt that a lease waits for is written to a connection, the connection answers a probe; after that, the server
-//! answers one. Where servers may not be probed, the release of a request that has finished stands for the probe.
+//! answers one. Where servers may not be probed, the release of an id that is no request's stands for the probe.
 
 use std::time::Duration;
 
@@ -60,13 +60,10 @@
     pub(super) async fn verify_connection(
         &self, server: ServerId, connection: &mut Connection, request: &ServerRequest,
     ) -> Result<(), Unverified> {
-        let check = match &request.connection_check {
-            ConnectionCheck::None | ConnectionCheck::NewConnection => return Ok(()),
-            ConnectionCheck::Probe => load_request(),
-            ConnectionCheck::ReleaseOf(finished) => lease_request(Method::DELETE, finished),
-        };
-        let check = check.map_err(|_| Unverified::Withheld)?;
-        self.0.counts.borrow_mut().probes += u64::from(request.connection_check == ConnectionCheck::Probe);
+        if request.connection_check == ConnectionCheck::None {
+            return Ok(());
+        }
+        let (_, check) = self.check_call().map_err(|_| Unverified::Withheld)?;
         let wait = time_for(ANSWER_TIMEOUT, request.connect_deadline);
         let answer = self.answered_on(server, connection, check);
         tokio::pin!(answer);
@@ -117,30 +114,23 @@
         is_free.then_some(()).ok_or(Unverified::Broken)
     }
 
-    /// Verifies that a server responds after this call: to a probe, to the release of a finished request where it may not be
-    /// probed, or to a new connection where there is neither.
-    pub(super) async fn verify_reachable(
-        &self, server: ServerId, finished_request: Option<&str>,
-    ) -> Result<Reply, CallError> {
-        let request = match (self.0.limits.probes, finished_request) {
-            (true, _) => Some(ServerRequest::new(RequestKind::Probe, load_request()?)),
-            (false, Some(name)) => {
-                let request = lease_request(Method::DELETE, name)?;
-                Some(ServerRequest::new(RequestKind::Release, request))
-            }
-            (false, None) => None,
-        };
-        let verified = async {
-            if let Some(request) = &request {
-                self.0.counts.borrow_mut().probes += u64::from(request.kind == RequestKind::Probe);
-                return self.short_call(server, request).await.map(drop);
-            }
-            let connection = self.open_counted(server, RequestKind::Probe, None).await?;
-            self.add_idle(server, connection);
-            Ok(())
-        };
+    /// A call that changes nothing and is answered: a probe, or where servers may not be probed the release of an id that is
+    /// no request's.
+    fn check_call(&self) -> Result<(RequestKind, Request<Bytes>), CallError> {
+        if self.0.limits.probes {
+            self.0.counts.borrow_mut().probes += 1;
+            return Ok((RequestKind::Probe, load_request()?));
+        }
+        Ok((RequestKind::Release, lease_request(Method::DELETE, &self.0.unused_request_id)?))
+    }
+
+    /// Verifies that a server responds after this call.
+    pub(super) async fn verify_reachable(&self, server: ServerId) -> Result<Reply, CallError> {
+        let (kind, call) = self.check_call()?;
+        let request = ServerRequest::new(kind, call);
+        let verified = self.short_call(server, &request);
         match timeout(ANSWER_TIMEOUT, verified).await {
-            Ok(verified) => verified.map(|()| Reply::Done),
+            Ok(verified) => verified.map(|_| Reply::Done),
             Err(_) => {
                 self.record(server, Reachability::query_lost);
                 Err(CallError::ConnectFailed)
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -77,6 +77,8 @@
     handing_over: watch::Sender<bool>,
     attempts_written: Rc<Cell<u64>>,
     closing: ClosingConnections,
+    /// An id that this process has made and gives to no request.
+    unused_request_id: String,
     counts: RefCell<Counts>,
 }
 
@@ -97,6 +99,7 @@
             handing_over: watch::Sender::new(false),
             attempts_written: Rc::default(),
             closing: ClosingConnections::default(),
+            unused_request_id: format!("{:016x}", rand::random::<u64>()),
             counts: RefCell::default(),
         }))
     }
@@ -159,9 +162,7 @@
             Call::Release { payload } => self.release(&payload).await,
             Call::ReserveSlot { server, payload } => self.reserve_slot(server, &payload).await,
             Call::Probe { server } => self.probe(server).await,
-            Call::VerifyReachable { server, finished_request } => {
-                self.verify_reachable(server, finished_request.as_deref()).await
-            }
+            Call::VerifyReachable { server } => self.verify_reachable(server).await,
             Call::CloseIdle { server } => {
                 self.close_idle_of(server);
                 Ok(Reply::Done)
--- a/gateway/src/engine/send.rs
+++ b/gateway/src/engine/send.rs
@@ -13,7 +13,7 @@
 use super::Engine;
 use crate::exchange::CancelToken;
 use crate::invariants::MAX_STATED_DEADLINE_AGE;
-use crate::upstream::{CallError, ConnectionCheck};
+use crate::upstream::CallError;
 
 impl Engine {
     /// Writes a request to a server once and returns the head of the response, and the connection that it comes on.
@@ -27,10 +27,7 @@
             {
                 return Err(CallError::NotSent);
             }
-            let idle = match request.connection_check {
-                ConnectionCheck::NewConnection => None,
-                _ => self.take_idle(server),
-            };
+            let idle = self.take_idle(server);
             let is_reused = idle.is_some();
             self.0.counts.borrow_mut().reused += u64::from(is_reused);
             let mut connection = match idle {
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -54,9 +54,6 @@
     VerifyReachable {
         /// The server.
         server: ServerId,
-        /// The id of a request that has finished: where no server may be probed, its release is a call that changes nothing
-        /// and is answered.
-        finished_request: Option<String>,
     },
     /// Closes the idle connections to a server.
     CloseIdle {
@@ -67,17 +64,12 @@
 
 /// What shows that a connection delivers before an attempt is written to it. Where a lease waits for the attempt, that has to
 /// be shown: what is written onto a connection that has fallen silent is never delivered.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ConnectionCheck {
     /// Nothing: no lease waits for the attempt.
     None,
-    /// The connection answers a probe.
-    Probe,
-    /// Where no server may be probed: the connection answers the release of this request. It has finished, so that its release
-    /// changes nothing.
-    ReleaseOf(String),
-    /// The connection is opened for the attempt: servers may not be probed, and no request has finished yet.
-    NewConnection,
+    /// The connection answers a call that changes nothing.
+    Answer,
 }
 
 /// The frames of a response that is streamed.
--- a/gateway/tests/common/attempts.rs
+++ b/gateway/tests/common/attempts.rs
@@ -25,9 +25,14 @@
 pub const PATIENCE: Duration = Duration::from_millis(1_500);
 
 pub fn engine(idle: Duration, slots: usize) -> Engine {
+    engine_with(idle, slots, true)
+}
+
+/// An engine that may probe servers or not.
+pub fn engine_with(idle: Duration, slots: usize, probes: bool) -> Engine {
     let limits = EngineLimits {
         connect_timeout: Duration::from_secs(5),
-        probes: true,
+        probes,
         idle_timeout: idle,
         public_api: false,
     };
--- a/gateway/tests/connection_verification.rs
+++ b/gateway/tests/connection_verification.rs
@@ -22,7 +22,7 @@
         payload: payload("{}"),
         deadline: Instant::now() + PATIENCE,
         connect_timeout: Some(connect),
-        connection_check: ConnectionCheck::Probe,
+        connection_check: ConnectionCheck::Answer,
         cancel_token: wanted.clone(),
     };
     (engine.clone().oneshot(call).await, wanted)
@@ -31,7 +31,12 @@
 const TIME: Duration = Duration::from_millis(400);
 
 fn before(server: &StandIn) -> Engine {
-    let engine = engine(AGES, 8);
+    before_with(server, true)
+}
+
+/// An engine that may probe its server or not.
+fn before_with(server: &StandIn, probes: bool) -> Engine {
+    let engine = engine_with(AGES, 8, probes);
     engine.update_servers(true, &[address(SERVER, server, true)], &[]);
     engine
 }
@@ -103,7 +108,28 @@
     });
 }
 
-/// Guards the sign of arrival where nothing may be probed: the release of a request that has ended is answered.
+/// Guards the first attempts of a process where nothing may be probed: the connection answers a release that concerns no request
+/// before one is written, and nothing is written on one that comes up and is silent.
+#[test]
+fn the_first_attempt_of_a_process_is_written_on_a_connection_that_has_answered() {
+    run(async {
+        let server = StandIn::start(|_, seen| match seen.method.as_str() {
+            "DELETE" => Act::Answer(answer(204, &[], "")),
+            _ => stream(),
+        })
+        .await;
+        let engine = before_with(&server, false);
+        assert!(matches!(write(&engine, TIME).await.0, Ok(Reply::Response { .. })));
+        assert_eq!((methods(&server), server.connections.get()), (vec!["DELETE".into(), "POST".into()], 1));
+        let silent = StandIn::start(|_, _| Act::Silence).await;
+        let engine = before_with(&silent, false);
+        let (reply, wanted) = write(&engine, TIME).await;
+        assert!(matches!(reply, Err(CallError::ConnectFailed)));
+        assert_eq!((methods(&silent), wanted.is_written()), (vec!["DELETE".to_string()], false));
+    });
+}
+
+/// Guards the sign of arrival where nothing may be probed: a release that concerns no request is answered.
 #[test]
 fn an_answer_and_not_an_open_connection_shows_that_a_server_is_reachable() {
     run(async {
@@ -113,12 +139,8 @@
             move |_, _| if answers.get() { Act::Answer(answer(204, &[], "")) } else { Act::Silence }
         })
         .await;
-        let engine = before(&server);
-        let check = || {
-            engine
-                .clone()
-                .oneshot(Call::VerifyReachable { server: SERVER, finished_request: Some("9b1f".into()) })
-        };
+        let engine = before_with(&server, false);
+        let check = || engine.clone().oneshot(Call::VerifyReachable { server: SERVER });
         assert!(matches!(check().await, Ok(Reply::Done)));
         answers.set(false);
         assert!(matches!(check().await, Err(CallError::ConnectFailed)));
