End evicted connections in order, so that a crossing request is known as unread

Cause: an evicted connection was dropped, so bytes that came after the choice met a closed socket. A reset does not tell a client whether its request was read, so it cannot send it again.

Change: the end is sent in order and the socket stays until the client has ended it too, as for resting connections. At most half of the connections that may be open beside the cap linger so; beyond that an evicted one is dropped as before.

--- a/gateway/src/front/connection.rs
+++ b/gateway/src/front/connection.rs
@@ -128,8 +128,11 @@
 enum ServingEnd {
     /// Nothing more is served on it; it is closed in order.
     Close,
-    /// Its client has disconnected, or it was evicted: it is dropped at once.
+    /// Its client has disconnected: it is dropped at once.
     Drop,
+    /// It was evicted: its end is sent in order, where that does not hold up others, so that a request that crosses it is known
+    /// to its client as unread.
+    Evicted,
     /// The successor goes on with it.
     HandOver,
 }
@@ -155,6 +158,11 @@
     };
     match end {
         ServingEnd::Drop => {}
+        ServingEnd::Evicted => {
+            if let Some(_lingering) = entry.linger() {
+                entry.watch.close(&socket.socket).await;
+            }
+        }
         ServingEnd::Close => entry.watch.close(&socket.socket).await,
         ServingEnd::HandOver => {
             // hyper has let go of it. Nothing of a request has been read, or all of its response so far is written: either
@@ -193,7 +201,7 @@
                 CloseReason::TimedOut => ServingEnd::Close,
                 CloseReason::Evicted => {
                     entry.watch.count_evicted();
-                    ServingEnd::Drop
+                    ServingEnd::Evicted
                 }
             },
             () = ready_when(can_hand_over) => return ServingEnd::HandOver,
--- a/gateway/src/front/connection_table.rs
+++ b/gateway/src/front/connection_table.rs
@@ -42,6 +42,9 @@
     /// By number, in order of arrival; without those that have been chosen for eviction.
     connections: RefCell<BTreeMap<u64, Rc<ConnectionWatch>>>,
     next_number: Cell<u64>,
+    /// Evicted connections whose clients have not ended them yet, and most of them.
+    lingering: Cell<usize>,
+    max_lingering: usize,
     /// A connection has left the table.
     left: Notify,
 }
@@ -79,6 +82,26 @@
     }
 }
 
+/// An evicted connection that is ended in order; its place beyond the cap is free once this is dropped.
+pub struct Lingering(Rc<ConnectionTable>);
+
+impl Drop for Lingering {
+    fn drop(&mut self) {
+        self.0.lingering.set(self.0.lingering.get() - 1);
+    }
+}
+
+impl TableEntry {
+    /// Has the evicted connection ended in order, where so many more may be; else it is dropped at once.
+    pub fn linger(&self) -> Option<Lingering> {
+        let lingering = self.table.lingering.get();
+        (lingering < self.table.max_lingering).then(|| {
+            self.table.lingering.set(lingering + 1);
+            Lingering(self.table.clone())
+        })
+    }
+}
+
 impl Drop for TableEntry {
     fn drop(&mut self) {
         self.table.connections.borrow_mut().remove(&self.number);
@@ -87,11 +110,21 @@
 }
 
 impl ConnectionTable {
+    /// An empty table; so many evicted connections may be ended in order at the same time.
+    pub fn new(max_lingering: usize) -> Self {
+        ConnectionTable { max_lingering, ..ConnectionTable::default() }
+    }
+
     /// Connections that count against the cap.
     pub fn len(&self) -> usize {
         self.connections.borrow().len()
     }
 
+    /// Evicted connections that are still open.
+    pub fn lingering(&self) -> usize {
+        self.lingering.get()
+    }
+
     /// Enters a new connection.
     pub fn enter(self: &Rc<Self>) -> TableEntry {
         let number = self.next_number.get();
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -27,6 +27,8 @@
 
 /// Connections beyond the cap that may at the same time be told to come back later; further ones are closed.
 pub const MAX_REJECTING_CONNECTIONS: usize = 24;
+/// This part of the connections beyond the cap may be evicted ones that are ended in order.
+const LINGERING_PART: usize = 2;
 /// Pause after a failed accept (no descriptor left, say).
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(10);
 
@@ -133,7 +135,8 @@
         if self.is_full() {
             self.table.evict();
         }
-        if self.table.len() >= self.cap + MAX_REJECTING_CONNECTIONS.min(self.cap) {
+        let open = self.table.len() + self.table.lingering();
+        if open >= self.cap + MAX_REJECTING_CONNECTIONS.min(self.cap) {
             closed_connections::count_over_cap();
             log!(
                 "connection closed: all {} connections have open requests, and no more can be rejected",
@@ -212,7 +215,7 @@
     let acceptor = Acceptor {
         service: front.clone().service(),
         hooks: hooks_of(front),
-        table: Rc::new(ConnectionTable::default()),
+        table: Rc::new(ConnectionTable::new(MAX_REJECTING_CONNECTIONS.min(cap) / LINGERING_PART)),
         cap,
         handover: Handover { shutdown: shutdown.clone(), front: number },
         resume,
--- a/gateway/tests/floods.rs
+++ b/gateway/tests/floods.rs
@@ -16,6 +16,9 @@
 /// Descriptors of a small gateway, and the places that they leave for clients.
 const SOCKETS: usize = 100;
 const PLACES: usize = 19;
+/// Connections of a gateway whose table is full at once, and a time after which each of them may be evicted.
+const SMALL_CAP: usize = 4;
+const LONGER_THAN_EVICTION_GRACE: std::time::Duration = std::time::Duration::from_millis(100);
 /// Pages of memory that an allocator may keep of what was freed (16 MB).
 const KEPT_PAGES: usize = 4_096;
 
@@ -185,3 +188,26 @@
         });
     }
 }
+
+/// Guards a client whose request crosses its eviction: the connection ends in order, which says that the request is unread; a
+/// reset would not tell.
+#[test]
+fn a_request_that_crosses_an_eviction_meets_an_orderly_end() {
+    run(async {
+        let reader = StandIn::start(|_, _| read()).await;
+        let writer = StandIn::start(|_, _| stream()).await;
+        let gateway = gateway::gateway(&[&reader], &[&writer], None, SMALL_CAP).await;
+        let mut resting = Vec::new();
+        for _ in 0..SMALL_CAP {
+            resting.push(connect(gateway.address).await);
+        }
+        tokio::time::sleep(LONGER_THAN_EVICTION_GRACE).await;
+        let mut newcomer = connect(gateway.address).await;
+        until(|| closed_by_peer(&resting[0])).await;
+        say(&resting[0], &request("crossing"));
+        assert_eq!(to_the_end(&mut resting[0]).await, (String::new(), false));
+        say(&newcomer, &request("new"));
+        assert!(answer_of(&mut newcomer).await.starts_with("HTTP/1.1 200"));
+        assert_eq!(reader.count("POST"), 1);
+    });
+}
