Tell servers 20 ms less than the time that is left

Cause: its gateway stood still for 151 ms while the request's bytes came, and counts from their reading. The platform allows a hold-up of 150 ms, and its slack for the time told is 150 ms: nothing was left for the wake-up and the way.

--- a/gateway/src/engine/server_request.rs
+++ b/gateway/src/engine/server_request.rs
@@ -1,5 +1,7 @@
 //! A request to a server, with the conditions under which it may be written.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http::Request;
 use tokio::time::Instant;
@@ -8,6 +10,10 @@
 use crate::exchange::CancelToken;
 use crate::upstream::ConnectionCheck;
 
+/// A server is told so much less than the time that is left: bytes that came while this process stood still are counted from
+/// their reading, and the platform's slack is no more than the longest hold-up.
+const STATED_TIME_MARGIN: Duration = Duration::from_millis(20);
+
 /// What a request to a server is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RequestKind {
@@ -59,7 +65,7 @@
             return None;
         }
         if let Some(deadline) = self.deadline {
-            set_remaining_time(&mut request, deadline - now);
+            set_remaining_time(&mut request, (deadline - now).saturating_sub(STATED_TIME_MARGIN));
         }
         Some(request)
     }
