See clients leave before an attempt is written in the same wake-up

Cause, by the trace: the gateway stood still for 151 ms; a connection's time-out and the client's leaving were found in the same wake-up, the timer's task ran first, and the retry went onto an idle connection, so nothing let the other task run before its first byte.

Change: before an attempt is written the loop takes one turn, so what has come by then is handled; the first byte's gate asks after that.

--- a/fault-tests/src/judge.rs
+++ b/fault-tests/src/judge.rs
@@ -18,6 +18,8 @@
 const ANSWER_SLACK: Micros = 500 * MILLISECOND;
 /// The end of a connection is seen on a link so much later than the first byte on the next may be.
 const CLOSE_SLACK: Micros = 100 * MILLISECOND;
+/// An engine's end of its work is recorded so much later than the end of its connection, at most.
+const END_SLACK: Micros = 10 * MILLISECOND;
 /// Answers that say that trying again is harmless.
 const REFUSALS: [u16; 2] = [429, 503];
 
@@ -36,7 +38,7 @@
     Answered,
     /// What must not be repeated has its effect at most once.
     AtMostOnce,
-    /// What is refused, so called harmless to send again, has had no effect.
+    /// What is refused, so called harmless to send again, has had no effect, and no attempt of it, reads too, still runs.
     RejectionIsTrue,
 }
 
@@ -291,10 +293,25 @@
             Event::Answered { status, .. } => REFUSALS.contains(&status),
             _ => false,
         })?;
-        let run = runs.first()?;
-        let what = format!("refused, and run at {}", run.source);
+        let what = match runs.first() {
+            Some(run) => format!("refused, and run at {}", run.source),
+            None => format!("refused, and still at {}", self.server_at_work_after(refused.at + END_SLACK)?),
+        };
         Some(self.violation(Invariant::RejectionIsTrue, refused.at, what))
     }
+
+    /// An engine that worked on an attempt then, or began to later.
+    fn server_at_work_after(&self, at: Micros) -> Option<&'a str> {
+        let delivered = self.records.iter().filter(|record| matches!(record.event, Event::Delivered { .. }));
+        let still_runs = |begun: &&&'a Record| {
+            let is_end = |record: &&&'a Record| {
+                let ends = matches!(record.event, Event::Ended { .. });
+                ends && record.source == begun.source && record.at >= begun.at
+            };
+            self.records.iter().find(is_end).is_none_or(|end| end.at > at)
+        };
+        delivered.into_iter().find(still_runs).map(|record| record.source.as_str())
+    }
 }
 
 /// How many attempts of a stage engines took for a request.
--- /dev/null
+++ b/fault-tests/tests/paused_gateway.rs
@@ -0,0 +1,64 @@
+//! A gateway whose process stands still for as long as the platform allows: what it finds in one wake-up.
+
+use std::path::Path;
+use std::time::Duration;
+
+use glenrail_fault_tests::client::ClientRequest;
+use glenrail_fault_tests::clock;
+use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
+use glenrail_fault_tests::judge::judge;
+use glenrail_fault_tests::network::{Condition, Link};
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+const UNCONNECTABLE_SERVER: usize = 0;
+const DEADLINE: Duration = Duration::from_secs(9);
+const REQUESTS: u64 = 12;
+/// A connection is given up after 250 ms; clients leave before that, and the gateway stands still over both.
+const CLIENTS_LEAVE_AFTER: Duration = Duration::from_millis(200);
+const PAUSED_AFTER: Duration = Duration::from_millis(190);
+const PAUSED_FOR: Duration = Duration::from_millis(150);
+
+/// Guards engines from retries for clients that have left: the connection's time-out and the clients' leaving are found in the same
+/// wake-up, and the retry could be written at once, on an idle connection.
+#[test]
+fn a_client_that_left_during_a_pause_is_seen_before_a_retry_is_written() {
+    let program = Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"));
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let spec = DeploymentSpec::new(1, 2, 2);
+        let started = Deployment::start(spec, program, &program.with_file_name("glenrail")).await;
+        let deployment = started.expect("it starts");
+        let warm_up = (0..REQUESTS).map(|n| deployment.send(0, request(&format!("warm{n}"), n)));
+        futures_util::future::join_all(warm_up).await;
+        // Answers are read a moment before their connections are idle.
+        sleep(Duration::from_millis(200)).await;
+        for link in deployment.links_to(UNCONNECTABLE_SERVER) {
+            Link::reset(link);
+            link.set(Condition::Unconnectable);
+        }
+        sleep(Duration::from_millis(50)).await;
+        let leaving = (0..REQUESTS).map(|n| {
+            let mut request = request(&format!("leaves{n}"), n);
+            request.disconnects_after = Some(CLIENTS_LEAVE_AFTER);
+            deployment.send(0, request)
+        });
+        let pause = async {
+            sleep(PAUSED_AFTER).await;
+            deployment.gateways[0].process.signal(Signal::STOP);
+            sleep(PAUSED_FOR).await;
+            deployment.gateways[0].process.signal(Signal::CONT);
+        };
+        tokio::join!(futures_util::future::join_all(leaving), pause);
+        sleep(Duration::from_millis(500)).await;
+        let violations = judge(&deployment.records.all(), deployment.spec.lease_limit, clock::now());
+        let violations: Vec<String> = violations.iter().map(ToString::to_string).collect();
+        assert_eq!(violations, [""; 0]);
+    });
+}
+
+fn request(id: &str, session: u64) -> ClientRequest {
+    let mut request = ClientRequest::new(id, "item-query", DEADLINE, true);
+    request.session = session;
+    request
+}
--- a/gateway/src/engine/send.rs
+++ b/gateway/src/engine/send.rs
@@ -4,6 +4,7 @@
 use glenrail_router::ServerId;
 use http::Response;
 use hyper::body::Incoming;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 
 use super::connection::{Connection, Peer, SendFailure};
@@ -59,6 +60,11 @@
         &self, server: ServerId, request: &ServerRequest, connection: &mut Connection,
     ) -> Result<Response<Incoming>, SendFailure> {
         let kind = request.kind;
+        if kind == RequestKind::Attempt {
+            // What has come by now is handled before, a client's leaving above all: after a stall a timer may have
+            // brought this about in the same wake-up.
+            yield_now().await;
+        }
         // Connecting takes time: the list as it is now counts.
         if !connection.may_write(self.may_receive(server, &connection.peer, kind)) {
             return Err(SendFailure::Withheld);
