Release what a cut prefill leaves beside a stream that has begun

Cause: the machine released nothing beside an attempt in flight, a stream that has begun included, so the state waited for its end.

--- a/crates/request-lifecycle/src/request/mod.rs
+++ b/crates/request-lifecycle/src/request/mod.rs
@@ -106,6 +106,14 @@
         self.attempts.iter().any(Attempt::may_be_at_server)
     }
 
+    /// Whether an attempt is at a server, or may be, that may need what servers hold for the request or leave something behind.
+    /// One whose answer has begun does neither.
+    fn may_use_reservations(&self) -> bool {
+        let may_use =
+            |attempt: &Attempt| attempt.may_be_at_server() && attempt.state != AttemptState::Streaming;
+        self.attempts.iter().any(may_use)
+    }
+
     /// Whether an attempt may have had the request's effect, or may still run.
     ///
     /// Nobody knows this of an attempt in flight or of one whose server may not have noticed that it was cut off, of a
--- a/crates/request-lifecycle/src/request/reservations.rs
+++ b/crates/request-lifecycle/src/request/reservations.rs
@@ -77,8 +77,8 @@
             return Ok(());
         }
         self.reserve(Reservation::KvState);
-        // An attempt at a server may use or renew what is released; its end decides.
-        if !self.at_server() {
+        // Of an attempt that may use or renew what is released the end decides.
+        if !self.may_use_reservations() {
             self.make_release_due();
         }
         Ok(())
@@ -139,9 +139,9 @@
         }
     }
 
-    /// Starts a release that is due once no attempt is at a server, which could still use or renew what is released.
+    /// Starts a release that is due once no attempt is at a server that could still use or renew what is released.
     pub(super) fn start_due_release(&mut self, effects: &mut Effects) {
-        let may_start = !self.at_server() || self.has_fault(Fault::ReleasesWhileOut);
+        let may_start = !self.may_use_reservations() || self.has_fault(Fault::ReleasesWhileOut);
         if self.release == Release::Due && may_start {
             let after_cut = std::mem::take(&mut self.cut_since_release);
             self.release = if after_cut { Release::Waiting } else { Release::InProgress { repeat: false } };
--- a/crates/request-lifecycle/src/request/timers.rs
+++ b/crates/request-lifecycle/src/request/timers.rs
@@ -3,7 +3,8 @@
 use super::planted_faults::Fault;
 use super::transitions::Unexpected;
 use super::{
-    AttemptState, Effect, Effects, FinalResponse, Release, Request, ResponseState, SlotRequest, Timer,
+    Attempt, AttemptState, Effect, Effects, FinalResponse, Release, Request, ResponseState, SlotRequest,
+    Timer,
 };
 
 impl Request {
@@ -68,12 +69,13 @@
         may_be_reserved && !self.has_delivered_attempt() && clock_runs && !self.has_fault(Fault::NoPinLimit)
     }
 
-    /// Whether an attempt is open that is known to have arrived at its server.
+    /// Whether an attempt waits for its answer that is known to have arrived at its server.
     fn has_delivered_attempt(&self) -> bool {
         if self.has_fault(Fault::CountsWrittenAsArrived) {
             return self.in_flight();
         }
-        self.attempts.iter().any(|attempt| attempt.is_open() && attempt.delivered)
+        let waits = |attempt: &Attempt| attempt.is_open() && attempt.state != AttemptState::Streaming;
+        self.attempts.iter().any(|attempt| waits(attempt) && attempt.delivered)
     }
 }
 
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -127,6 +127,8 @@
         let server = ServerId(request.machine.attempts()[attempt].server);
         let elapsed = request.calls[attempt].elapsed();
         request.record.first_token(attempt, inner.clock.now());
+        // What a cut prefill leaves from now on waits for no attempt.
+        request.unclaimed_since = Instant::now();
         let (id, attempt) = (RequestId(id), attempt as u32);
         inner.events.push_back(Event::FirstToken { id, attempt, server, elapsed });
     }
--- a/gateway/src/core/tests/leases.rs
+++ b/gateway/src/core/tests/leases.rs
@@ -341,3 +341,46 @@
     let rejected = answer_after_cut(0, true);
     assert!(matches!(rejected, Some(ResponsePart::Rejected(_))), "it may be repeated: {rejected:?}");
 }
+
+/// A policy that cancels a request's first prefill after 200 ms, orders another one, and then a decode.
+struct DecodesAfterCut;
+
+impl DecisionPolicy for DecodesAfterCut {
+    fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => {
+                actions.push(send(request.id, PREFILL_SERVERS[0]));
+                actions.push(Action::Timer { at: now + 200.0, key: request.id.0, request: Some(request.id) });
+            }
+            Event::Timer { key } => actions.push(Action::Cancel { id: RequestId(key), attempt: 0 }),
+            Event::Outcome(AttemptOutcome { id, status: AttemptStatus::Cancelled, .. }) => {
+                actions.push(send(id, PREFILL_SERVERS[0]));
+            }
+            Event::Outcome(AttemptOutcome { id, status: AttemptStatus::Prefilled, .. }) => {
+                actions.push(send(id, DECODE_SERVERS[0]));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Guards a long stream's prefill servers: what a prefill that was cut off leaves while the stream runs waits for no attempt, and
+/// is released in time beside it.
+#[test]
+fn a_state_that_is_left_beside_a_stream_is_released_in_time() {
+    paused(async {
+        let servers = ScriptedServers::new(|number, server| match (number, server.0) {
+            (0, _) => (0, ScriptedReply::NoReply),
+            (_, server) if PREFILL_SERVERS.contains(&server) => (20, ScriptedReply::Prefilled),
+            _ => (20, ScriptedReply::SlowStream(vec![4, 4])),
+        });
+        servers.misses_closes.set(true);
+        let core = core_with_policy(&servers, DecodesAfterCut);
+        let mut client = core.submit(request(0, 10_000.0));
+        assert!(matches!(client.next_part().await, Some(ResponsePart::Head(..))));
+        let releases = servers.count(CallKind::Release);
+        sleep(Duration::from_millis(600)).await;
+        assert!(servers.count(CallKind::Release) > releases, "nothing was released beside the stream");
+        assert!(matches!(client.next_part().await, Some(ResponsePart::Chunk(_))), "the stream goes on");
+    });
+}
--- a/model-checker/src/request/effects.rs
+++ b/model-checker/src/request/effects.rs
@@ -1,6 +1,6 @@
 //! Carries out what the request's machine asks for, as the gateway's driver does, and checks each effect.
 
-use glenrail_request_lifecycle::request::{Effect, FinalResponse, RetrySafety};
+use glenrail_request_lifecycle::request::{Attempt, AttemptState, Effect, FinalResponse, RetrySafety};
 
 use super::calls::{Call, CallState, ServerWork};
 use super::reservations::{ReleaseCall, SlotCall};
@@ -56,8 +56,15 @@
         call.state = CallState::Starting;
     }
 
+    /// Whether an attempt is in flight whose answer the client does not receive yet.
+    fn has_waiting_call(&self) -> bool {
+        let waits =
+            |(call, attempt): (&Call, &Attempt)| call.is_open() && attempt.state != AttemptState::Streaming;
+        self.calls.iter().zip(self.machine.attempts()).any(waits)
+    }
+
     fn start_release(&mut self, after_cut: bool) {
-        if self.has_open_call() {
+        if self.has_waiting_call() {
             self.violate(Rule::NoReleaseBesideAttempt);
         }
         let call = if after_cut { ReleaseCall::Waiting } else { ReleaseCall::Sent { after_cut } };
--- a/model-checker/src/request/invariants.rs
+++ b/model-checker/src/request/invariants.rs
@@ -1,6 +1,6 @@
 //! Rules that hold in every state of the world.
 
-use glenrail_request_lifecycle::request::{AttemptState, RetrySafety, Timer};
+use glenrail_request_lifecycle::request::{Attempt, AttemptState, RetrySafety, Timer};
 
 use super::calls::Call;
 use super::World;
@@ -22,10 +22,13 @@
         }
     }
 
-    /// Whether a server holds something while no attempt that has arrived is in flight.
+    /// Whether a server holds something while no attempt that has arrived waits for its answer.
     pub(super) fn has_unclaimed_reservation(&self) -> bool {
         let reserved = self.servers.iter().any(|server| server.holds_kv_state || server.holds_slot);
-        reserved && !self.calls.iter().any(Call::has_arrived)
+        let claims = |(call, attempt): (&Call, &Attempt)| {
+            call.has_arrived() && attempt.state != AttemptState::Streaming
+        };
+        reserved && !self.calls.iter().zip(self.machine.attempts()).any(claims)
     }
 
     /// Whether a release is in progress, or an attempt is being cancelled: that one is dropped at once, and the release
