--- a/gateway/tests/leases.rs
+++ b/gateway/tests/leases.rs
@@ -44,7 +44,9 @@
     run(async {
         let taken = || StandIn::start(|_, _| Act::Answer(answer(204, &[], "")));
         let (drains, serves) = (taken().await, taken().await);
-        [&drains, &serves].map(|server| server.scripts_checks.set(true));
+        for server in [&drains, &serves] {
+            server.scripts_checks.set(true);
+        }
         let engine = engine(1 << 20);
         engine.update_servers(true, &list(&[(&drains, false), (&serves, true)]), &[]);
         let release = || engine.clone().oneshot(Call::Release { payload: payload() });
