--- a/crates/request-lifecycle/src/evidence/mod.rs
+++ b/crates/request-lifecycle/src/evidence/mod.rs
@@ -17,14 +17,16 @@
     AnswerElsewhere,
     /// The server's orderly end of this connection.
     ServerClose,
-    /// The connection was reset. Whatever stands between may have done that, and the server need not know.
+    /// The connection was reset from the other side.
     Reset,
 }
 
 impl Observation {
     /// Whether the server will do nothing more for a request that was cut off on this connection.
+    ///
+    /// For a reset this is a presumption: whatever stands between may have sent it, and the server need not know.
     pub fn proves_work_ended(self) -> bool {
-        matches!(self, Observation::AnswerHere | Observation::ServerClose)
+        matches!(self, Observation::AnswerHere | Observation::ServerClose | Observation::Reset)
     }
 
     /// Whether what is written on this connection now reaches the server, as far as can be known before it is written.
--- a/model-checker/src/request/calls.rs
+++ b/model-checker/src/request/calls.rs
@@ -48,6 +48,8 @@
     pub(super) answer_begun: bool,
     /// It was written to a connection that is dead without an error.
     pub(super) on_dead_connection: bool,
+    /// Its connection broke, which its server is taken to notice before the release that follows.
+    pub(super) broke: bool,
 }
 
 impl Call {
@@ -60,6 +62,7 @@
             work: ServerWork::NotReceived,
             answer_begun: false,
             on_dead_connection: false,
+            broke: false,
         }
     }
 
@@ -214,6 +217,7 @@
             return;
         }
         call.cut();
+        call.broke = true;
         let reply = if effect == server::Effect::NeverRan { Reply::ConnectFailed } else { Reply::Reset };
         self.feed(setup, Input::Replied { attempt: attempt.into(), reply }, log);
     }
--- a/model-checker/src/request/effects.rs
+++ b/model-checker/src/request/effects.rs
@@ -1,6 +1,6 @@
 //! Carries out what the request's machine asks for, as the gateway's driver does, and checks each effect.
 
-use glenrail_request_lifecycle::request::{Attempt, AttemptState, Effect, FinalResponse, RetrySafety};
+use glenrail_request_lifecycle::request::{Attempt, AttemptState, Effect, FinalResponse, RetrySafety, Stage};
 
 use super::calls::{Call, CallState, ServerWork};
 use super::reservations::{ReleaseCall, SlotCall};
@@ -93,7 +93,12 @@
 
     /// Whether a server works on an attempt, a prefill too, or may still.
     fn may_still_run(&self) -> bool {
-        self.calls.iter().any(|call| matches!(call.work, ServerWork::Received | ServerWork::Abandoned))
+        let may_run = |call: &Call| match call.work {
+            ServerWork::Received => true,
+            ServerWork::Abandoned => !(call.broke && call.stage == Stage::Prefill),
+            _ => false,
+        };
+        self.calls.iter().any(may_run)
     }
 
     fn forward_stream(&mut self) {
