Look a request up once as its attempt starts, and mend a doc comment on resets

Cause: reading the whole change again. `start_attempt` looked its request up twice since the connection check needed the core between; it does not any more. closing.rs said that a reset proves nothing, which the module of evidence decides otherwise since. Change: those lines, no behaviour.

--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -52,7 +52,6 @@
             write_deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
         let connection_check =
             if lease_deadline.is_some() { ConnectionCheck::Answer } else { ConnectionCheck::None };
-        let Some(request) = inner.requests.get_mut(&id) else { return };
         let deadline = request.calls[attempt].deadline;
         let cancel_token =
             request.response.as_ref().map_or_else(CancelToken::default, CancelToken::for_response);
--- a/gateway/src/engine/closing.rs
+++ b/gateway/src/engine/closing.rs
@@ -1,7 +1,7 @@
 //! Connections on which an attempt was cut off, until their servers have ended them too.
 //!
-//! The gateway has ended its sending. The server's own end comes after all that it did for the attempt: it is the one proof that
-//! the server has noticed. A reset is none, since what stands between may have sent it.
+//! The gateway has ended its sending. The server's own end comes after all that it did for the attempt, so it proves that the server
+//! has noticed; what each end proves is decided in [`evidence`](glenrail_request_lifecycle::evidence).
 
 use std::cell::RefCell;
 use std::io;
