Collect evidence of cut work and of delivery as two small states

Change: an observation is no longer judged alone. `CutWork` (may run, reset, ended) takes what is seen of an attempt that was cut off, `Delivery` (unknown, doubted, shown) what is seen of one that was written. Two presumptions of the module get a name each: a reset, and an answer on a newer connection. New observations say what would settle them: refused or answered after a reset, answered or silent on a connection that stood at the write.

What the gateway does is unchanged: callers still take a reset for the end, and ask newer connections alone. The test that listed a reset among the proofs is replaced by a stricter one, which does not.

--- a/crates/request-lifecycle/src/evidence/tests.rs
+++ b/crates/request-lifecycle/src/evidence/tests.rs
@@ -1,31 +1,60 @@
 //! What each observation proves.
 
-use super::Observation;
+use super::{CutWork, Delivery, Observation};
 
-const ALL: [Observation; 6] = [
+const ALL: [Observation; 11] = [
     Observation::Connected,
     Observation::OwnClose,
     Observation::AnswerHere,
-    Observation::AnswerElsewhere,
+    Observation::AnswerOnStanding,
+    Observation::SilenceOnStanding,
+    Observation::AnswerOnNewer,
     Observation::ServerClose,
     Observation::Reset,
+    Observation::RefusedAfterReset,
+    Observation::AnswerAfterReset,
+    Observation::SilenceAfterReset,
 ];
 
-fn which(proves: fn(Observation) -> bool) -> Vec<Observation> {
+fn which(proves: impl Fn(Observation) -> bool) -> Vec<Observation> {
     ALL.into_iter().filter(|observation| proves(*observation)).collect()
 }
 
-/// Guards against the mistake behind four incidents: what is done or seen elsewhere, or done by the gateway itself, proves
-/// nothing about this connection; a reset is presumed to.
+/// Guards against the mistake behind the incidents of 2026-12: what is done or seen elsewhere, or done by the gateway itself,
+/// proves nothing about this connection.
 #[test]
 fn only_what_comes_from_the_server_on_the_same_connection_proves_something_about_it() {
     assert_eq!(
-        which(Observation::proves_work_ended),
-        [Observation::AnswerHere, Observation::ServerClose, Observation::Reset]
+        which(|seen| CutWork::MayRun.after(seen) == CutWork::Ended),
+        [Observation::AnswerHere, Observation::ServerClose]
     );
     assert_eq!(which(Observation::proves_connection_works), [Observation::AnswerHere]);
+}
+
+/// Guards against soak seed 9724: a server that stood still through a reset went on with its prefill.
+#[test]
+fn a_reset_alone_is_no_end_of_a_servers_work() {
+    assert_eq!(CutWork::MayRun.after(Observation::Reset), CutWork::Reset);
+    assert_eq!(
+        which(|seen| CutWork::Reset.after(seen) == CutWork::Ended),
+        [
+            Observation::AnswerHere,
+            Observation::ServerClose,
+            Observation::RefusedAfterReset,
+            Observation::AnswerAfterReset,
+        ]
+    );
+    assert!(which(|seen| CutWork::Ended.after(seen) != CutWork::Ended).is_empty());
+}
+
+/// Guards against soak seeds 9664 and 9684: connections that stood fell silent, and a newer one answered for them.
+#[test]
+fn an_answer_on_a_newer_connection_says_nothing_once_a_standing_one_is_silent() {
+    let shows = |known: Delivery| which(move |seen| known.after(seen) == Delivery::Shown);
     assert_eq!(
-        which(Observation::suggests_delivery),
-        [Observation::AnswerHere, Observation::AnswerElsewhere]
+        shows(Delivery::Unknown),
+        [Observation::AnswerHere, Observation::AnswerOnStanding, Observation::AnswerOnNewer]
     );
+    assert_eq!(shows(Delivery::Doubted), [Observation::AnswerHere, Observation::AnswerOnStanding]);
+    assert_eq!(Delivery::Unknown.after(Observation::SilenceOnStanding), Delivery::Doubted);
 }
--- a/crates/request-lifecycle/src/request/attempts.rs
+++ b/crates/request-lifecycle/src/request/attempts.rs
@@ -6,7 +6,7 @@
     Attempt, AttemptState, Effect, Effects, Release, Reply, Request, Reservation, ResponseState, RetrySafety,
     Server, Stage, Status, StreamEnd,
 };
-use crate::evidence::Observation;
+use crate::evidence::CutWork;
 
 impl Request {
     fn attempt_state(&self, attempt: usize) -> Option<AttemptState> {
@@ -239,7 +239,8 @@
         // A prefill may have completed just as its connection was cut. The KV state that it left must be released
         // before the request is sent again, or that attempt would find it.
         if cut && stage == Stage::Prefill && !self.has_fault(Fault::ForgetsCutRead) {
-            let work_ended = cut_by.is_some_and(Observation::proves_work_ended);
+            // A reset is presumed to be the end of the server's work.
+            let work_ended = cut_by.is_some_and(|seen| CutWork::default().after(seen) != CutWork::MayRun);
             self.attempts[attempt].unnoticed_close =
                 !work_ended && !self.has_fault(Fault::TakesCloseAsNoticed);
             self.reserve(Reservation::KvState);
--- a/gateway/src/core/delivery.rs
+++ b/gateway/src/core/delivery.rs
@@ -6,7 +6,7 @@
 use std::convert::Infallible;
 use std::future::pending;
 
-use glenrail_request_lifecycle::evidence::Observation;
+use glenrail_request_lifecycle::evidence::{Delivery, Observation};
 use glenrail_request_lifecycle::request::{Input, Timer};
 use glenrail_router::ServerId;
 use tokio::time::{sleep, sleep_until, Instant};
@@ -36,7 +36,8 @@
                 sleep(pause).await;
                 continue;
             }
-            if self.ask_elsewhere(server).await.is_some_and(Observation::suggests_delivery) {
+            let seen = self.ask_elsewhere(server).await;
+            if seen.is_some_and(|seen| Delivery::default().after(seen) == Delivery::Shown) {
                 self.confirm_delivered(id, attempt);
                 return pending().await;
             }
@@ -47,7 +48,7 @@
     /// Asks whether a server responds now, on another connection than the attempt's.
     async fn ask_elsewhere(&self, server: ServerId) -> Option<Observation> {
         let call = Call::VerifyReachable { server };
-        self.upstream.clone().oneshot(call).await.ok().map(|_| Observation::AnswerElsewhere)
+        self.upstream.clone().oneshot(call).await.ok().map(|_| Observation::AnswerOnNewer)
     }
 
     fn confirm_delivered(&self, id: u64, attempt: usize) {
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenrail_request_lifecycle::evidence::Observation;
+use glenrail_request_lifecycle::evidence::{CutWork, Observation};
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -60,7 +60,7 @@
 pub struct CancelToken {
     parts: Option<mpsc::WeakSender<ResponsePart>>,
     first_byte_at: Rc<watch::Sender<Option<Instant>>>,
-    work_ended: Rc<watch::Sender<bool>>,
+    cut_work: Rc<watch::Sender<CutWork>>,
 }
 
 impl CancelToken {
@@ -100,21 +100,19 @@
 
     /// Notes what was seen of the connection on which the attempt was written, after it was cut off.
     pub fn note(&self, observation: Observation) {
-        if observation.proves_work_ended() {
-            self.work_ended.send_replace(true);
-        }
+        self.cut_work.send_modify(|known| *known = known.after(observation));
     }
 
     /// Whether the server is known to work on the attempt no more.
     pub fn has_work_ended(&self) -> bool {
-        *self.work_ended.borrow()
+        has_ended(*self.cut_work.borrow())
     }
 
     /// Waits until the server is known to work on the attempt no more.
     pub async fn work_ended(&self) {
-        let mut ended = self.work_ended.subscribe();
+        let mut known = self.cut_work.subscribe();
         // An error would be the sender's end, and `self` has the sender.
-        let _ = ended.wait_for(|ended| *ended).await;
+        let _ = known.wait_for(|known| has_ended(*known)).await;
     }
 
     /// Says that the first byte is written now, or that none was, since the connection is replaced.
@@ -123,6 +121,11 @@
     }
 }
 
+/// A reset is presumed to be the end of the server's work.
+fn has_ended(known: CutWork) -> bool {
+    known != CutWork::MayRun
+}
+
 /// Status and headers of a response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
