Untie deployment and process of the fault tests by a module for their shared error

`deployment` starts processes and `process` returned `deployment`'s error, so each used the other. `DeploymentError` stands in `deployment_error` now; `deployment` names it as before, for its callers. No behaviour changes.

--- a/fault-tests/src/deployment.rs
+++ b/fault-tests/src/deployment.rs
@@ -17,6 +17,7 @@
 
 use crate::client::{self, ClientRequest};
 use crate::clock::Micros;
+pub use crate::deployment_error::DeploymentError;
 pub use crate::deployment_spec::{DeploymentSpec, EngineSpec};
 use crate::discovery::DiscoveryAgent;
 use crate::engine::Role;
@@ -32,15 +33,6 @@
 /// The name of a gateway's configuration file.
 const CONFIG: &str = "config.json";
 
-/// Why a deployment does not start.
-#[derive(Debug, thiserror::Error)]
-pub enum DeploymentError {
-    #[error("{what}: {why}; the gateway is built with `cargo build` first, the folder has to be writable")]
-    Start { what: String, why: io::Error },
-    #[error("{0} said nothing in time; its log has the reason")]
-    NotReady(String),
-}
-
 /// A running engine.
 #[derive(Debug)]
 pub struct EngineProcess {
--- /dev/null
+++ b/fault-tests/src/deployment_error.rs
@@ -0,0 +1,12 @@
+//! Why a deployment, or one of its processes, does not start.
+
+use std::io;
+
+/// Why a deployment does not start.
+#[derive(Debug, thiserror::Error)]
+pub enum DeploymentError {
+    #[error("{what}: {why}; the gateway is built with `cargo build` first, the folder has to be writable")]
+    Start { what: String, why: io::Error },
+    #[error("{0} said nothing in time; its log has the reason")]
+    NotReady(String),
+}
--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod crowd;
 pub mod deployment;
+mod deployment_error;
 mod deployment_spec;
 pub mod discovery;
 pub mod engine;
--- a/fault-tests/src/process.rs
+++ b/fault-tests/src/process.rs
@@ -7,7 +7,7 @@
 use socket2::{Domain, Socket, Type};
 use tokio::process::{Child, Command};
 
-use crate::deployment::DeploymentError;
+use crate::deployment_error::DeploymentError;
 
 /// A process of a deployment.
 #[derive(Debug)]
