Ask the kernel for the one socket instead of reading the machine's whole table

The rig asked /proc/net/tcp, a list of all sockets of the machine (78,000 rows then), inside the runtime that also carries clients, links and kills.

Now the kernel is asked for the connection by its four addresses (sock_diag over netlink), in one call that never waits. Where the end is gone the kernel finds the listener at the same address: that is told apart. A kernel that does not answer shows as an end of its own kind and stays a lost request; an end that was read in part has its own kind, too, and stays one.

--- a/fault-tests/src/kept_connection.rs
+++ b/fault-tests/src/kept_connection.rs
@@ -29,10 +29,14 @@
 pub enum End {
     /// The gateway ended it in order, and has not read the request.
     Unread,
-    /// The gateway ended it in order, and has read bytes of the request or all of it.
+    /// The gateway ended it in order, and has read some of the request.
+    ReadInPart,
+    /// The gateway ended it in order, and has read all of the request.
     Read,
     /// It was reset, so that nothing can be told.
     Reset,
+    /// The kernel did not say how its other end stands.
+    Unknown,
 }
 
 /// A connection to a gateway that is used for one request after the other.
@@ -93,11 +97,13 @@
         if reset {
             return End::Reset;
         }
-        let from = self.socket.local_addr().ok();
-        match from.and_then(|from| unread::bytes_at(self.address, from)) {
-            Some(unread) if unread >= written as u64 => End::Unread,
-            Some(_) => End::Read,
-            None => End::Reset,
+        let unread = self.socket.local_addr().and_then(|client| unread::bytes_at(self.address, client));
+        match unread {
+            Ok(Some(0)) => End::Read,
+            Ok(Some(unread)) if unread < written as u64 => End::ReadInPart,
+            Ok(Some(_)) => End::Unread,
+            Ok(None) => End::Reset,
+            Err(_) => End::Unknown,
         }
     }
 
--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -29,4 +29,4 @@
 pub mod restarts;
 pub mod sessions;
 pub mod soak;
-mod unread;
+pub mod unread;
--- a/fault-tests/src/sessions.rs
+++ b/fault-tests/src/sessions.rs
@@ -171,7 +171,15 @@
             Ok(Err(End::Read)) => {
                 (Event::Unanswered { request: id }, "closed after reading".into(), Next::Reconnect)
             }
+            Ok(Err(End::ReadInPart)) => {
+                (Event::Unanswered { request: id }, "closed after reading a part".into(), Next::Reconnect)
+            }
             Ok(Err(End::Reset)) => (Event::Unanswered { request: id }, "reset".into(), Next::Reconnect),
+            Ok(Err(End::Unknown)) => (
+                Event::Unanswered { request: id },
+                "closed, its socket not found out".into(),
+                Next::Reconnect,
+            ),
             Err(_) => {
                 *outcomes.entry("no answer".into()).or_default() += 1;
                 return Next::Reconnect;
--- a/fault-tests/src/unread.rs
+++ b/fault-tests/src/unread.rs
@@ -1,26 +1,81 @@
-//! Bytes that a process on this machine has not read from one of its connections, by the machine's own table of sockets.
+//! Bytes that a process on this machine has not read from one of its connections, asked of the kernel's socket diagnosis
+//! (`sock_diag` over netlink).
+//!
+//! The question names one connection by its addresses, so that the answer takes microseconds however many sockets the
+//! machine has. A list of all of them takes up to half a second to read, and shows the connection as it is by then.
 
-use std::fs;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::io;
+use std::net::SocketAddr;
 
-const TABLE: &str = "/proc/net/tcp";
+use netlink_packet_core::{NetlinkHeader, NetlinkMessage, NetlinkPayload, NLM_F_REQUEST};
+use netlink_packet_sock_diag::constants::{AF_INET, IPPROTO_TCP};
+use netlink_packet_sock_diag::inet::{ExtensionFlags, InetRequest, SocketId, StateFlags};
+use netlink_packet_sock_diag::SockDiagMessage;
+use netlink_sys::protocols::NETLINK_SOCK_DIAG;
+use netlink_sys::{Socket, SocketAddr as NetlinkAddress};
+
+/// The kernel's own address on a netlink socket.
+const KERNEL: (u32, u32) = (0, 0);
+/// Asks for a socket by its addresses alone.
+const ANY_COOKIE: [u8; 8] = [0xff; 8];
+/// Longest answer about one socket.
+const ANSWER_BYTES: usize = 4 << 10;
 
 /// Unread bytes at the end `local` of the connection from `remote`; `None` where that end is gone.
-pub fn bytes_at(local: SocketAddr, remote: SocketAddr) -> Option<u64> {
-    let table = fs::read_to_string(TABLE).ok()?;
-    table.lines().skip(1).find_map(|line| {
-        let mut fields = line.split_whitespace().skip(1);
-        let (at, from) = (address(fields.next()?)?, address(fields.next()?)?);
-        let queues = fields.nth(1)?;
-        let unread = u64::from_str_radix(queues.split_once(':')?.1, 16).ok()?;
-        (at == local && from == remote).then_some(unread)
-    })
+///
+/// Never waits: the kernel answers within the call that asks.
+pub fn bytes_at(local: SocketAddr, remote: SocketAddr) -> io::Result<Option<u64>> {
+    let mut socket = Socket::new(NETLINK_SOCK_DIAG)?;
+    socket.bind_auto()?;
+    socket.connect(&NetlinkAddress::new(KERNEL.0, KERNEL.1))?;
+    socket.set_non_blocking(true)?;
+    socket.send(&question(local, remote), 0)?;
+    let mut answer = Vec::with_capacity(ANSWER_BYTES);
+    socket.recv(&mut answer, 0)?;
+    unread_in(&answer, local, remote)
+}
+
+/// The bytes of the question about one connection.
+fn question(local: SocketAddr, remote: SocketAddr) -> Vec<u8> {
+    let socket_id = SocketId {
+        source_port: local.port(),
+        destination_port: remote.port(),
+        source_address: local.ip(),
+        destination_address: remote.ip(),
+        interface_id: 0,
+        cookie: ANY_COOKIE,
+    };
+    let request = InetRequest {
+        family: AF_INET,
+        protocol: IPPROTO_TCP,
+        extensions: ExtensionFlags::empty(),
+        states: StateFlags::all(),
+        socket_id,
+    };
+    let mut header = NetlinkHeader::default();
+    header.flags = NLM_F_REQUEST;
+    let mut message = NetlinkMessage::new(header, SockDiagMessage::InetRequest(request).into());
+    message.finalize();
+    let mut bytes = vec![0; message.buffer_len()];
+    message.serialize(&mut bytes);
+    bytes
 }
 
-/// An address as the table writes it: both numbers in hexadecimal, the first in the machine's order of bytes.
-fn address(text: &str) -> Option<SocketAddr> {
-    let (ip, port) = text.split_once(':')?;
-    let ip = u32::from_str_radix(ip, 16).ok()?;
-    let port = u16::from_str_radix(port, 16).ok()?;
-    Some(SocketAddr::from((Ipv4Addr::from(ip.to_ne_bytes()), port)))
+/// What the kernel's answer says of this connection.
+fn unread_in(answer: &[u8], local: SocketAddr, remote: SocketAddr) -> io::Result<Option<u64>> {
+    let message: NetlinkMessage<SockDiagMessage> =
+        NetlinkMessage::deserialize(answer).map_err(io::Error::other)?;
+    match message.payload {
+        NetlinkPayload::InnerMessage(SockDiagMessage::InetResponse(response)) => {
+            let found = &response.header.socket_id;
+            // Once the connection's end is gone, the kernel finds the listener at the same address.
+            let is_connection = found.source_port == local.port() && found.destination_port == remote.port();
+            Ok(is_connection.then_some(u64::from(response.header.recv_queue)))
+        }
+        NetlinkPayload::Error(error) => match error.to_io() {
+            error if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            error => Err(error),
+        },
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
 }
