Count a request as sent only once its last byte was written on a standing connection

The rig wrote on after its gateway had ended the connection, took an error in writing for a request sent in full, and looked for an end only in what its runtime had noted of the socket, which is late when the runtime is.

Now the client asks the socket itself before each piece and stops where its gateway has ended the connection. A record tells when the first byte was written, from which address, and since when the connection stood; `Sent` is the time of the last byte, also for clients of one request, which write by themselves and no longer through a task of their own. What was not written to its end is counted among the outcomes of kept connections, and does not count as sent. An end that crosses the last byte is judged as before.

Tests: an end is seen while the runtime has noted nothing, and a request that is written in part is not sent.

--- a/fault-tests/src/client.rs
+++ b/fault-tests/src/client.rs
@@ -5,13 +5,15 @@
 
 use bytes::Bytes;
 use http::Request;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-use crate::record::{Event, Records};
+use crate::clock::Micros;
+use crate::kept_connection::{Answer, KeptConnection};
+use crate::record::{Event, Record, Records};
 
 /// A client waits so much longer than its deadline for an answer that only comes late.
 pub const GRACE: Duration = Duration::from_secs(5);
@@ -63,21 +65,29 @@
         ]
     }
 
-    fn request(&self) -> Request<Full<Bytes>> {
-        let mut request = Request::post(PATH);
-        for (name, value) in self.headers() {
-            request = request.header(name, value);
-        }
-        let body = Full::new(Bytes::from_static(BODY.as_bytes()));
-        request.body(body).expect("only plain text is in the headers")
-    }
-
     /// The request as its bytes.
     pub fn text(&self) -> String {
         let headers: String =
             self.headers().iter().map(|(name, value)| format!("{name}: {value}\r\n")).collect();
         format!("POST {PATH} HTTP/1.1\r\n{headers}content-length: {}\r\n\r\n{BODY}", BODY.len())
     }
+
+    /// The record of its first byte on this connection to a gateway.
+    pub fn begun(&self, gateway: &str, connection: &KeptConnection, at: Micros) -> Record {
+        let event = Event::RequestBegun {
+            request: self.id.clone(),
+            client: connection.client_address(),
+            connected_at: connection.connected_at(),
+        };
+        Record { at, source: gateway.to_string(), event }
+    }
+
+    /// The record of its last byte.
+    pub fn sent(&self, gateway: &str, at: Micros) -> Record {
+        let (request, deadline) = (self.id.clone(), self.deadline.as_secs_f64());
+        let event = Event::Sent { request, deadline, repeatable: self.repeatable };
+        Record { at, source: gateway.to_string(), event }
+    }
 }
 
 /// Sends a request, and records what becomes of it; `gateway` names the one asked. Gives the answer's status.
@@ -85,24 +95,26 @@
     gateway: &str, address: SocketAddr, ask: ClientRequest, records: &Records,
 ) -> Option<u16> {
     let request = ask.id.clone();
-    let mut sender = connect(address).await?;
+    let mut connection = KeptConnection::open(address).await.ok()?;
     sleep(ask.first_byte_after).await;
-    let (deadline, repeatable) = (ask.deadline.as_secs_f64(), ask.repeatable);
-    records.add(gateway, Event::Sent { request: request.clone(), deadline, repeatable });
-    let answered = async {
-        let response = sender.send_request(ask.request()).await.ok()?;
-        let status = response.status().as_u16();
-        Some((status, response.collect().await.is_ok()))
+    let text = ask.text();
+    let written = connection.write(text.as_bytes(), 1, Duration::ZERO).await;
+    let Some(sent_at) = written.when(text.len()) else {
+        // The gateway ended the connection before it was written on.
+        records.add(gateway, Event::NotTaken { request });
+        return None;
     };
+    records.push(ask.begun(gateway, &connection, written.began));
+    records.push(ask.sent(gateway, sent_at));
     let waits = ask.disconnects_after.unwrap_or(ask.deadline + GRACE);
-    let answer = timeout(waits, answered).await;
-    drop(sender);
+    let answer = timeout(waits, connection.answer(text.len())).await;
+    drop(connection);
     match answer {
-        Ok(Some((status, whole))) => {
-            records.add(gateway, Event::Answered { request, status, complete: whole });
+        Ok(Ok(Answer { status, complete, .. })) => {
+            records.add(gateway, Event::Answered { request, status, complete });
             Some(status)
         }
-        Ok(None) => {
+        Ok(Err(_)) => {
             records.add(gateway, Event::Unanswered { request });
             None
         }
--- a/fault-tests/src/kept_connection.rs
+++ b/fault-tests/src/kept_connection.rs
@@ -2,13 +2,16 @@
 //! answers are read one after the other, each to its end.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::clock::{self, Micros};
 use crate::unread;
 
 const READ_SIZE: usize = 16 << 10;
@@ -39,10 +42,33 @@
     Unknown,
 }
 
+/// What was written at once, and when. It ends early where the connection ended before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Written {
+    /// Before the first byte was.
+    pub began: Micros,
+    /// Bytes up to the end of each piece, and when that had been written.
+    pieces: Vec<(usize, Micros)>,
+}
+
+impl Written {
+    /// How many bytes have been written.
+    pub fn bytes(&self) -> usize {
+        self.pieces.last().map_or(0, |(bytes, _)| *bytes)
+    }
+
+    /// When so many bytes had been written, if they have been.
+    pub fn when(&self, bytes: usize) -> Option<Micros> {
+        self.pieces.iter().find(|(written, _)| *written >= bytes).map(|(_, at)| *at)
+    }
+}
+
 /// A connection to a gateway that is used for one request after the other.
 pub struct KeptConnection {
     socket: TcpStream,
     address: SocketAddr,
+    client_address: SocketAddr,
+    connected_at: Micros,
     /// Read, and not yet part of an answer.
     buffer: Vec<u8>,
 }
@@ -51,33 +77,44 @@
     pub async fn open(address: SocketAddr) -> io::Result<KeptConnection> {
         let socket = TcpStream::connect(address).await?;
         socket.set_nodelay(true)?;
-        Ok(KeptConnection { socket, address, buffer: Vec::new() })
+        let (connected_at, client_address) = (clock::now(), socket.local_addr()?);
+        Ok(KeptConnection { socket, address, client_address, connected_at, buffer: Vec::new() })
+    }
+
+    /// The client's own address, by which the gateway's log names the connection.
+    pub fn client_address(&self) -> SocketAddr {
+        self.client_address
+    }
+
+    /// When the connection stood.
+    pub fn connected_at(&self) -> Micros {
+        self.connected_at
     }
 
     /// Whether the gateway has ended the connection while it rested.
-    pub fn has_ended(&mut self) -> bool {
-        let mut byte = [0];
-        match self.socket.try_read(&mut byte) {
-            Ok(0) => true,
-            Ok(_) => {
-                self.buffer.push(byte[0]);
-                false
-            }
+    pub fn has_ended(&self) -> bool {
+        // The socket itself is asked: what the runtime has noted of it may be late.
+        match SockRef::from(&self.socket).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(peeked) => peeked == 0,
             Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
     }
 
-    /// Writes these bytes in so many pieces, with pauses between them. A gateway that has closed shows in reading.
-    pub async fn write(&mut self, bytes: &[u8], pieces: usize, pause: Duration) {
+    /// Writes these bytes in so many pieces, with pauses between them, until the gateway has ended the connection. An end that
+    /// crosses the last piece shows in reading.
+    pub async fn write(&mut self, bytes: &[u8], pieces: usize, pause: Duration) -> Written {
         let size = bytes.len().div_ceil(pieces.max(1)).max(1);
+        let mut written = Written { began: clock::now(), pieces: Vec::new() };
         for (index, piece) in bytes.chunks(size).enumerate() {
             if index > 0 {
                 sleep(pause).await;
             }
-            if self.socket.write_all(piece).await.is_err() {
-                return;
+            if self.has_ended() || self.socket.write_all(piece).await.is_err() {
+                break;
             }
+            written.pieces.push((written.bytes() + piece.len(), clock::now()));
         }
+        written
     }
 
     /// Reads the next answer to its end; `written` is what has been written for requests without an answer, in bytes.
@@ -97,8 +134,7 @@
         if reset {
             return End::Reset;
         }
-        let unread = self.socket.local_addr().and_then(|client| unread::bytes_at(self.address, client));
-        match unread {
+        match unread::bytes_at(self.address, self.client_address) {
             Ok(Some(0)) => End::Read,
             Ok(Some(unread)) if unread < written as u64 => End::ReadInPart,
             Ok(Some(_)) => End::Unread,
--- a/fault-tests/src/record.rs
+++ b/fault-tests/src/record.rs
@@ -1,5 +1,6 @@
 //! What a trial records: what engines did, what passed on the links to them, and what clients saw.
 
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
 use serde::{Deserialize, Serialize};
@@ -51,7 +52,9 @@
     Replied { request: String, connection: u64 },
     /// The connection that carried it was closed by the gateway, or broke.
     Closed { request: String, connection: u64 },
-    /// A client sent its request; it waits so long for the first token, in seconds.
+    /// A client wrote the first byte of a request, on a connection that stood by then; `client` is its end of it.
+    RequestBegun { request: String, client: SocketAddr, connected_at: Micros },
+    /// A client wrote the last byte of its request; it waits so long for the first token, in seconds.
     Sent { request: String, deadline: f64, repeatable: bool },
     /// A client closed its connection with no answer.
     ClientDisconnected { request: String },
@@ -87,6 +90,7 @@
             | Event::Written { request, .. }
             | Event::Replied { request, .. }
             | Event::Closed { request, .. }
+            | Event::RequestBegun { request, .. }
             | Event::Sent { request, .. }
             | Event::ClientDisconnected { request }
             | Event::Answered { request, .. }
--- a/fault-tests/src/sessions.rs
+++ b/fault-tests/src/sessions.rs
@@ -11,6 +11,7 @@
 use tokio::time::{sleep, timeout, Instant};
 
 use crate::client::{ClientRequest, GRACE};
+use crate::clock::{self, Micros};
 use crate::front::{Front, FrontedGateway};
 use crate::kept_connection::{Answer, End, KeptConnection};
 use crate::record::{Event, Records};
@@ -138,26 +139,39 @@
         let pieces =
             if self.random.random_bool(IN_PIECES) { self.random.random_range(2..=MAX_PIECES) } else { 1 };
         let pause = Duration::from_millis(self.random.random_range(PIECE_PAUSES));
-        connection.write(texts.concat().as_bytes(), pieces, pause).await;
-        let unanswered: usize = texts.iter().map(String::len).sum();
-        let next = self.await_answer(gateway, connection, &first, unanswered, outcomes).await;
+        let written = connection.write(texts.concat().as_bytes(), pieces, pause).await;
+        if written.bytes() > 0 {
+            self.records.push(first.begun(&gateway.name, connection, written.began));
+        }
+        if let (Some(second), Some(at)) = (&second, written.when(texts[0].len() + 1)) {
+            self.records.push(second.begun(&gateway.name, connection, at));
+            self.records.add(&gateway.name, Event::Pipelined { request: second.id.clone() });
+        }
+        let Some(sent_at) = written.when(texts[0].len()) else {
+            *outcomes.entry("ended while it was written".into()).or_default() += 1;
+            return Next::Reconnect;
+        };
+        let next = self.await_answer(gateway, connection, &first, sent_at, written.bytes(), outcomes).await;
         let Some(second) = second else { return next };
-        self.records.add(&gateway.name, Event::Pipelined { request: second.id.clone() });
         if next == Next::Reconnect {
             *outcomes.entry("pipelined, not answered".into()).or_default() += 1;
             return next;
         }
-        self.await_answer(gateway, connection, &second, texts[1].len(), outcomes).await
+        let unanswered = written.bytes() - texts[0].len();
+        if unanswered < texts[1].len() {
+            *outcomes.entry("ended while it was written".into()).or_default() += 1;
+            return Next::Reconnect;
+        }
+        self.await_answer(gateway, connection, &second, clock::now(), unanswered, outcomes).await
     }
 
-    /// Waits for the answer of a request that has been written, and records what becomes of it.
+    /// Waits for the answer of a request that has been written by then, and records what becomes of it.
     async fn await_answer(
         &mut self, gateway: &FrontedGateway, connection: &mut KeptConnection, request: &ClientRequest,
-        unanswered: usize, outcomes: &mut Outcomes,
+        sent_at: Micros, unanswered: usize, outcomes: &mut Outcomes,
     ) -> Next {
-        let (id, deadline) = (request.id.clone(), request.deadline.as_secs_f64());
-        let sent = Event::Sent { request: id.clone(), deadline, repeatable: request.repeatable };
-        self.records.add(&gateway.name, sent);
+        let id = request.id.clone();
+        self.records.push(request.sent(&gateway.name, sent_at));
         let answer = timeout(request.deadline + GRACE, connection.answer(unanswered)).await;
         let (event, outcome, next) = match answer {
             Ok(Ok(Answer { status, complete, closes })) => {
--- a/fault-tests/tests/connection_ends.rs
+++ b/fault-tests/tests/connection_ends.rs
@@ -1,9 +1,11 @@
 //! What a client on a kept connection finds out about its end, and when.
 
-use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::thread;
 use std::time::{Duration, Instant};
 
+use glenrail_fault_tests::kept_connection::{End, KeptConnection};
 use glenrail_fault_tests::unread;
 
 /// Connections of others on the machine, each of which has two sockets.
@@ -11,6 +13,11 @@
 const LOOKUPS: usize = 101;
 const LOOKUP_WITHIN: Duration = Duration::from_millis(1);
 const REQUEST: &[u8] = b"POST / HTTP/1.1\r\ncontent-length: 4\r\n\r\nbody";
+const PIECES: usize = 2;
+/// Bytes of the first of so many pieces.
+const FIRST_PIECE: usize = REQUEST.len().div_ceil(PIECES);
+/// Longer than loopback takes for anything.
+const SETTLED: Duration = Duration::from_millis(100);
 
 fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has ports");
@@ -24,6 +31,11 @@
     (client, server)
 }
 
+/// A runtime of one thread, which notes nothing of its sockets while that thread is busy.
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime")
+}
+
 /// Guards clients' records from the machine's other sockets: a list of all of them took up to two seconds to read, in which the
 /// runtime stood still and the connection that was asked about went on.
 #[test]
@@ -56,3 +68,61 @@
     drop(server);
     assert_eq!(unread::bytes_at(address, from).expect("the kernel answers"), None);
 }
+
+/// Guards clients from writing to a process that has ended, only because their own runtime was late to note it.
+#[test]
+fn an_end_is_seen_while_the_runtime_has_noted_nothing() {
+    let (listener, address) = listener();
+    runtime().block_on(async {
+        let connection = KeptConnection::open(address).await.expect("it listens");
+        let (server, _) = listener.accept().expect("a connection has come");
+        assert!(!connection.has_ended());
+        drop(server);
+        thread::sleep(SETTLED);
+        assert!(connection.has_ended());
+    });
+}
+
+/// Guards gateways from being charged with a request whose last piece was never sent.
+#[test]
+fn a_request_that_is_written_in_part_is_not_sent() {
+    let (listener, address) = listener();
+    let server = thread::spawn(move || {
+        let (mut server, _) = listener.accept().expect("a connection comes");
+        server.read_exact(&mut [0; FIRST_PIECE]).expect("the first piece comes");
+        server.shutdown(Shutdown::Write).expect("it stands");
+        server
+    });
+    runtime().block_on(async {
+        let mut connection = KeptConnection::open(address).await.expect("it listens");
+        let written = connection.write(REQUEST, PIECES, SETTLED).await;
+        assert_eq!(written.bytes(), FIRST_PIECE);
+        assert_eq!(written.when(REQUEST.len()), None);
+        let sent_in_part = written.when(FIRST_PIECE).expect("it was written");
+        assert!(sent_in_part >= written.began);
+    });
+    drop(server.join());
+}
+
+/// Guards the three orderly ends of a connection from being taken for each other.
+#[test]
+fn an_orderly_end_says_how_much_was_read() {
+    for (read, end) in [(0, End::Unread), (FIRST_PIECE, End::ReadInPart), (REQUEST.len(), End::Read)] {
+        let (listener, address) = listener();
+        let server = thread::spawn(move || {
+            let (mut server, _) = listener.accept().expect("a connection comes");
+            server.set_read_timeout(Some(SETTLED)).expect("it stands");
+            // All of the request has come before some of it is read.
+            thread::sleep(SETTLED);
+            server.read_exact(&mut vec![0; read]).expect("the request comes");
+            server.shutdown(Shutdown::Write).expect("it stands");
+            server
+        });
+        runtime().block_on(async {
+            let mut connection = KeptConnection::open(address).await.expect("it listens");
+            let written = connection.write(REQUEST, 1, Duration::ZERO).await;
+            assert_eq!(connection.answer(written.bytes()).await, Err(end));
+        });
+        drop(server.join());
+    }
+}
