Record a kill before its signal and after its wait; know which process had a request

Now a kill is recorded twice where it is done, before the signal and after the wait. What is seen from the signal on is the kill's, however late the wait; what was seen before it is not any more, where up to 300 ms before the recorded end had been excused, so the check is stricter there. A request belongs to the process to which its connection was made: the bound of 10 ms is the same and is held against the time at which that connection stood. No bound is changed; records without the new times are judged as before.

Tests, on made records: two that were charged wrongly (failed before, pass now), one closed 1 ms before a kill, which was excused (failed before, is found now); and the two times of a kill of a real process, in order.

--- a/fault-tests/src/deployment.rs
+++ b/fault-tests/src/deployment.rs
@@ -246,15 +246,17 @@
         written.map_err(|why| DeploymentError::Start { what: gateway.name.clone(), why })
     }
 
-    /// Waits for a gateway's process to be gone, killed if it still runs. Says whether it was killed.
-    pub async fn end_gateway(&mut self, gateway: usize) -> Result<bool, DeploymentError> {
+    /// Waits for a gateway's process to be gone, killed if it still runs, and records its end.
+    pub async fn end_gateway(&mut self, gateway: usize) -> Result<(), DeploymentError> {
         let gateway = &mut self.gateways[gateway];
         let killed = !gateway.process.has_ended();
         if killed {
+            self.records.add(&gateway.name, Event::GatewayKilled);
             let ended = gateway.process.kill().await;
             ended.map_err(|why| DeploymentError::Start { what: gateway.name.clone(), why })?;
         }
-        Ok(killed)
+        self.records.add(&gateway.name, Event::GatewayEnded { killed });
+        Ok(())
     }
 
     /// Starts the process of a gateway that has ended, at its address.
--- a/fault-tests/src/gateway_lives.rs
+++ b/fault-tests/src/gateway_lives.rs
@@ -7,20 +7,23 @@
 
 /// What the kill finds unanswered is lost if it came later than this after SIGTERM.
 const TAKEN_LATE_AFTER: Micros = 700 * MILLISECOND;
-/// A client sees the end of a process so much later, or its record is written so much earlier, at most.
+/// Where the kill's beginning was not noted: its end may be noted so much later than clients have seen it.
 const SEEN_WITHIN: Micros = 300 * MILLISECOND;
 
-/// A client writes on a connection of a process that has been killed for so long at most. No new process listens sooner.
-const WRITTEN_AFTER_KILL: Micros = 10 * MILLISECOND;
+/// A connection to a process that has been killed is noted for so long at most. No new process listens sooner.
+const CONNECTED_AFTER_KILL: Micros = 10 * MILLISECOND;
 
 /// The end of one process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LifeEnd {
     /// When it was first told to end, if it was.
     pub terminated_at: Option<Micros>,
+    /// When it had been waited for.
     pub ended_at: Micros,
     /// Whether it was killed; else it ended by itself.
     pub killed: bool,
+    /// When the kill was about to be sent, if that was noted.
+    kill_began_at: Option<Micros>,
 }
 
 /// The ends of all gateways' processes, by name, in order.
@@ -32,14 +35,19 @@
     pub fn of(records: &[Record]) -> GatewayLives {
         let mut lives = GatewayLives::default();
         let mut terminated: BTreeMap<&str, Micros> = BTreeMap::new();
+        let mut kills: BTreeMap<&str, Micros> = BTreeMap::new();
         for record in records {
             match record.event {
                 Event::GatewayTerminated => {
                     terminated.entry(&record.source).or_insert(record.at);
                 }
+                Event::GatewayKilled => {
+                    kills.insert(&record.source, record.at);
+                }
                 Event::GatewayEnded { killed } => {
                     let terminated_at = terminated.remove(record.source.as_str());
-                    let end = LifeEnd { terminated_at, ended_at: record.at, killed };
+                    let kill_began_at = kills.remove(record.source.as_str());
+                    let end = LifeEnd { terminated_at, ended_at: record.at, killed, kill_began_at };
                     lives.0.entry(record.source.clone()).or_default().push(end);
                 }
                 _ => {}
@@ -48,10 +56,21 @@
         lives
     }
 
-    /// The end of the process that got what a client wrote at this time, if it has ended.
-    pub fn end_after(&self, gateway: &str, at: Micros) -> Option<LifeEnd> {
+    /// The end of the process that got a request, by all records of it, if that process has ended: the one to which the
+    /// client's connection was made, whenever the request was written on it.
+    pub fn end_for(&self, request: &[&Record]) -> Option<LifeEnd> {
+        let sent = request.iter().find(|record| matches!(record.event, Event::Sent { .. }))?;
+        let connected_at = request.iter().find_map(|record| match record.event {
+            Event::RequestBegun { connected_at, .. } => Some(connected_at),
+            _ => None,
+        });
+        self.end_after(&sent.source, connected_at.unwrap_or(sent.at))
+    }
+
+    /// The end of the process that got what a client did at this time, if it has ended.
+    fn end_after(&self, gateway: &str, at: Micros) -> Option<LifeEnd> {
         let ends_after = |end: &LifeEnd| {
-            let slack = if end.killed { WRITTEN_AFTER_KILL } else { 0 };
+            let slack = if end.killed { CONNECTED_AFTER_KILL } else { 0 };
             end.ended_at + slack >= at
         };
         self.0.get(gateway)?.iter().copied().find(ends_after)
@@ -61,13 +80,16 @@
 impl LifeEnd {
     /// When the process was killed, if it was.
     pub fn killed_at(&self) -> Option<Micros> {
-        self.killed.then_some(self.ended_at)
+        self.killed.then_some(self.kill_began_at.unwrap_or(self.ended_at))
     }
 
     /// Whether a request that was sent then and found no answer by the kill, which its client saw at `seen`, is lost by the
     /// kill alone and not by the gateway: it came before a planned one, or nobody had planned it.
     pub fn excuses(&self, sent: Micros, seen: Micros) -> bool {
-        let by_the_kill = self.killed && seen + SEEN_WITHIN >= self.ended_at;
+        let by_the_kill = match self.kill_began_at {
+            Some(kill_began_at) => self.killed && seen >= kill_began_at,
+            None => self.killed && seen + SEEN_WITHIN >= self.ended_at,
+        };
         let came_late = self.terminated_at.is_some_and(|terminated| sent > terminated + TAKEN_LATE_AFTER);
         by_the_kill && !came_late
     }
--- a/fault-tests/src/judge.rs
+++ b/fault-tests/src/judge.rs
@@ -119,8 +119,7 @@
 
     /// The end of the gateway process that got the request, if it has ended.
     fn life_end(&self) -> Option<LifeEnd> {
-        let sent = self.records.iter().find(|record| matches!(record.event, Event::Sent { .. }))?;
-        self.lives.end_after(&sent.source, sent.at)
+        self.lives.end_for(&self.records)
     }
 
     /// Until when somebody can have let go of what is held: a gateway that was killed lets go of nothing.
--- a/fault-tests/src/record.rs
+++ b/fault-tests/src/record.rs
@@ -72,7 +72,9 @@
     GatewayPaused,
     /// It was continued.
     GatewayContinued,
-    /// A gateway's process has ended, by itself or killed.
+    /// A gateway's process is about to be killed.
+    GatewayKilled,
+    /// A gateway's process has ended, by itself or killed, and was waited for.
     GatewayEnded { killed: bool },
 }
 
@@ -100,6 +102,7 @@
             Event::GatewayTerminated
             | Event::GatewayPaused
             | Event::GatewayContinued
+            | Event::GatewayKilled
             | Event::GatewayEnded { .. } => "",
         }
     }
--- a/fault-tests/src/restarts.rs
+++ b/fault-tests/src/restarts.rs
@@ -120,11 +120,7 @@
         restart.series = end_as_planned(deployment, front, gateway, random).await?;
     }
     front.admit(gateway, false);
-    let killed = deployment.write().await.end_gateway(gateway).await?;
-    {
-        let held = deployment.read().await;
-        held.records.add(&held.gateways[gateway].name, Event::GatewayEnded { killed });
-    }
+    deployment.write().await.end_gateway(gateway).await?;
     let started = Instant::now();
     deployment.write().await.start_gateway_again(gateway)?;
     let address = deployment.read().await.gateways[gateway].address;
--- /dev/null
+++ b/fault-tests/tests/recorded_times.rs
@@ -0,0 +1,91 @@
+//! The times that a trial records: of a gateway's kill, and of a request's first and last byte.
+
+use std::path::Path;
+use std::time::Duration;
+
+use glenrail_fault_tests::clock::{Micros, MILLISECOND};
+use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
+use glenrail_fault_tests::judge::{judge, Invariant};
+use glenrail_fault_tests::record::{Event, Record};
+
+const LEASE_LIMIT: Duration = Duration::from_millis(500);
+const REQUEST: &str = "order";
+const GATEWAY: &str = "n0";
+/// When the gateway's process is killed, and the end of the trial (ms).
+const KILLED_AT: Micros = 1_000;
+const END: Micros = 9_000;
+
+fn record(at: Micros, event: Event) -> Record {
+    Record { at: at * MILLISECOND, source: GATEWAY.into(), event }
+}
+
+fn begun(at: Micros, connected_at: Micros) -> Record {
+    let client = "127.0.0.1:40000".parse().expect("an address");
+    let connected_at = connected_at * MILLISECOND;
+    record(at, Event::RequestBegun { request: REQUEST.into(), client, connected_at })
+}
+
+fn sent(at: Micros) -> Record {
+    record(at, Event::Sent { request: REQUEST.into(), deadline: 2.0, repeatable: false })
+}
+
+fn unanswered(at: Micros) -> Record {
+    record(at, Event::Unanswered { request: REQUEST.into() })
+}
+
+fn killed(ended_at: Micros) -> [Record; 2] {
+    [record(KILLED_AT, Event::GatewayKilled), record(ended_at, Event::GatewayEnded { killed: true })]
+}
+
+fn broken(mut records: Vec<Record>) -> Vec<Invariant> {
+    records.sort_by_key(|record| record.at);
+    let violations = judge(&records, LEASE_LIMIT, END * MILLISECOND);
+    violations.into_iter().map(|violation| violation.invariant).collect()
+}
+
+/// Guards gateways from being charged with an unplanned kill whose end was noted late (soak seeds 9590 and 9801).
+#[test]
+fn what_ends_with_a_kill_is_excused_however_late_the_process_was_waited_for() {
+    let mut records = vec![begun(900, 800), sent(900), unanswered(KILLED_AT + 1)];
+    records.extend(killed(KILLED_AT + 500));
+    assert_eq!(broken(records), []);
+}
+
+/// Guards the judge: a connection that is closed before the kill was not closed by it.
+#[test]
+fn what_ends_before_a_kill_is_not_excused_by_it() {
+    let mut records = vec![begun(700, 600), sent(700), unanswered(KILLED_AT - 1)];
+    records.extend(killed(KILLED_AT + 5));
+    assert_eq!(broken(records), [Invariant::Answered]);
+}
+
+/// Guards a process from being charged with a request that was written on a connection to the process before it (soak seed
+/// 9688): its first byte went before the kill, its last after it.
+#[test]
+fn a_request_belongs_to_the_process_to_which_its_connection_was_made() {
+    let mut to_the_killed_process =
+        vec![begun(KILLED_AT - 5, 800), sent(KILLED_AT + 20), unanswered(KILLED_AT + 21)];
+    to_the_killed_process.extend(killed(KILLED_AT + 2));
+    assert_eq!(broken(to_the_killed_process), []);
+    let connected_at = KILLED_AT + 30;
+    let mut to_the_next =
+        vec![begun(connected_at, connected_at), sent(connected_at), unanswered(connected_at + 9)];
+    to_the_next.extend(killed(KILLED_AT + 2));
+    assert_eq!(broken(to_the_next), [Invariant::Answered]);
+}
+
+/// Guards the two times of a kill: before its signal, and after its wait.
+#[test]
+fn a_kill_is_recorded_before_its_signal_and_after_its_wait() {
+    let program = Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"));
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let spec = DeploymentSpec::new(1, 1, 1);
+        let started = Deployment::start(spec, program, &program.with_file_name("glenrail")).await;
+        let mut deployment = started.expect("it starts");
+        deployment.end_gateway(0).await.expect("it ends");
+        let of_gateway = deployment.records.all().into_iter().filter(|record| record.source == GATEWAY);
+        let events: Vec<Event> = of_gateway.map(|record| record.event).collect();
+        assert_eq!(events, [Event::GatewayKilled, Event::GatewayEnded { killed: true }]);
+    });
+}
