Let the soak measure its own lateness, and say which breaks a gateway counted

Seen: breaks that come on a busy host alone, which nothing told from a gateway's fault: a report had no word on how late the rig itself was, none on whether any gateway had counted the break, and no line of the connection that it was about.

Two clocks tick through each run, one on a thread of its own (the machine's lateness) and one on the runtime of clients, links and kills (that runtime's, too).

The report has a module of its own, out of the soak's, which only plays. Tests: a runtime that stands still shows as late, late ticks are found by the time for which something stood still, and a break counted for 25f1-e6 is none for 25f1-e.

--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`soak`] draws random, overlapping [`faults`] over a deployment under load.
 //! - [`crowd`] fills a gateway's connection table with idle clients.
 //! - [`sessions`] are clients that keep their connections, spread by a [`front`]; [`restarts`] ends gateways and starts them.
+//! - [`lateness`] measures how late a run itself is; [`report`] holds what a run gave.
 //! - [`record`] holds what engines, links and clients saw; [`judge`] finds the invariants that did not hold.
 
 mod attempt_observer;
@@ -23,9 +24,11 @@
 pub mod gateway_log;
 pub mod judge;
 pub mod kept_connection;
+pub mod lateness;
 pub mod network;
 pub mod process;
 pub mod record;
+pub mod report;
 pub mod restarts;
 pub mod sessions;
 pub mod soak;
--- /dev/null
+++ b/fault-tests/src/report.rs
@@ -0,0 +1,133 @@
+//! What a soak run of one seed gave, and how it is printed.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use crate::clock::Micros;
+use crate::deployment::Deployment;
+use crate::judge::Violation;
+use crate::lateness::Lateness;
+use crate::record::{Event, Record};
+use crate::restarts::Restart;
+use crate::sessions::Outcomes;
+
+/// What the gateways' logs say in this time before the first violation is reported.
+const LOG_BEFORE: Duration = Duration::from_millis(500);
+
+/// Nine in ten restarted gateways are ready within this time.
+const READY_IN_TIME: Duration = Duration::from_secs(10);
+const READY_SHARE: usize = 10;
+
+/// What a run of one seed gave.
+#[derive(Debug, Default)]
+pub struct Report {
+    pub seed: u64,
+    pub faults: Vec<String>,
+    pub requests: usize,
+    /// Answers by status; 0 where there was none.
+    pub statuses: BTreeMap<u16, usize>,
+    /// How the requests on kept connections ended.
+    pub sessions: Outcomes,
+    pub restarts: Vec<Restart>,
+    pub violations: Vec<Violation>,
+    /// What is known of the first violation: records, log lines, and how late the run was then.
+    pub evidence: Vec<String>,
+    /// Invariants that the gateways' own logs say were broken.
+    pub reported_violations: Vec<String>,
+    /// How late the run itself was.
+    pub lateness: Lateness,
+}
+
+impl Report {
+    pub fn passed(&self) -> bool {
+        let slow = self.restarts.iter().filter(|restart| restart.ready_after > READY_IN_TIME).count();
+        let ready_in_time = slow * READY_SHARE <= self.restarts.len();
+        self.violations.is_empty() && self.reported_violations.is_empty() && ready_in_time
+    }
+
+    /// Whether a gateway has counted a break of its own about this violation's request.
+    pub fn is_counted(&self, violation: &Violation) -> bool {
+        self.reported_violations.iter().any(|line| names(line, &violation.request))
+    }
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "seed {}: {} requests, {} faults, statuses {:?}, {} violations, {} told by the gateways",
+            self.seed,
+            self.requests,
+            self.faults.len(),
+            self.statuses,
+            self.violations.len(),
+            self.reported_violations.len()
+        )?;
+        if !self.restarts.is_empty() {
+            let planned = self.restarts.iter().filter(|restart| restart.planned).count();
+            let series = self.restarts.iter().filter(|restart| !restart.series.is_empty()).count();
+            let slowest = self.restarts.iter().map(|restart| restart.ready_after).max().unwrap_or_default();
+            writeln!(
+                f,
+                "  {} restarts, {planned} planned, {series} with further signals, ready within {slowest:?}; kept \
+                 connections {:?}",
+                self.restarts.len(),
+                self.sessions
+            )?;
+        }
+        writeln!(f, "  the run itself: {}", self.lateness)?;
+        if self.passed() {
+            return Ok(());
+        }
+        self.restarts.iter().try_for_each(|restart| writeln!(f, "  restart: {restart:?}"))?;
+        self.faults.iter().try_for_each(|draw| writeln!(f, "  drawn: {draw}"))?;
+        for violation in &self.violations {
+            let counted =
+                if self.is_counted(violation) { "counted by a gateway" } else { "counted by no gateway" };
+            writeln!(f, "  broken: {violation} ({counted})")?;
+        }
+        self.evidence.iter().try_for_each(|line| writeln!(f, "  log: {line}"))?;
+        self.reported_violations.iter().try_for_each(|line| writeln!(f, "  told: {line}"))
+    }
+}
+
+/// What is known of a violation: the records of its request and of the gateways' ends, what the gateways' logs say of the
+/// request, of its client's connection and around that time, and how late the run was then.
+pub fn evidence_of(
+    violation: &Violation, records: &[Record], deployment: &Deployment, lateness: &Lateness,
+) -> Vec<String> {
+    // The ends of gateways are about no request.
+    let concerns = |request: &str| request == violation.request || request.is_empty();
+    let of_request = records.iter().filter(|record| concerns(record.event.request()));
+    let seen = of_request.map(|record| serde_json::to_string(record).unwrap_or_default());
+    let begun_at = records.iter().find(|record| record.event.request() == violation.request);
+    let log_from = violation.at.saturating_sub(LOG_BEFORE.as_micros() as Micros);
+    let from = begun_at.map_or(log_from, |record| record.at.min(log_from));
+    let late = lateness.between(from, violation.at).into_iter().map(|tick| format!("the run itself: {tick}"));
+    seen.chain(deployment.log_lines(&violation.request))
+        .chain(connection_log(&violation.request, records, deployment))
+        .chain(deployment.log_between(log_from, violation.at))
+        .chain(late)
+        .collect()
+}
+
+/// What the gateways' logs say of the connection on which a client wrote this request.
+fn connection_log(request: &str, records: &[Record], deployment: &Deployment) -> Vec<String> {
+    let client = records.iter().find_map(|record| match &record.event {
+        Event::RequestBegun { request: begun, client, .. } if begun == request => Some(client.to_string()),
+        _ => None,
+    });
+    let Some(client) = client else { return Vec::new() };
+    deployment.log_lines(&client).into_iter().filter(|line| names(line, &client)).collect()
+}
+
+/// Whether a line has this name as a whole word; both `25f1-e` and `127.0.0.1:400` begin longer names.
+fn names(line: &str, name: &str) -> bool {
+    let is_part_of_name = |character: char| character.is_ascii_alphanumeric() || character == '-';
+    line.match_indices(name).any(|(at, _)| {
+        let before = line[..at].chars().next_back();
+        let after = line[at + name.len()..].chars().next();
+        !before.is_some_and(is_part_of_name) && !after.is_some_and(is_part_of_name)
+    })
+}
--- a/fault-tests/src/soak.rs
+++ b/fault-tests/src/soak.rs
@@ -12,12 +12,14 @@
 use tokio::time::{sleep, Instant};
 
 use crate::client::{self, ClientRequest};
-use crate::clock::Micros;
 use crate::deployment::{Deployment, DeploymentError, DeploymentSpec};
 use crate::faults::ScheduledFault;
 use crate::front::Front;
-use crate::judge::{judge, Violation};
+use crate::judge::judge;
+use crate::lateness::LatenessWatch;
 use crate::record::Records;
+use crate::report::evidence_of;
+pub use crate::report::Report;
 use crate::restarts::Restart;
 use crate::sessions::Outcomes;
 use crate::{clock, crowd, restarts, sessions};
@@ -33,12 +35,6 @@
 /// A client that leaves does so within so many milliseconds.
 const LEAVES_WITHIN: u64 = 600;
 
-/// What the gateways' logs say in this time before the first violation is reported.
-const LOG_BEFORE: Duration = Duration::from_millis(500);
-
-/// Nine in ten restarted gateways are ready within this time.
-const READY_IN_TIME: Duration = Duration::from_secs(10);
-const READY_SHARE: usize = 10;
 /// Descriptors of each gateway, and idle clients before each, where there is a crowd; they come back so long after they were
 /// evicted.
 const CROWD_SOCKETS: usize = 256;
@@ -80,67 +76,6 @@
     pub gateway: PathBuf,
 }
 
-/// What a run of one seed gave.
-#[derive(Debug)]
-pub struct Report {
-    pub seed: u64,
-    pub faults: Vec<String>,
-    pub requests: usize,
-    /// Answers by status; 0 where there was none.
-    pub statuses: std::collections::BTreeMap<u16, usize>,
-    /// How the requests on kept connections ended.
-    pub sessions: Outcomes,
-    pub restarts: Vec<Restart>,
-    pub violations: Vec<Violation>,
-    /// What the gateways' logs say of the first violation's request.
-    pub log: Vec<String>,
-    /// Invariants that the gateways' own logs say were broken.
-    pub reported_violations: Vec<String>,
-}
-
-impl Report {
-    pub fn passed(&self) -> bool {
-        let slow = self.restarts.iter().filter(|restart| restart.ready_after > READY_IN_TIME).count();
-        let ready_in_time = slow * READY_SHARE <= self.restarts.len();
-        self.violations.is_empty() && self.reported_violations.is_empty() && ready_in_time
-    }
-}
-
-impl std::fmt::Display for Report {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        writeln!(
-            f,
-            "seed {}: {} requests, {} faults, statuses {:?}, {} violations, {} told by the gateways",
-            self.seed,
-            self.requests,
-            self.faults.len(),
-            self.statuses,
-            self.violations.len(),
-            self.reported_violations.len()
-        )?;
-        if !self.restarts.is_empty() {
-            let planned = self.restarts.iter().filter(|restart| restart.planned).count();
-            let series = self.restarts.iter().filter(|restart| !restart.series.is_empty()).count();
-            let slowest = self.restarts.iter().map(|restart| restart.ready_after).max().unwrap_or_default();
-            writeln!(
-                f,
-                "  {} restarts, {planned} planned, {series} with further signals, ready within {slowest:?}; kept \
-                 connections {:?}",
-                self.restarts.len(),
-                self.sessions
-            )?;
-        }
-        if self.passed() {
-            return Ok(());
-        }
-        self.restarts.iter().try_for_each(|restart| writeln!(f, "  restart: {restart:?}"))?;
-        self.faults.iter().try_for_each(|draw| writeln!(f, "  drawn: {draw}"))?;
-        self.violations.iter().try_for_each(|violation| writeln!(f, "  broken: {violation}"))?;
-        self.log.iter().try_for_each(|line| writeln!(f, "  log: {line}"))?;
-        self.reported_violations.iter().try_for_each(|line| writeln!(f, "  told: {line}"))
-    }
-}
-
 /// Plays one seed.
 pub async fn run(options: &Options, seed: u64, program: &Path) -> Result<Report, DeploymentError> {
     let mut spec = DeploymentSpec::new(options.gateways, options.readers, options.writers);
@@ -150,6 +85,7 @@
         spec.sockets = CROWD_SOCKETS;
     }
     let pin_limit = spec.lease_limit;
+    let lateness = LatenessWatch::start();
     let deployment = Deployment::start(spec, program, &options.gateway).await?;
     let records = deployment.records.clone();
     let gateways: Vec<_> = deployment.gateways.iter().map(|g| (g.name.clone(), g.address)).collect();
@@ -169,19 +105,14 @@
     let statuses = load.await.unwrap_or_default();
     drop(crowd);
     sleep(QUIET).await;
+    let lateness = lateness.so_far();
     let all = records.all();
     let violations = judge(&all, pin_limit, clock::now());
     let deployment = deployment.read().await;
-    let log = violations.first().map_or_else(Vec::new, |violation| {
-        // The ends of gateways are about no request.
-        let concerns = |request: &str| request == violation.request || request.is_empty();
-        let of_request = all.iter().filter(|record| concerns(record.event.request()));
-        let seen = of_request.map(|record| serde_json::to_string(record).unwrap_or_default());
-        let from = violation.at.saturating_sub(LOG_BEFORE.as_micros() as Micros);
-        let around = deployment.log_between(from, violation.at);
-        seen.chain(deployment.log_lines(&violation.request)).chain(around).collect()
-    });
     let told = deployment.log_lines("invariant broken");
+    let evidence = violations
+        .first()
+        .map_or_else(Vec::new, |violation| evidence_of(violation, &all, &deployment, &lateness));
     Ok(Report {
         seed,
         faults: draws,
@@ -190,8 +121,9 @@
         sessions,
         restarts,
         violations,
-        log,
+        evidence,
         reported_violations: told,
+        lateness,
     })
 }
 
--- a/fault-tests/tests/recorded_times.rs
+++ b/fault-tests/tests/recorded_times.rs
@@ -1,12 +1,15 @@
-//! The times that a trial records: of a gateway's kill, and of a request's first and last byte.
+//! The times that a trial records: of a gateway's kill, of a request's first and last byte, and of its own lateness.
 
 use std::path::Path;
+use std::thread;
 use std::time::Duration;
 
 use glenrail_fault_tests::clock::{Micros, MILLISECOND};
 use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
-use glenrail_fault_tests::judge::{judge, Invariant};
+use glenrail_fault_tests::judge::{judge, Invariant, Violation};
+use glenrail_fault_tests::lateness::{LateTick, Lateness, LatenessWatch, Ticker};
 use glenrail_fault_tests::record::{Event, Record};
+use glenrail_fault_tests::report::Report;
 
 const LEASE_LIMIT: Duration = Duration::from_millis(500);
 const REQUEST: &str = "order";
@@ -14,6 +17,8 @@
 /// When the gateway's process is killed, and the end of the trial (ms).
 const KILLED_AT: Micros = 1_000;
 const END: Micros = 9_000;
+/// Longer than a tick of any clock here.
+const STALL: Duration = Duration::from_millis(60);
 
 fn record(at: Micros, event: Event) -> Record {
     Record { at: at * MILLISECOND, source: GATEWAY.into(), event }
@@ -89,3 +94,56 @@
         assert_eq!(events, [Event::GatewayKilled, Event::GatewayEnded { killed: true }]);
     });
 }
+
+/// Guards a run's account of itself: a runtime that stands still shows in it, with its time.
+#[test]
+fn a_runtime_that_stands_still_shows_as_late() {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let lateness = runtime.expect("a runtime").block_on(async {
+        let watch = LatenessWatch::start();
+        tokio::time::sleep(STALL).await;
+        thread::sleep(STALL);
+        tokio::time::sleep(STALL).await;
+        watch.so_far()
+    });
+    assert!(lateness.timer_lateness >= (STALL / 2).as_micros() as Micros, "{lateness}");
+    assert!(lateness.late_ticks.iter().any(|tick| tick.ticker == Ticker::Timer), "{lateness}");
+}
+
+/// Guards the report of a break: it names the lateness of that time, and of no other.
+#[test]
+fn late_ticks_are_found_by_the_time_for_which_something_stood_still() {
+    let tick = LateTick { ticker: Ticker::Thread, at: 500 * MILLISECOND, late_by: 100 * MILLISECOND };
+    let mut lateness = Lateness::default();
+    lateness.note(tick);
+    assert_eq!(lateness.thread_stall, tick.late_by);
+    assert_eq!(lateness.between(0, 399 * MILLISECOND), []);
+    assert_eq!(lateness.between(0, 450 * MILLISECOND), [tick]);
+    assert_eq!(lateness.between(450 * MILLISECOND, 900 * MILLISECOND), [tick]);
+    assert_eq!(lateness.between(501 * MILLISECOND, 900 * MILLISECOND), []);
+}
+
+/// Guards the report's word on each break: whether a gateway has counted one about the same request, not about one whose name
+/// only begins with it.
+#[test]
+fn a_break_that_no_gateway_counted_is_said_to_be_so() {
+    let violation = |request: &str| Violation {
+        invariant: Invariant::Answered,
+        request: request.into(),
+        at: 0,
+        what: "no answer in time".into(),
+    };
+    let told =
+        "n0: glenrail: invariant broken: held_in_time: request 25f1-e6: released after 929 ms".to_string();
+    let (counted, not_counted) = (violation("25f1-e6"), violation("25f1-e"));
+    let report = Report {
+        violations: vec![counted.clone(), not_counted.clone()],
+        reported_violations: vec![told],
+        ..Report::default()
+    };
+    assert!(report.is_counted(&counted));
+    assert!(!report.is_counted(&not_counted));
+    let text = report.to_string();
+    assert!(text.contains("request 25f1-e6 at 0 us: no answer in time (counted by a gateway)"), "{text}");
+    assert!(text.contains("request 25f1-e at 0 us: no answer in time (counted by no gateway)"), "{text}");
+}
