--- a/fault-tests/tests/connection_ends.rs
+++ b/fault-tests/tests/connection_ends.rs
@@ -2,9 +2,11 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
 use glenrail_fault_tests::kept_connection::{End, KeptConnection};
 use glenrail_fault_tests::unread;
 
@@ -18,6 +20,9 @@
 const FIRST_PIECE: usize = REQUEST.len().div_ceil(PIECES);
 /// Longer than loopback takes for anything.
 const SETTLED: Duration = Duration::from_millis(100);
+/// A gateway ends a connection that says nothing after 2.5 s, and drops what crossed that end 1 s later.
+const ENDED_WITHIN: Duration = Duration::from_secs(10);
+const DROPPED_AFTER: Duration = Duration::from_millis(1_500);
 
 fn listener() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has ports");
@@ -126,3 +131,27 @@
         drop(server.join());
     }
 }
+
+/// Guards requests that cross their gateway's orderly end: asked for at once they are known as unread, and some time later the
+/// gateway has dropped them, as if they had been read.
+#[test]
+fn what_crosses_an_orderly_end_is_unread_at_once_and_not_later() {
+    let program = Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"));
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let spec = DeploymentSpec::new(1, 1, 1);
+        let started = Deployment::start(spec, program, &program.with_file_name("glenrail")).await;
+        let deployment = started.expect("it starts");
+        let address = deployment.gateways[0].address;
+        let mut client = TcpStream::connect(address).expect("it listens");
+        client.set_read_timeout(Some(ENDED_WITHIN)).expect("it stands");
+        let from = client.local_addr().expect("it is connected");
+        assert_eq!(client.read(&mut [0]).expect("it is ended in order"), 0);
+        client.write_all(REQUEST).expect("the gateway's end still stands");
+        let unread = unread::bytes_at(address, from).expect("the kernel answers");
+        assert_eq!(unread, Some(REQUEST.len() as u64));
+        tokio::time::sleep(DROPPED_AFTER).await;
+        let later = unread::bytes_at(address, from).expect("the kernel answers");
+        assert!(later.is_none_or(|unread| unread == 0), "{later:?}");
+    });
+}
