Have the soak say how long its gateways waited for a processor

The kernel tells for each process how long it could have run and had no processor. The clocks belong to the deployment now, so that each start of a gateway is watched.

--- a/fault-tests/src/deployment.rs
+++ b/fault-tests/src/deployment.rs
@@ -22,6 +22,7 @@
 use crate::discovery::DiscoveryAgent;
 use crate::engine::Role;
 use crate::gateway_log::GatewayLog;
+use crate::lateness::LatenessWatch;
 use crate::network::Link;
 use crate::process::{reserved_address, Process};
 use crate::record::{Event, Record, Records};
@@ -71,6 +72,8 @@
     /// By gateway and engine.
     pub links: BTreeMap<(usize, usize), Link>,
     pub records: Records,
+    /// How late the run is by itself.
+    pub lateness: LatenessWatch,
     /// Keep the addresses of its processes for them.
     reservations: Vec<Socket>,
     folder: TempDir,
@@ -92,6 +95,7 @@
             gateways: Vec::new(),
             links: BTreeMap::new(),
             records: Records::default(),
+            lateness: LatenessWatch::start(),
             reservations: Vec::new(),
             folder,
             program: program.to_path_buf(),
@@ -229,6 +233,9 @@
             .env("TMPDIR", folder)
             .stderr(Stdio::piped());
         let mut process = Process::start(&mut command, name)?;
+        if let Some(id) = process.child.id() {
+            self.lateness.watch_gateway(name, id);
+        }
         if let Some(output) = process.child.stderr.take() {
             log.follow(output);
         }
--- a/fault-tests/src/report.rs
+++ b/fault-tests/src/report.rs
@@ -7,7 +7,7 @@
 use crate::clock::Micros;
 use crate::deployment::Deployment;
 use crate::judge::Violation;
-use crate::lateness::Lateness;
+use crate::lateness::{LateTick, Lateness};
 use crate::record::{Event, Record};
 use crate::restarts::Restart;
 use crate::sessions::Outcomes;
@@ -46,6 +46,12 @@
         self.violations.is_empty() && self.reported_violations.is_empty() && ready_in_time
     }
 
+    /// What was latest in the time before a violation of which the log is printed, too.
+    fn worst_before(&self, violation: &Violation) -> Option<LateTick> {
+        let from = violation.at.saturating_sub(LOG_BEFORE.as_micros() as Micros);
+        self.lateness.between(from, violation.at).into_iter().max_by_key(|tick| tick.late_by)
+    }
+
     /// Whether a gateway has counted a break of its own about this violation's request.
     pub fn is_counted(&self, violation: &Violation) -> bool {
         self.reported_violations.iter().any(|line| names(line, &violation.request))
@@ -85,7 +91,11 @@
         for violation in &self.violations {
             let counted =
                 if self.is_counted(violation) { "counted by a gateway" } else { "counted by no gateway" };
-            writeln!(f, "  broken: {violation} ({counted})")?;
+            write!(f, "  broken: {violation} ({counted})")?;
+            match self.worst_before(violation) {
+                Some(tick) => writeln!(f, "; shortly before, {tick}")?,
+                None => writeln!(f)?,
+            }
         }
         self.evidence.iter().try_for_each(|line| writeln!(f, "  log: {line}"))?;
         self.reported_violations.iter().try_for_each(|line| writeln!(f, "  told: {line}"))
--- a/fault-tests/src/soak.rs
+++ b/fault-tests/src/soak.rs
@@ -16,7 +16,6 @@
 use crate::faults::ScheduledFault;
 use crate::front::Front;
 use crate::judge::judge;
-use crate::lateness::LatenessWatch;
 use crate::record::Records;
 use crate::report::evidence_of;
 pub use crate::report::Report;
@@ -85,7 +84,6 @@
         spec.sockets = CROWD_SOCKETS;
     }
     let pin_limit = spec.lease_limit;
-    let lateness = LatenessWatch::start();
     let deployment = Deployment::start(spec, program, &options.gateway).await?;
     let records = deployment.records.clone();
     let gateways: Vec<_> = deployment.gateways.iter().map(|g| (g.name.clone(), g.address)).collect();
@@ -105,10 +103,10 @@
     let statuses = load.await.unwrap_or_default();
     drop(crowd);
     sleep(QUIET).await;
-    let lateness = lateness.so_far();
     let all = records.all();
     let violations = judge(&all, pin_limit, clock::now());
     let deployment = deployment.read().await;
+    let lateness = deployment.lateness.so_far();
     let told = deployment.log_lines("invariant broken");
     let evidence = violations
         .first()
--- a/fault-tests/tests/recorded_times.rs
+++ b/fault-tests/tests/recorded_times.rs
@@ -1,6 +1,7 @@
 //! The times that a trial records: of a gateway's kill, of a request's first and last byte, and of its own lateness.
 
 use std::path::Path;
+use std::process::{Child, Command};
 use std::thread;
 use std::time::Duration;
 
@@ -17,6 +18,9 @@
 /// When the gateway's process is killed, and the end of the trial (ms).
 const KILLED_AT: Micros = 1_000;
 const END: Micros = 9_000;
+/// Processes that share one processor, and for how long.
+const BUSY_PROCESSES: usize = 4;
+const CROWDED_FOR: Duration = Duration::from_millis(500);
 /// Longer than a tick of any clock here.
 const STALL: Duration = Duration::from_millis(60);
 
@@ -115,10 +119,10 @@
 fn late_ticks_are_found_by_the_time_for_which_something_stood_still() {
     let tick = LateTick { ticker: Ticker::Thread, at: 500 * MILLISECOND, late_by: 100 * MILLISECOND };
     let mut lateness = Lateness::default();
-    lateness.note(tick);
+    lateness.note(tick.clone());
     assert_eq!(lateness.thread_stall, tick.late_by);
     assert_eq!(lateness.between(0, 399 * MILLISECOND), []);
-    assert_eq!(lateness.between(0, 450 * MILLISECOND), [tick]);
+    assert_eq!(lateness.between(0, 450 * MILLISECOND), std::slice::from_ref(&tick));
     assert_eq!(lateness.between(450 * MILLISECOND, 900 * MILLISECOND), [tick]);
     assert_eq!(lateness.between(501 * MILLISECOND, 900 * MILLISECOND), []);
 }
@@ -147,3 +151,31 @@
     assert!(text.contains("request 25f1-e6 at 0 us: no answer in time (counted by a gateway)"), "{text}");
     assert!(text.contains("request 25f1-e at 0 us: no answer in time (counted by no gateway)"), "{text}");
 }
+
+/// Guards a run's account of its gateways: a process that could have run and had no processor shows as waiting for one, by its
+/// name, until it has ended.
+#[test]
+fn a_process_without_a_processor_shows_as_waiting() {
+    let mut busy: Vec<_> = (0..BUSY_PROCESSES).map(|_| busy_process()).collect();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let lateness = runtime.expect("a runtime").block_on(async {
+        let watch = LatenessWatch::start();
+        busy.iter().for_each(|process| watch.watch_gateway(GATEWAY, process.id()));
+        tokio::time::sleep(CROWDED_FOR).await;
+        watch.so_far()
+    });
+    for process in &mut busy {
+        process.kill().expect("it runs");
+        process.wait().expect("it was started here");
+    }
+    let waited = lateness.late_ticks.iter().any(|tick| tick.ticker == Ticker::Gateway(GATEWAY.into()));
+    assert!(waited && lateness.gateway_wait > 0, "{lateness}");
+}
+
+/// A process that could run for some seconds, on one processor with all others of its kind; it ends by itself.
+fn busy_process() -> Child {
+    let command = Command::new("taskset")
+        .args(["-c", "0", "sh", "-c", "n=0; while [ $n -lt 3000000 ]; do n=$((n+1)); done"])
+        .spawn();
+    command.expect("the machine has taskset")
+}
