Let a client of the fault tests leave by an end that no copy of its socket holds back

The client left by dropping its socket at 1,691.915 s; its gateway had acted at 1,692.157 and 1,692.490 and begun the attempt at 1,692.583, with no sign that the end had come. The rig had begun to start another gateway at 1,691.397, which was ready only 2.68 s later; a thread of the rig stood still for 503 ms up to 1,691.916. A process that is being started has a copy of each of the rig's sockets until it has begun, and a dropped socket whose copy stands is not ended. That the copy was what held this end back is inferred from the times; that a copy does hold it back is shown by the test.

Now the client ends the connection itself, which no copy holds back. Test: a peer sees the end while a copy is held; with the end left out it waited for it in vain (failed before, passes now).

--- a/fault-tests/src/client.rs
+++ b/fault-tests/src/client.rs
@@ -108,7 +108,7 @@
     records.push(ask.sent(gateway, sent_at));
     let waits = ask.disconnects_after.unwrap_or(ask.deadline + GRACE);
     let answer = timeout(waits, connection.answer(text.len())).await;
-    drop(connection);
+    connection.close();
     match answer {
         Ok(Ok(Answer { status, complete, .. })) => {
             records.add(gateway, Event::Answered { request, status, complete });
--- a/fault-tests/src/kept_connection.rs
+++ b/fault-tests/src/kept_connection.rs
@@ -3,10 +3,10 @@
 
 use std::io;
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{SockRef, Socket};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -91,6 +91,18 @@
         self.connected_at
     }
 
+    /// A copy of its socket, such as a process has that is being started.
+    pub fn copy_of_socket(&self) -> io::Result<Socket> {
+        SockRef::from(&self.socket).try_clone()
+    }
+
+    /// Leaves: the gateway sees the connection's end from now on.
+    pub fn close(self) {
+        // Dropping it would not do: a process that is just being started holds a copy of each socket until it has begun. An
+        // error means that the gateway has ended the connection already.
+        let _ = SockRef::from(&self.socket).shutdown(Shutdown::Both);
+    }
+
     /// Whether the gateway has ended the connection while it rested.
     pub fn has_ended(&self) -> bool {
         // The socket itself is asked: what the runtime has noted of it may be late.
--- a/fault-tests/tests/connection_ends.rs
+++ b/fault-tests/tests/connection_ends.rs
@@ -88,6 +88,22 @@
     });
 }
 
+/// Guards gateways from being charged with a client that left and whose end was held back: a process that is being started holds
+/// copies of all sockets until it has begun, which on a busy machine takes hundreds of milliseconds.
+#[test]
+fn a_client_that_leaves_is_seen_while_a_copy_of_its_socket_is_held() {
+    let (listener, address) = listener();
+    runtime().block_on(async {
+        let connection = KeptConnection::open(address).await.expect("it listens");
+        let (mut server, _) = listener.accept().expect("a connection has come");
+        let copy = connection.copy_of_socket().expect("descriptors are left");
+        connection.close();
+        server.set_read_timeout(Some(SETTLED)).expect("it stands");
+        assert_eq!(server.read(&mut [0]).expect("its end has come"), 0);
+        drop(copy);
+    });
+}
+
 /// Guards gateways from being charged with a request whose last piece was never sent.
 #[test]
 fn a_request_that_is_written_in_part_is_not_sent() {
