Have the soak say how long its processes took to begin

The report prints the longest start now, and a break names one that fell into the half second before it.

--- a/fault-tests/src/deployment.rs
+++ b/fault-tests/src/deployment.rs
@@ -16,7 +16,7 @@
 use tokio::time::timeout;
 
 use crate::client::{self, ClientRequest};
-use crate::clock::Micros;
+use crate::clock::{self, Micros};
 pub use crate::deployment_error::DeploymentError;
 pub use crate::deployment_spec::{DeploymentSpec, EngineSpec};
 use crate::discovery::DiscoveryAgent;
@@ -145,7 +145,7 @@
             &spec.service_time_ms.1.to_string(),
         ]);
         command.arg("--states").arg(self.states()).stdout(Stdio::piped());
-        let mut process = Process::start(&mut command, &spec.name)?;
+        let mut process = self.begin(&mut command, &spec.name)?;
         let records = self.records.clone();
         if let Some(said) = process.child.stdout.take() {
             tokio::spawn(async move {
@@ -232,7 +232,7 @@
             .env("EDGE_CONFIG", folder.join(CONFIG))
             .env("TMPDIR", folder)
             .stderr(Stdio::piped());
-        let mut process = Process::start(&mut command, name)?;
+        let mut process = self.begin(&mut command, name)?;
         if let Some(id) = process.child.id() {
             self.lateness.watch_gateway(name, id);
         }
@@ -242,6 +242,14 @@
         Ok(process)
     }
 
+    /// Starts a process, and notes how long that took.
+    fn begin(&self, command: &mut Command, name: &str) -> Result<Process, DeploymentError> {
+        let asked_at = clock::now();
+        let process = Process::start(command, name)?;
+        self.lateness.note_start(name, asked_at);
+        Ok(process)
+    }
+
     /// Writes a gateway's configuration file, which it reads at its start and at SIGHUP.
     pub fn write_config(&self, gateway: usize, file: ConfigFile) -> Result<(), DeploymentError> {
         let gateway = &self.gateways[gateway];
--- a/fault-tests/src/lateness.rs
+++ b/fault-tests/src/lateness.rs
@@ -32,6 +32,8 @@
     Timer,
     /// A gateway of this name, which could have run and had no processor.
     Gateway(String),
+    /// The start of a process of this name; until it has begun it holds copies of the run's sockets.
+    Start(String),
 }
 
 /// Something that came late.
@@ -52,6 +54,8 @@
     pub timer_lateness: Micros,
     /// The longest that a gateway waited for a processor between two looks.
     pub gateway_wait: Micros,
+    /// The longest that a process took to begin.
+    pub process_start: Micros,
     /// All ticks that were notably late, in order.
     pub late_ticks: Vec<LateTick>,
 }
@@ -63,6 +67,7 @@
             Ticker::Thread => &mut self.thread_stall,
             Ticker::Timer => &mut self.timer_lateness,
             Ticker::Gateway(_) => &mut self.gateway_wait,
+            Ticker::Start(_) => &mut self.process_start,
         };
         *worst = tick.late_by.max(*worst);
         if tick.late_by >= NOTABLE {
@@ -86,6 +91,7 @@
             Ticker::Gateway(name) => {
                 write!(f, "{name} waited for a processor for {late_by} ms, seen at {at} us")
             }
+            Ticker::Start(name) => write!(f, "{name} took {late_by} ms to begin, up to {at} us"),
         }
     }
 }
@@ -95,10 +101,11 @@
         write!(
             f,
             "a thread stood still for {} ms at most, a timer was {} ms late at most, a gateway waited for a processor for \
-             {} ms at most; {} times it was {} ms or more",
+             {} ms at most, a process took {} ms to begin at most; {} times it was {} ms or more",
             self.thread_stall / MILLISECOND,
             self.timer_lateness / MILLISECOND,
             self.gateway_wait / MILLISECOND,
+            self.process_start / MILLISECOND,
             self.late_ticks.len(),
             NOTABLE / MILLISECOND
         )
@@ -147,6 +154,13 @@
         lock(&self.gateways).push(gateway);
     }
 
+    /// Notes that a process has begun now whose start was asked for then.
+    pub fn note_start(&self, name: &str, asked_at: Micros) {
+        let at = clock::now();
+        let ticker = Ticker::Start(name.to_string());
+        lock(&self.lateness).note(LateTick { ticker, at, late_by: at.saturating_sub(asked_at) });
+    }
+
     /// How late it has been so far.
     pub fn so_far(&self) -> Lateness {
         lock(&self.lateness).clone()
