Let a paused gateway go on by a thread, not by a timer of the fault tests' own runtime

Trace: request 2658-s6-1 was written to its end at 1,925,420.357 ms; its gateway was stopped at .380 and let go on at 1,925,604.463, 184 ms later, where the platform allows 150 and the draw says 150. The report has a timer of the rig 51 ms late up to 1,925,604.394. The gateway was stopped before it could read, and counts from its reading.

Now a thread of its own sleeps and sends the signal. The record of the pause is written before its signal, that of its end after, so that the pause was no longer than the two say.

--- a/fault-tests/src/faults.rs
+++ b/fault-tests/src/faults.rs
@@ -1,12 +1,12 @@
 //! Faults that a soak run draws: each begins, lasts a while, and ends; several may be under way at once.
 
+use std::thread;
 use std::time::Duration;
 
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::Rng;
 use rustix::process::Signal;
-use tokio::time::sleep;
 
 use crate::deployment::{Deployment, DeploymentError, GatewayProcess};
 use crate::engine::Role;
@@ -131,13 +131,14 @@
     }
 }
 
-/// Has a gateway's process stand still for so long. Its end waits for nobody: the platform bounds how long a gateway is held up.
+/// Has a gateway's process stand still for so long. The platform bounds how long a gateway is held up, so its end waits for
+/// nobody, and for no timer of a runtime that may itself be late.
 fn pause(gateway: &GatewayProcess, duration: Duration, records: &Records) {
     let (name, process, records) = (gateway.name.clone(), gateway.process.signal_target(), records.clone());
-    process.signal(Signal::STOP);
-    records.add(&name, Event::GatewayPaused);
-    tokio::spawn(async move {
-        sleep(duration).await;
+    thread::spawn(move || {
+        records.add(&name, Event::GatewayPaused);
+        process.signal(Signal::STOP);
+        thread::sleep(duration);
         process.signal(Signal::CONT);
         records.add(&name, Event::GatewayContinued);
     });
--- a/fault-tests/tests/recorded_times.rs
+++ b/fault-tests/tests/recorded_times.rs
@@ -7,6 +7,7 @@
 
 use glenrail_fault_tests::clock::{Micros, MILLISECOND};
 use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
+use glenrail_fault_tests::faults::{Fault, ScheduledFault};
 use glenrail_fault_tests::judge::{judge, Invariant, Violation};
 use glenrail_fault_tests::lateness::{LateTick, Lateness, LatenessWatch, Ticker};
 use glenrail_fault_tests::record::{Event, Record};
@@ -18,6 +19,8 @@
 /// When the gateway's process is killed, and the end of the trial (ms).
 const KILLED_AT: Micros = 1_000;
 const END: Micros = 9_000;
+/// How long the platform allows a gateway to be held up.
+const HELD_UP: Duration = Duration::from_millis(150);
 /// Processes that share one processor, and for how long.
 const BUSY_PROCESSES: usize = 4;
 const CROWDED_FOR: Duration = Duration::from_millis(500);
@@ -99,6 +102,28 @@
     });
 }
 
+/// Guards gateways from being held up for longer than the platform allows, because the runtime was late to let them go on.
+#[test]
+fn a_paused_gateway_goes_on_in_time_while_the_runtime_stands_still() {
+    let program = Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"));
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    runtime.expect("a runtime").block_on(async {
+        let spec = DeploymentSpec::new(1, 1, 1);
+        let started = Deployment::start(spec, program, &program.with_file_name("glenrail")).await;
+        let mut deployment = started.expect("it starts");
+        let pause = ScheduledFault { fault: Fault::GatewayPaused { gateway: 0 }, duration: HELD_UP };
+        pause.begin(&mut deployment).await.expect("it begins");
+        thread::sleep(HELD_UP * 4);
+        let of_gateway = deployment.records.all().into_iter().filter(|record| record.source == GATEWAY);
+        let times: Vec<(Event, Micros)> = of_gateway.map(|record| (record.event, record.at)).collect();
+        let [(Event::GatewayPaused, paused_at), (Event::GatewayContinued, continued_at)] = times[..] else {
+            panic!("{times:?}")
+        };
+        let held_up = Duration::from_micros(continued_at - paused_at);
+        assert!((HELD_UP..HELD_UP * 2).contains(&held_up), "{held_up:?}");
+    });
+}
+
 /// Guards a run's account of itself: a runtime that stands still shows in it, with its time.
 #[test]
 fn a_runtime_that_stands_still_shows_as_late() {
