--- a/fault-tests/src/deployment.rs
+++ b/fault-tests/src/deployment.rs
@@ -16,11 +16,13 @@
 use tokio::time::timeout;
 
 use crate::client::{self, ClientRequest};
-use crate::clock::Micros;
+use crate::clock::{self, Micros};
+pub use crate::deployment_error::DeploymentError;
 pub use crate::deployment_spec::{DeploymentSpec, EngineSpec};
 use crate::discovery::DiscoveryAgent;
 use crate::engine::Role;
 use crate::gateway_log::GatewayLog;
+use crate::lateness::LatenessWatch;
 use crate::network::Link;
 use crate::process::{reserved_address, Process};
 use crate::record::{Event, Record, Records};
@@ -32,15 +34,6 @@
 /// The name of a gateway's configuration file.
 const CONFIG: &str = "config.json";
 
-/// Why a deployment does not start.
-#[derive(Debug, thiserror::Error)]
-pub enum DeploymentError {
-    #[error("{what}: {why}; the gateway is built with `cargo build` first, the folder has to be writable")]
-    Start { what: String, why: io::Error },
-    #[error("{0} said nothing in time; its log has the reason")]
-    NotReady(String),
-}
-
 /// A running engine.
 #[derive(Debug)]
 pub struct EngineProcess {
@@ -79,6 +72,8 @@
     /// By gateway and engine.
     pub links: BTreeMap<(usize, usize), Link>,
     pub records: Records,
+    /// How late the run is by itself.
+    pub lateness: LatenessWatch,
     /// Keep the addresses of its processes for them.
     reservations: Vec<Socket>,
     folder: TempDir,
@@ -100,6 +95,7 @@
             gateways: Vec::new(),
             links: BTreeMap::new(),
             records: Records::default(),
+            lateness: LatenessWatch::start(),
             reservations: Vec::new(),
             folder,
             program: program.to_path_buf(),
@@ -149,7 +145,7 @@
             &spec.service_time_ms.1.to_string(),
         ]);
         command.arg("--states").arg(self.states()).stdout(Stdio::piped());
-        let mut process = Process::start(&mut command, &spec.name)?;
+        let mut process = self.begin(&mut command, &spec.name)?;
         let records = self.records.clone();
         if let Some(said) = process.child.stdout.take() {
             tokio::spawn(async move {
@@ -236,13 +232,24 @@
             .env("EDGE_CONFIG", folder.join(CONFIG))
             .env("TMPDIR", folder)
             .stderr(Stdio::piped());
-        let mut process = Process::start(&mut command, name)?;
+        let mut process = self.begin(&mut command, name)?;
+        if let Some(id) = process.child.id() {
+            self.lateness.watch_gateway(name, id);
+        }
         if let Some(output) = process.child.stderr.take() {
             log.follow(output);
         }
         Ok(process)
     }
 
+    /// Starts a process, and notes how long that took.
+    fn begin(&self, command: &mut Command, name: &str) -> Result<Process, DeploymentError> {
+        let asked_at = clock::now();
+        let process = Process::start(command, name)?;
+        self.lateness.note_start(name, asked_at);
+        Ok(process)
+    }
+
     /// Writes a gateway's configuration file, which it reads at its start and at SIGHUP.
     pub fn write_config(&self, gateway: usize, file: ConfigFile) -> Result<(), DeploymentError> {
         let gateway = &self.gateways[gateway];
@@ -254,15 +261,17 @@
         written.map_err(|why| DeploymentError::Start { what: gateway.name.clone(), why })
     }
 
-    /// Waits for a gateway's process to be gone, killed if it still runs. Says whether it was killed.
-    pub async fn end_gateway(&mut self, gateway: usize) -> Result<bool, DeploymentError> {
+    /// Waits for a gateway's process to be gone, killed if it still runs, and records its end.
+    pub async fn end_gateway(&mut self, gateway: usize) -> Result<(), DeploymentError> {
         let gateway = &mut self.gateways[gateway];
         let killed = !gateway.process.has_ended();
         if killed {
+            self.records.add(&gateway.name, Event::GatewayKilled);
             let ended = gateway.process.kill().await;
             ended.map_err(|why| DeploymentError::Start { what: gateway.name.clone(), why })?;
         }
-        Ok(killed)
+        self.records.add(&gateway.name, Event::GatewayEnded { killed });
+        Ok(())
     }
 
     /// Starts the process of a gateway that has ended, at its address.
--- a/fault-tests/src/kept_connection.rs
+++ b/fault-tests/src/kept_connection.rs
@@ -2,13 +2,16 @@
 //! answers are read one after the other, each to its end.
 
 use std::io;
-use std::net::SocketAddr;
+use std::mem::MaybeUninit;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
+use socket2::{SockRef, Socket};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::clock::{self, Micros};
 use crate::unread;
 
 const READ_SIZE: usize = 16 << 10;
@@ -29,16 +32,43 @@
 pub enum End {
     /// The gateway ended it in order, and has not read the request.
     Unread,
-    /// The gateway ended it in order, and has read bytes of the request or all of it.
+    /// The gateway ended it in order, and has read some of the request.
+    ReadInPart,
+    /// The gateway ended it in order, and has read all of the request.
     Read,
     /// It was reset, so that nothing can be told.
     Reset,
+    /// The kernel did not say how its other end stands.
+    Unknown,
+}
+
+/// What was written at once, and when. It ends early where the connection ended before.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Written {
+    /// Before the first byte was.
+    pub began: Micros,
+    /// Bytes up to the end of each piece, and when that had been written.
+    pieces: Vec<(usize, Micros)>,
+}
+
+impl Written {
+    /// How many bytes have been written.
+    pub fn bytes(&self) -> usize {
+        self.pieces.last().map_or(0, |(bytes, _)| *bytes)
+    }
+
+    /// When so many bytes had been written, if they have been.
+    pub fn when(&self, bytes: usize) -> Option<Micros> {
+        self.pieces.iter().find(|(written, _)| *written >= bytes).map(|(_, at)| *at)
+    }
 }
 
 /// A connection to a gateway that is used for one request after the other.
 pub struct KeptConnection {
     socket: TcpStream,
     address: SocketAddr,
+    client_address: SocketAddr,
+    connected_at: Micros,
     /// Read, and not yet part of an answer.
     buffer: Vec<u8>,
 }
@@ -47,33 +77,56 @@
     pub async fn open(address: SocketAddr) -> io::Result<KeptConnection> {
         let socket = TcpStream::connect(address).await?;
         socket.set_nodelay(true)?;
-        Ok(KeptConnection { socket, address, buffer: Vec::new() })
+        let (connected_at, client_address) = (clock::now(), socket.local_addr()?);
+        Ok(KeptConnection { socket, address, client_address, connected_at, buffer: Vec::new() })
+    }
+
+    /// The client's own address, by which the gateway's log names the connection.
+    pub fn client_address(&self) -> SocketAddr {
+        self.client_address
+    }
+
+    /// When the connection stood.
+    pub fn connected_at(&self) -> Micros {
+        self.connected_at
+    }
+
+    /// A copy of its socket, such as a process has that is being started.
+    pub fn copy_of_socket(&self) -> io::Result<Socket> {
+        SockRef::from(&self.socket).try_clone()
+    }
+
+    /// Leaves: the gateway sees the connection's end from now on.
+    pub fn close(self) {
+        // Dropping it would not do: a process that is just being started holds a copy of each socket until it has begun. An
+        // error means that the gateway has ended the connection already.
+        let _ = SockRef::from(&self.socket).shutdown(Shutdown::Both);
     }
 
     /// Whether the gateway has ended the connection while it rested.
-    pub fn has_ended(&mut self) -> bool {
-        let mut byte = [0];
-        match self.socket.try_read(&mut byte) {
-            Ok(0) => true,
-            Ok(_) => {
-                self.buffer.push(byte[0]);
-                false
-            }
+    pub fn has_ended(&self) -> bool {
+        // The socket itself is asked: what the runtime has noted of it may be late.
+        match SockRef::from(&self.socket).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(peeked) => peeked == 0,
             Err(error) => error.kind() != io::ErrorKind::WouldBlock,
         }
     }
 
-    /// Writes these bytes in so many pieces, with pauses between them. A gateway that has closed shows in reading.
-    pub async fn write(&mut self, bytes: &[u8], pieces: usize, pause: Duration) {
+    /// Writes these bytes in so many pieces, with pauses between them, until the gateway has ended the connection. An end that
+    /// crosses the last piece shows in reading.
+    pub async fn write(&mut self, bytes: &[u8], pieces: usize, pause: Duration) -> Written {
         let size = bytes.len().div_ceil(pieces.max(1)).max(1);
+        let mut written = Written { began: clock::now(), pieces: Vec::new() };
         for (index, piece) in bytes.chunks(size).enumerate() {
             if index > 0 {
                 sleep(pause).await;
             }
-            if self.socket.write_all(piece).await.is_err() {
-                return;
+            if self.has_ended() || self.socket.write_all(piece).await.is_err() {
+                break;
             }
+            written.pieces.push((written.bytes() + piece.len(), clock::now()));
         }
+        written
     }
 
     /// Reads the next answer to its end; `written` is what has been written for requests without an answer, in bytes.
@@ -93,11 +146,12 @@
         if reset {
             return End::Reset;
         }
-        let from = self.socket.local_addr().ok();
-        match from.and_then(|from| unread::bytes_at(self.address, from)) {
-            Some(unread) if unread >= written as u64 => End::Unread,
-            Some(_) => End::Read,
-            None => End::Reset,
+        match unread::bytes_at(self.address, self.client_address) {
+            Ok(Some(0)) => End::Read,
+            Ok(Some(unread)) if unread < written as u64 => End::ReadInPart,
+            Ok(Some(_)) => End::Unread,
+            Ok(None) => End::Reset,
+            Err(_) => End::Unknown,
         }
     }
 
