Have a link's reset be a reset, and refuse while its engine's process is gone

What callers saw: nothing; the test deployment showed gateways what no machine shows.

Cause: a link that was told to reset its connections closed them in order first, since the runtime's half of a socket shuts its sending down when it is dropped. A gateway read that as the server's own end, which proves that it has noticed a cut.

Mend: a link's writer ends nothing when it is dropped; an orderly end is written out. When an engine is killed its links reset what stands and stop listening, at an address that stays reserved, until the new process listens; a way that is cut refuses nothing.

--- a/fault-tests/src/deployment.rs
+++ b/fault-tests/src/deployment.rs
@@ -12,8 +12,9 @@
 use socket2::Socket;
 use tempfile::TempDir;
 use tokio::io::{AsyncBufReadExt, BufReader};
+use tokio::net::TcpStream;
 use tokio::process::Command;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::client::{self, ClientRequest};
 use crate::clock::Micros;
@@ -29,6 +30,8 @@
 const UP_WITHIN: Duration = Duration::from_secs(20);
 /// A gateway that is not ready by then has broken the platform's rule.
 const READY_WITHIN: Duration = Duration::from_secs(30);
+/// Pause before an engine that does not listen yet is tried again.
+const UP_CHECK_PAUSE: Duration = Duration::from_millis(2);
 /// The name of a gateway's configuration file.
 const CONFIG: &str = "config.json";
 
@@ -274,14 +277,40 @@
         Ok(())
     }
 
+    /// Kills an engine: its connections are reset, and its machine refuses new ones.
+    pub async fn kill_engine(&mut self, index: usize) -> Result<(), DeploymentError> {
+        let what = self.engines[index].spec.name.clone();
+        let engine = &mut self.engines[index];
+        if engine.process.has_ended() {
+            return Ok(());
+        }
+        if let Err(why) = engine.process.child.start_kill() {
+            return Err(DeploymentError::Start { what, why });
+        }
+        self.links_to(index).for_each(Link::engine_gone);
+        let killed = self.engines[index].process.kill().await;
+        killed.map_err(|why| DeploymentError::Start { what, why })
+    }
+
+    /// Has the links to an engine accept connections again once its process does.
+    fn reconnect_once_up(&self, index: usize) {
+        let address = self.engines[index].address;
+        let links: Vec<Link> = self.links_to(index).cloned().collect();
+        tokio::spawn(async move {
+            while TcpStream::connect(address).await.is_err() {
+                sleep(UP_CHECK_PAUSE).await;
+            }
+            links.iter().for_each(Link::engine_back);
+        });
+    }
+
     /// Kills an engine and starts it anew at its address, empty.
     pub async fn restart_engine(&mut self, index: usize) -> Result<(), DeploymentError> {
-        let engine = &mut self.engines[index];
-        let killed = engine.process.kill().await;
-        killed.map_err(|why| DeploymentError::Start { what: engine.spec.name.clone(), why })?;
+        self.kill_engine(index).await?;
         let engine = &self.engines[index];
         self.lose_states(&engine.spec.name);
         let process = self.start_engine(&engine.spec, engine.address)?;
+        self.reconnect_once_up(index);
         let engine = &mut self.engines[index];
         engine.process = process;
         let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod gateway_log;
 pub mod judge;
 pub mod kept_connection;
+mod link_writer;
 pub mod network;
 pub mod process;
 pub mod record;
--- a/fault-tests/src/network.rs
+++ b/fault-tests/src/network.rs
@@ -2,19 +2,20 @@
 
 use std::collections::BTreeSet;
 use std::io;
-use std::net::{SocketAddr, TcpListener as StdListener, TcpStream as StdStream};
-use std::sync::{Arc, Mutex, PoisonError};
-use std::task::{Context, Poll, Waker};
+use std::net::{Shutdown, SocketAddr, TcpListener as StdListener, TcpStream as StdStream};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use socket2::{Domain, SockRef, Socket, Type};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
 use crate::attempt_observer::AttemptObserver;
+use crate::link_writer::LinkWriter;
+use crate::process::reserved_address;
 use crate::record::Records;
 
 /// Connections that may wait to be accepted on a link that is well.
@@ -36,6 +37,15 @@
     Unconnectable,
 }
 
+/// What becomes of a connection that is begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Reception {
+    Accepted,
+    /// It never comes up.
+    Unconnectable,
+    Refused,
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     condition: Condition,
@@ -44,9 +54,23 @@
     /// Connections older than this one are reset.
     reset_below: u64,
     delay: Duration,
+    /// The engine's process is gone.
+    engine_gone: bool,
+    /// How often the listener was shut down.
+    shutdowns: u64,
 }
 
 impl State {
+    /// What becomes of a connection that is begun now.
+    fn reception(&self) -> Reception {
+        match self.condition {
+            Condition::Unconnectable => Reception::Unconnectable,
+            // Only a machine that can be reached refuses for a process that is gone.
+            Condition::Open if self.engine_gone => Reception::Refused,
+            Condition::Open | Condition::Blackholed => Reception::Accepted,
+        }
+    }
+
     fn passes(&self, connection: u64) -> bool {
         self.condition == Condition::Open && connection >= self.stalled_below
     }
@@ -59,6 +83,8 @@
     pub address: SocketAddr,
     state: watch::Sender<State>,
     listener: Arc<StdListener>,
+    /// Keeps the address while nothing listens at it.
+    _reservation: Arc<Socket>,
     next: Arc<Mutex<u64>>,
     filling: Arc<Mutex<Filling>>,
 }
@@ -73,30 +99,58 @@
 impl Link {
     /// Opens a link to this engine; needs a tokio runtime.
     pub fn open(name: &str, engine: SocketAddr, records: Records) -> io::Result<Link> {
+        let (reservation, address) = reserved_address()?;
         let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
-        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into())?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
         socket.listen(BACKLOG)?;
         socket.set_nonblocking(true)?;
-        let listener: StdListener = socket.into();
-        let accepting = TcpListener::from_std(listener.try_clone()?)?;
         let link = Link {
             name: name.to_string(),
-            address: listener.local_addr()?,
+            address,
             state: watch::Sender::new(State::default()),
-            listener: Arc::new(listener),
+            listener: Arc::new(socket.into()),
+            _reservation: Arc::new(reservation),
             next: Arc::default(),
             filling: Arc::default(),
         };
-        tokio::spawn(link.clone().accept(accepting, engine, records));
+        tokio::spawn(link.clone().accept(engine, records));
         Ok(link)
     }
 
     /// Has the link treat everything like this from now on.
     pub fn set(&self, condition: Condition) {
-        self.state.send_modify(|state| state.condition = condition);
-        match condition {
-            Condition::Unconnectable => self.fill(),
-            Condition::Open | Condition::Blackholed => self.empty(),
+        self.change(|state| state.condition = condition);
+    }
+
+    /// The engine's process is gone: its connections are reset and new ones refused, unless the way to its machine is cut.
+    pub fn engine_gone(&self) {
+        let is_open = self.state.borrow().condition == Condition::Open;
+        self.change(|state| state.engine_gone = true);
+        if is_open {
+            self.reset();
+        }
+    }
+
+    /// The engine's process listens again.
+    pub fn engine_back(&self) {
+        self.change(|state| state.engine_gone = false);
+    }
+
+    fn change(&self, how: impl FnOnce(&mut State)) {
+        self.state.send_modify(|state| {
+            how(state);
+            state.shutdowns += u64::from(state.reception() == Reception::Refused);
+        });
+        let reception = self.state.borrow().reception();
+        match reception {
+            Reception::Accepted => self.empty(),
+            Reception::Unconnectable => self.fill(),
+            Reception::Refused => {
+                self.filling().open.clear();
+                // What waits to be accepted is reset.
+                let _ = SockRef::from(&*self.listener).shutdown(Shutdown::Both);
+            }
         }
     }
 
@@ -122,7 +176,7 @@
         if SockRef::from(&*self.listener).listen(0).is_err() {
             return;
         }
-        let mut filling = self.filling.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut filling = self.filling();
         for _ in 0..MOST_FILLING {
             let Ok(socket) = StdStream::connect_timeout(&self.address, FULL_AFTER) else { return };
             filling.addresses.extend(socket.local_addr());
@@ -133,46 +187,69 @@
     fn empty(&self) {
         // A link that cannot be listened on again shows as one that stays down.
         let _ = SockRef::from(&*self.listener).listen(BACKLOG);
-        self.filling.lock().unwrap_or_else(PoisonError::into_inner).open.clear();
+        self.filling().open.clear();
+    }
+
+    fn filling(&self) -> MutexGuard<'_, Filling> {
+        self.filling.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     fn is_filling(&self, address: SocketAddr) -> bool {
-        self.filling.lock().unwrap_or_else(PoisonError::into_inner).addresses.remove(&address)
+        self.filling().addresses.remove(&address)
     }
 
-    async fn accept(self, listener: TcpListener, engine: SocketAddr, records: Records) {
+    async fn accept(self, engine: SocketAddr, records: Records) {
         let mut state = self.state.subscribe();
-        loop {
-            let is_up = |state: &State| state.condition != Condition::Unconnectable;
-            if !is_up(&state.borrow_and_update()) {
-                if state.wait_for(is_up).await.is_err() {
-                    return;
-                }
-                reset_all(&listener);
+        while let Some(former) = accepting_again(&mut state).await {
+            if former == Reception::Unconnectable {
+                reset_all(&self.listener);
             }
-            let accepted = tokio::select! {
-                accepted = listener.accept() => accepted,
-                _ = state.changed() => continue,
-            };
-            let Ok((socket, from)) = accepted else { continue };
-            if self.is_filling(from) {
-                continue;
+            // A listener that was shut down stays closed to the runtime, also once it listens again.
+            let Ok(listener) = self.listener.try_clone().and_then(TcpListener::from_std) else { return };
+            let shutdowns = state.borrow().shutdowns;
+            let is_accepting =
+                |state: &State| state.reception() == Reception::Accepted && state.shutdowns == shutdowns;
+            while is_accepting(&state.borrow_and_update()) {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = state.changed() => continue,
+                };
+                if let Ok((socket, from)) = accepted {
+                    self.carry(socket, from, engine, &records);
+                }
             }
-            let connection = {
-                let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
-                *next += 1;
-                *next - 1
-            };
-            let sighting = AttemptObserver::new(records.clone(), &self.name, connection);
-            tokio::spawn(carry(socket, engine, self.state.subscribe(), connection, sighting));
         }
     }
+
+    fn carry(&self, socket: TcpStream, from: SocketAddr, engine: SocketAddr, records: &Records) {
+        if self.is_filling(from) {
+            return;
+        }
+        let connection = {
+            let mut next = self.next.lock().unwrap_or_else(PoisonError::into_inner);
+            *next += 1;
+            *next - 1
+        };
+        let sighting = AttemptObserver::new(records.clone(), &self.name, connection);
+        tokio::spawn(carry(socket, engine, self.state.subscribe(), connection, sighting));
+    }
+}
+
+/// Waits until connections are accepted; gives what became of them last before that, or nothing once the link is gone.
+async fn accepting_again(state: &mut watch::Receiver<State>) -> Option<Reception> {
+    let mut former = Reception::Accepted;
+    loop {
+        match state.borrow_and_update().reception() {
+            Reception::Accepted => return Some(former),
+            other => former = other,
+        }
+        state.changed().await.ok()?;
+    }
 }
 
 /// Resets what came up while nothing was accepted: a way that is back knows nothing of it.
-fn reset_all(listener: &TcpListener) {
-    let mut context = Context::from_waker(Waker::noop());
-    while let Poll::Ready(Ok((socket, _))) = listener.poll_accept(&mut context) {
+fn reset_all(listener: &StdListener) {
+    while let Ok((socket, _)) = listener.accept() {
         let _ = SockRef::from(&socket).set_linger(Some(Duration::ZERO));
     }
 }
@@ -186,6 +263,7 @@
     let _ = gateway.set_nodelay(true);
     let Ok(to_reset) = SockRef::from(&gateway).try_clone() else { return };
     let (from_gateway, to_gateway) = gateway.into_split();
+    let to_gateway = LinkWriter::new(to_gateway);
     let mut resets = state.clone();
     let (sender, taken) = mpsc::unbounded_channel();
     let way = ProxiedConnection { state, connection, observer: Mutex::new(Some(sighting)) };
@@ -217,11 +295,12 @@
 
 /// Passes bytes both ways between an engine and what a gateway sends.
 async fn pass(
-    upstream: TcpStream, to_gateway: OwnedWriteHalf, taken: mpsc::UnboundedReceiver<Vec<u8>>,
+    upstream: TcpStream, to_gateway: LinkWriter, taken: mpsc::UnboundedReceiver<Vec<u8>>,
     way: &ProxiedConnection,
 ) {
     let _ = upstream.set_nodelay(true);
     let (from_engine, to_engine) = upstream.into_split();
+    let to_engine = LinkWriter::new(to_engine);
     let (sender, answered) = mpsc::unbounded_channel();
     tokio::join!(
         give(taken, to_engine, way, || {}),
@@ -243,7 +322,7 @@
 
 /// Gives on what was taken, and its end, once the link lets it pass; says so each time.
 async fn give(
-    mut taken: mpsc::UnboundedReceiver<Vec<u8>>, mut to: OwnedWriteHalf, way: &ProxiedConnection,
+    mut taken: mpsc::UnboundedReceiver<Vec<u8>>, mut to: LinkWriter, way: &ProxiedConnection,
     gives: impl Fn(),
 ) {
     while let Some(bytes) = taken.recv().await {
@@ -255,13 +334,12 @@
         }
         sleep(delay).await;
         gives();
-        if to.write_all(&bytes).await.is_err() {
+        if to.write(&bytes).await.is_err() {
             return;
         }
     }
     if way.wait_until_passable().await.is_some() {
-        // The other side may have closed first.
-        let _ = to.shutdown().await;
+        to.end().await;
     }
 }
 
--- /dev/null
+++ b/fault-tests/tests/links.rs
@@ -0,0 +1,83 @@
+//! The links between gateways and engines, by what a gateway sees of them.
+
+use std::io::ErrorKind;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
+use glenrail_fault_tests::network::Condition;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::{sleep, timeout};
+
+const PREFILL_SERVER: usize = 0;
+/// A refused or reset connection shows as such within this time on loopback.
+const SHOWN_WITHIN: Duration = Duration::from_secs(2);
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"))
+}
+
+/// The gateway lies beside this crate's program; a test of the whole workspace builds both.
+fn gateway() -> PathBuf {
+    let path = program().with_file_name("glenrail");
+    assert!(
+        path.exists(),
+        "{} is not built: run the tests of the workspace, or cargo build -p glenrail",
+        path.display()
+    );
+    path
+}
+
+fn block_on<F: std::future::Future>(scenario: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(scenario)
+}
+
+/// Guards the rig against an orderly end in place of a reset, which would prove that the engine has ended the connection.
+#[test]
+fn a_reset_of_a_link_shows_as_one() {
+    block_on(async {
+        let deployment =
+            Deployment::start(DeploymentSpec::new(1, 1, 1), program(), &gateway()).await.expect("it starts");
+        let link = &deployment.links[&(0, PREFILL_SERVER)];
+        let mut connection = TcpStream::connect(link.address).await.expect("it accepts");
+        let check = b"GET /health HTTP/1.1\r\nhost: api.internal\r\n\r\n";
+        connection.write_all(check).await.expect("written");
+        let answered = connection.read(&mut [0; 256]).await.expect("an answer");
+        assert!(answered > 0, "it is carried");
+        link.reset();
+        let ended = timeout(SHOWN_WITHIN, connection.read(&mut [0; 256])).await.expect("in time");
+        assert_eq!(ended.map_err(|error| error.kind()), Err(ErrorKind::ConnectionReset));
+    });
+}
+
+/// Guards the rig against what no machine does: where a process is gone, its address refuses, and accepts again once it is back;
+/// a way that is cut refuses nothing.
+#[test]
+fn a_link_refuses_while_the_process_of_its_engine_is_gone() {
+    block_on(async {
+        let spec = DeploymentSpec::new(1, 1, 1);
+        let mut deployment = Deployment::start(spec, program(), &gateway()).await.expect("it starts");
+        let address = deployment.links[&(0, PREFILL_SERVER)].address;
+        let connect = || timeout(SHOWN_WITHIN, TcpStream::connect(address));
+        connect().await.expect("in time").expect("it accepts");
+        for _ in 0..2 {
+            deployment.kill_engine(PREFILL_SERVER).await.expect("it is killed");
+            let refused = connect().await.expect("in time").expect_err("it refuses");
+            assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+            deployment.links_to(PREFILL_SERVER).for_each(|link| link.set(Condition::Blackholed));
+            connect().await.expect("in time").expect("a silent way comes up");
+            deployment.links_to(PREFILL_SERVER).for_each(|link| link.set(Condition::Open));
+            let refused = connect().await.expect("in time").expect_err("it refuses");
+            assert_eq!(refused.kind(), ErrorKind::ConnectionRefused);
+            deployment.restart_engine(PREFILL_SERVER).await.expect("it starts");
+            let back = async {
+                while connect().await.is_ok_and(|connected| connected.is_err()) {
+                    sleep(Duration::from_millis(5)).await;
+                }
+            };
+            timeout(SHOWN_WITHIN, back).await.expect("it accepts again");
+        }
+    });
+}
