Note what a broken connection shows only of an attempt that stays on it

Cause: a kept connection that ends just as an attempt is about to be written is replaced, and the attempt goes out on another one. What the first one had shown, an orderly end or a reset, was noted of the attempt before that was decided. So an attempt that was cut on the second connection could count at once as one whose server had noticed.

Mend: it is noted only where the attempt may have run on that connection. No test forces the crossing itself.

--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -137,16 +137,18 @@
             Err(error) => error,
         };
         let effect = step(&mut self.machine, Input::Broken);
-        if let Some(attempt) = &self.attempt {
-            attempt.note(observation(&error));
-        }
         if self.gate.has_blocked() {
             return Err(SendFailure::Withheld);
         }
         Err(match effect {
             Effect::Replace => SendFailure::Replace,
             Effect::NeverRan => SendFailure::NeverRan,
-            _ => SendFailure::MayHaveRun(error),
+            _ => {
+                if let Some(attempt) = &self.attempt {
+                    attempt.note(observation(&error));
+                }
+                SendFailure::MayHaveRun(error)
+            }
         })
     }
 
