--- a/crates/request-lifecycle/src/request/attempts.rs
+++ b/crates/request-lifecycle/src/request/attempts.rs
@@ -113,8 +113,9 @@
                 self.end_attempt(attempt, Status::NotSent, effects);
             }
             // Its call ended by itself before it was dropped.
-            (Some(AttemptState::Cancelling), _) => {
-                self.end_attempt(attempt, self.cancelled_status(attempt), effects);
+            (Some(AttemptState::Cancelling), reply) => {
+                let status = self.cancelled_status(attempt);
+                self.end_attempt_with(attempt, status, reply.known_work(), effects);
             }
             (Some(AttemptState::Queued | AttemptState::Streaming | AttemptState::Ended(_)) | None, _) => {
                 return Err(Unexpected);
@@ -179,11 +180,11 @@
             Reply::Rejected => Status::Rejected,
             Reply::Error => Status::Error,
             Reply::ConnectFailed => Status::ConnectFailed,
-            Reply::Reset => Status::Reset,
+            Reply::Reset | Reply::ResetAndEnded => Status::Reset,
             Reply::MalformedResponse => Status::MalformedResponse,
             Reply::NotSent => Status::NotSent,
         };
-        self.end_attempt(attempt, status, effects);
+        self.end_attempt_with(attempt, status, reply.known_work(), effects);
     }
 
     /// The attempt's first event is here: its answer is the client's from now on.
@@ -209,8 +210,13 @@
         effects.push(Effect::ForwardStream { attempt });
     }
 
-    /// Ends an attempt and reports its one outcome.
+    /// Ends an attempt of whose server nothing is known but what its status shows.
     fn end_attempt(&mut self, attempt: usize, status: Status, effects: &mut Effects) {
+        self.end_attempt_with(attempt, status, CutWork::MayRun, effects);
+    }
+
+    /// Ends an attempt and reports its one outcome; `known` is what is known of its server's work.
+    fn end_attempt_with(&mut self, attempt: usize, status: Status, known: CutWork, effects: &mut Effects) {
         let Attempt { state, delivered, .. } = self.attempts[attempt];
         self.attempts[attempt].state = AttemptState::Ended(status);
         self.attempts[attempt].delivered = match status {
@@ -218,7 +224,7 @@
             _ => delivered || status.shows_arrival(),
         };
         if state != AttemptState::Queued {
-            self.note_left_behind(attempt, state, status);
+            self.note_left_behind(attempt, state, status, known);
         }
         if self.has_fault(Fault::LosesOutcome) && status == Status::Cancelled {
             return;
@@ -230,25 +236,33 @@
     }
 
     /// Notes what an attempt that was sent may have left at its server; `state` is the one before its end.
-    fn note_left_behind(&mut self, attempt: usize, state: AttemptState, status: Status) {
+    fn note_left_behind(&mut self, attempt: usize, state: AttemptState, status: Status, known: CutWork) {
         let stage = self.attempts[attempt].stage;
         let cut_by = status.cut_by().filter(|_| state != AttemptState::Streaming);
-        let cut = cut_by.is_some();
-        // Stays set until a release has waited for it: a call for a slot may have been cut before.
-        self.cut_since_release |= cut;
+        // Stays set until a release has waited for it: a call for a slot may have been cut before. Nothing is waited for where
+        // the end is known.
+        self.cut_since_release |= cut_by.is_some() && known != CutWork::Ended;
         // A prefill may have completed just as its connection was cut. The KV state that it left must be released
         // before the request is sent again, or that attempt would find it.
-        if cut && stage == Stage::Prefill && !self.has_fault(Fault::ForgetsCutRead) {
-            // A reset is presumed to be the end of the server's work.
-            let work_ended = cut_by.is_some_and(|seen| CutWork::default().after(seen) != CutWork::MayRun);
-            self.attempts[attempt].unnoticed_close =
-                !work_ended && !self.has_fault(Fault::TakesCloseAsNoticed);
-            self.reserve(Reservation::KvState);
-            self.make_release_due();
+        if let Some(seen) = cut_by.filter(|_| stage == Stage::Prefill) {
+            self.note_cut_prefill(attempt, known.after(seen));
         }
         if status == Status::Prefilled {
             self.reserve(Reservation::KvState);
         }
         self.may_have_executed |= stage == Stage::Execute && status.may_have_run();
     }
+
+    fn note_cut_prefill(&mut self, attempt: usize, known: CutWork) {
+        if self.has_fault(Fault::ForgetsCutRead) {
+            return;
+        }
+        self.attempts[attempt].unnoticed_close = match known {
+            CutWork::MayRun => !self.has_fault(Fault::TakesCloseAsNoticed),
+            CutWork::Reset => !self.has_fault(Fault::TakesResetAsEnd),
+            CutWork::Ended => false,
+        };
+        self.reserve(Reservation::KvState);
+        self.make_release_due();
+    }
 }
--- a/crates/request-lifecycle/src/request/messages/attempt.rs
+++ b/crates/request-lifecycle/src/request/messages/attempt.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::Server;
-use crate::evidence::Observation;
+use crate::evidence::{CutWork, Observation};
 
 /// What an attempt asks of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -158,8 +158,10 @@
     /// No connection came up, or it failed before the last byte was written.
     #[serde(rename = "Connect")]
     ConnectFailed,
-    /// The connection broke after the request was written.
+    /// The connection broke after the request was written, and its server may still work on it.
     Reset,
+    /// The connection broke after the request was written, and its server is known to work on it no more.
+    ResetAndEnded,
     /// The answer could not be parsed.
     #[serde(rename = "Spoilt")]
     MalformedResponse,
@@ -167,6 +169,16 @@
     NotSent,
 }
 
+impl Reply {
+    /// What is known of the server's work on the attempt, besides what the attempt's status shows.
+    pub(crate) fn known_work(self) -> CutWork {
+        match self {
+            Reply::ResetAndEnded => CutWork::Ended,
+            _ => CutWork::MayRun,
+        }
+    }
+}
+
 /// How an answer that was being forwarded ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum StreamEnd {
--- a/crates/request-lifecycle/src/request/planted_faults.rs
+++ b/crates/request-lifecycle/src/request/planted_faults.rs
@@ -51,6 +51,8 @@
     CountsWrittenAsArrived,
     /// The gateway's own close counts as noticed by the server.
     TakesCloseAsNoticed,
+    /// A reset counts as the end of its server's work, though the server may stand still and go on.
+    TakesResetAsEnd,
     /// A release that any server has answered counts as proof that the servers of cut-off prefills have noticed.
     TakesReleaseAsNotice,
     /// The deadline that servers were told counts as proof that they work no more, although it began at their clock.
--- a/fault-tests/src/deployment.rs
+++ b/fault-tests/src/deployment.rs
@@ -151,6 +151,9 @@
             "--most",
             &spec.service_time_ms.1.to_string(),
         ]);
+        if spec.finishes_prefills {
+            command.arg("--finishes-prefills");
+        }
         command.arg("--states").arg(self.states()).stdout(Stdio::piped());
         let mut process = Process::start(&mut command, &spec.name)?;
         let records = self.records.clone();
--- a/fault-tests/src/deployment_spec.rs
+++ b/fault-tests/src/deployment_spec.rs
@@ -16,6 +16,8 @@
     pub role: Role,
     /// The least and the most time (ms) that a read, or a writer's first token, takes.
     pub service_time_ms: (u64, u64),
+    /// It ends a prefill that has begun, also once its connection has ended.
+    pub finishes_prefills: bool,
 }
 
 /// What a deployment has.
@@ -39,6 +41,7 @@
                 name: format!("{prefix}{n}"),
                 role,
                 service_time_ms: (20, 60),
+                finishes_prefills: false,
             })
         };
         let engines = of("r", Role::Prefill, readers).chain(of("w", Role::Decode, writers)).collect();
--- a/fault-tests/src/engine.rs
+++ b/fault-tests/src/engine.rs
@@ -58,6 +58,9 @@
     pub least: u64,
     #[arg(long, default_value_t = 60)]
     pub most: u64,
+    /// A prefill that has begun is ended, also once its connection has.
+    #[arg(long)]
+    pub finishes_prefills: bool,
 }
 
 type Answer = Response<BoxBody<Bytes, Infallible>>;
@@ -106,6 +109,7 @@
             return brief(StatusCode::NOT_FOUND, "");
         };
         match self.options.role {
+            Role::Prefill if self.options.finishes_prefills => self.read_to_the_end(id).await,
             Role::Prefill => self.read(id).await,
             Role::Decode => self.write(id).await,
         }
@@ -128,6 +132,12 @@
         brief(StatusCode::ACCEPTED, r#"{"cached_tokens":0}"#)
     }
 
+    async fn read_to_the_end(self: Arc<Self>, id: &str) -> Answer {
+        let id = id.to_string();
+        let read = tokio::spawn(async move { self.read(&id).await });
+        read.await.unwrap_or_else(|_| brief(StatusCode::INTERNAL_SERVER_ERROR, ""))
+    }
+
     async fn write(self: Arc<Self>, id: &str) -> Answer {
         let mut work = Work::begin(self.clone(), id, Stage::Decode);
         self.works().await;
--- /dev/null
+++ b/fault-tests/tests/resets.rs
@@ -0,0 +1,180 @@
+//! Connections that are reset while a prefill runs, behind the built gateway: a server that stands still through the reset and
+//! goes on. This is the incident of docs/incidents/2026-12-resets-taken-for-an-end.md.
+
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use glenrail_fault_tests::client::{send_request, ClientRequest};
+use glenrail_fault_tests::clock;
+use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
+use glenrail_fault_tests::judge::{attempts_delivered, judge};
+use glenrail_fault_tests::network::Link;
+use glenrail_fault_tests::record::{Event, Record, Stage};
+use rustix::process::Signal;
+use tokio::time::sleep;
+
+/// Enough requests that each server has connections that stand.
+const WARM_UP: usize = 4;
+const DEADLINE: Duration = Duration::from_secs(9);
+/// The prefill that is cut takes so long (ms).
+const PREFILL_MS: u64 = 400;
+/// What is held has been let go by then, or it is late: 500 ms, and 350 ms more.
+const JUDGED_AFTER: Duration = Duration::from_millis(1_500);
+/// A class whose requests may not be repeated.
+const AT_MOST_ONCE: (&str, bool) = ("order-chat", false);
+/// A change of the endpoint list has arrived by then.
+const LIST_ARRIVES: Duration = Duration::from_millis(150);
+/// The server stands still for so long after the reset: longer than the router waits for a server before it rejects.
+const STANDS_STILL: Duration = Duration::from_millis(4_000);
+
+fn program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"))
+}
+
+/// The gateway lies beside this crate's program; a test of the whole workspace builds both.
+fn gateway() -> PathBuf {
+    let path = program().with_file_name("glenrail");
+    assert!(
+        path.exists(),
+        "{} is not built: run the tests of the workspace, or cargo build -p glenrail",
+        path.display()
+    );
+    path
+}
+
+fn block_on<F: std::future::Future>(scenario: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    runtime.expect("a runtime").block_on(scenario)
+}
+
+/// What becomes of a prefill whose connection has ended.
+#[derive(Clone, Copy, PartialEq)]
+enum Prefills {
+    Dropped,
+    Finished,
+}
+
+/// One gateway, these prefill servers and two decode servers, with connections that stand.
+async fn warmed_up(prefill_servers: usize, probes: bool, prefills: Prefills) -> Deployment {
+    let mut spec = DeploymentSpec::new(1, prefill_servers, 2);
+    spec.probes = probes;
+    for engine in &mut spec.engines[..prefill_servers] {
+        engine.service_time_ms = (PREFILL_MS, PREFILL_MS);
+        engine.finishes_prefills = prefills == Prefills::Finished;
+    }
+    let deployment = Deployment::start(spec, program(), &gateway()).await.expect("it starts");
+    // One after the other: beside each other they would be rejected as too slow.
+    for n in 0..WARM_UP {
+        let ask = ClientRequest::new(format!("warm{n}"), "item-query", DEADLINE, true);
+        assert_eq!(deployment.send(0, ask).await, Some(200), "{:?}", deployment.log_lines(""));
+    }
+    deployment
+}
+
+fn violations(deployment: &Deployment) -> Vec<String> {
+    let violations = judge(&deployment.records.all(), deployment.spec.lease_limit, clock::now());
+    violations.iter().map(ToString::to_string).collect()
+}
+
+/// The engine that a request's first prefill arrived at, once it has.
+async fn prefill_server_of(deployment: &Deployment, request: &str) -> usize {
+    loop {
+        let records = deployment.records.all();
+        let arrived = records.iter().find(|record| {
+            let is_prefill = matches!(record.event, Event::Delivered { stage: Stage::Prefill, .. });
+            is_prefill && record.event.request() == request
+        });
+        if let Some(arrived) = arrived {
+            let engines = deployment.engines.iter();
+            return engines
+                .map(|engine| &engine.spec.name)
+                .position(|name| *name == arrived.source)
+                .expect("it");
+        }
+        sleep(Duration::from_millis(1)).await;
+    }
+}
+
+/// Plays the crossing: a prefill arrives, its server stands still and begins to drain, the connections to it are reset, and it goes
+/// on later. Gives the client's status.
+async fn play_crossing(deployment: &mut Deployment, ask: ClientRequest) -> Option<u16> {
+    let request = ask.id.clone();
+    let (gateway, records) = (deployment.gateways[0].address, deployment.records.clone());
+    let name = deployment.gateways[0].name.clone();
+    let sent = tokio::spawn(async move { send_request(&name, gateway, ask, &records).await });
+    let server = prefill_server_of(deployment, &request).await;
+    deployment.engines[server].process.signal(Signal::STOP);
+    // No server is left for another attempt, so the router rejects.
+    deployment.engines[server].draining = true;
+    deployment.publish();
+    sleep(LIST_ARRIVES).await;
+    deployment.links_to(server).for_each(Link::reset);
+    sleep(STANDS_STILL).await;
+    deployment.engines[server].process.signal(Signal::CONT);
+    let status = sent.await.expect("its end");
+    sleep(JUDGED_AFTER).await;
+    status
+}
+
+/// Guards what a 503 says (soak seed 9724): a server that stands still through a reset goes on with its prefill, so a request that
+/// may not be repeated is not called harmless to send again, and no state stays.
+async fn guards_a_request_whose_server_stands_still(probes: bool) {
+    let (class, repeatable) = AT_MOST_ONCE;
+    let mut deployment = warmed_up(1, probes, Prefills::Finished).await;
+    let ask = ClientRequest::new(class, class, DEADLINE, repeatable);
+    let status = play_crossing(&mut deployment, ask).await;
+    let log = deployment.log_lines(class);
+    let records = deployment.records.all();
+    let leased =
+        |record: &Record| matches!(&record.event, Event::StateLeased { request } if request == class);
+    assert!(records.iter().any(leased), "the server has gone on: {log:?}");
+    assert_eq!(violations(&deployment), [""; 0], "{log:?}");
+    assert_eq!(status, Some(502), "{log:?}");
+}
+
+#[test]
+fn a_request_is_not_rejected_while_its_server_stands_still_through_a_reset() {
+    block_on(guards_a_request_whose_server_stands_still(true));
+}
+
+#[test]
+fn a_request_is_not_rejected_while_its_server_stands_still_where_probes_are_off() {
+    block_on(guards_a_request_whose_server_stands_still(false));
+}
+
+/// Guards requests against the cost of a reset: a server that is well is asked once, and the request is answered.
+#[test]
+fn a_reset_of_a_server_that_is_well_costs_one_question() {
+    block_on(async {
+        let (class, repeatable) = AT_MOST_ONCE;
+        let deployment = warmed_up(2, true, Prefills::Dropped).await;
+        let ask = ClientRequest::new(class, class, DEADLINE, repeatable);
+        let reset = async {
+            let server = prefill_server_of(&deployment, class).await;
+            deployment.links_to(server).for_each(Link::reset);
+        };
+        let (status, ()) = tokio::join!(deployment.send(0, ask), reset);
+        assert_eq!(status, Some(200), "{:?}", deployment.log_lines(class));
+        assert_eq!(attempts_delivered(&deployment.records.all(), class, Stage::Prefill), 2);
+        sleep(JUDGED_AFTER).await;
+        assert_eq!(violations(&deployment), [""; 0]);
+    });
+}
+
+/// Guards the same for a server whose process dies: the refusal shows it.
+#[test]
+fn a_request_is_answered_elsewhere_when_its_prefill_server_dies() {
+    block_on(async {
+        let (class, repeatable) = AT_MOST_ONCE;
+        let mut deployment = warmed_up(2, true, Prefills::Dropped).await;
+        let ask = ClientRequest::new(class, class, DEADLINE, repeatable);
+        let (gateway, records) = (deployment.gateways[0].address, deployment.records.clone());
+        let name = deployment.gateways[0].name.clone();
+        let sent = tokio::spawn(async move { send_request(&name, gateway, ask, &records).await });
+        let server = prefill_server_of(&deployment, class).await;
+        deployment.kill_engine(server).await.expect("it is killed");
+        assert_eq!(sent.await.expect("its end"), Some(200), "{:?}", deployment.log_lines(class));
+        sleep(JUDGED_AFTER).await;
+        assert_eq!(violations(&deployment), [""; 0]);
+    });
+}
--- a/gateway/src/core/attempt.rs
+++ b/gateway/src/core/attempt.rs
@@ -25,11 +25,15 @@
         let (cancel_token, server) = (cancel_token.clone(), *server);
         let call = self.upstream.clone().oneshot(call);
         let reply = async {
-            tokio::select! {
+            let reply = tokio::select! {
                 biased;
                 reply = timeout_at(deadline, call) => reply,
                 never = self.confirm_delivery(id, attempt, server, &cancel_token) => match never {},
+            };
+            if matches!(reply, Ok(Err(CallError::Reset))) {
+                self.resolve_reset(id, attempt, &cancel_token, deadline).await;
             }
+            reply
         };
         let reply = tokio::select! {
             biased;
@@ -42,7 +46,10 @@
                 self.forward_response(id, attempt, head, frames).await;
             }
             Ok(reply) => {
-                let (reply, report) = machine_reply(reply);
+                let (mut reply, report) = machine_reply(reply);
+                if reply == MachineReply::Reset && self.has_prefill_ended(id, attempt, &cancel_token) {
+                    reply = MachineReply::ResetAndEnded;
+                }
                 self.store_report(id, attempt, report);
                 self.step(id, Input::Replied { attempt, reply });
             }
--- a/gateway/src/core/close_notice.rs
+++ b/gateway/src/core/close_notice.rs
@@ -1,11 +1,12 @@
 //! Prefills that were cut off: when their servers are known to work on them no more.
 //!
 //! A close may be delivered late or never, and a prefill that runs to its end leaves state that no earlier release has met. The
-//! server's own end of the same connection proves that it has noticed; nothing that is seen elsewhere does. Until then the
-//! request's machine renews the release within the lease limit.
+//! server's own end of the same connection proves that it has noticed; where the connection was reset, the server is asked
+//! ([`reset_inquiry`](super::reset_inquiry)). Until then the request's machine renews the release within the lease limit.
 
 use futures_util::future::join_all;
 use glenrail_request_lifecycle::request::Input;
+use glenrail_router::ServerId;
 use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use super::request_state::AttemptCall;
@@ -18,6 +19,7 @@
 struct CutAttempt {
     /// The request's id outside this process.
     request: String,
+    server: ServerId,
     token: CancelToken,
     /// Until when its server may work on it, if it does not notice.
     may_run_until: Instant,
@@ -36,7 +38,8 @@
     /// Reports to the machine when the server of an attempt that was cut off works on it no more.
     pub(super) async fn confirm_close(self, id: u64, attempt: usize) {
         let Some(cut) = self.cut_attempt(id, attempt) else { return };
-        if cut.token.is_written() && timeout_at(cut.may_run_until, cut.token.work_ended()).await.is_err() {
+        let work_end = self.await_work_end(cut.server, &cut.token);
+        if cut.token.is_written() && timeout_at(cut.may_run_until, work_end).await.is_err() {
             log!(
                 "request {}: a server never ended the connection of a prefill that was cut off",
                 cut.request
@@ -51,6 +54,7 @@
         let call = request.calls.get(attempt)?;
         Some(CutAttempt {
             request: request.payload.request_id.clone(),
+            server: ServerId(request.machine.attempts().get(attempt)?.server),
             token: call.cancel_token.clone(),
             may_run_until: call.may_run_until(),
         })
--- a/gateway/src/core/mod.rs
+++ b/gateway/src/core/mod.rs
@@ -21,6 +21,7 @@
 mod release;
 mod request_record;
 mod request_state;
+mod reset_inquiry;
 mod routing;
 mod timer_loop;
 mod timers;
--- a/gateway/src/core/tests/leases.rs
+++ b/gateway/src/core/tests/leases.rs
@@ -6,7 +6,7 @@
 /// Timeout of every attempt that the policies below order, in milliseconds.
 const ATTEMPT_TIMEOUT: Millis = 5_000.0;
 
-fn send(id: RequestId, server: u64) -> Action {
+pub(super) fn send(id: RequestId, server: u64) -> Action {
     Action::Send { id, server: ServerId(server), timeout: ATTEMPT_TIMEOUT }
 }
 
@@ -189,7 +189,7 @@
 }
 
 /// The longest time without a release that a server has accepted, in a time of observation that begins with the first.
-async fn longest_without_release(servers: &ScriptedServers, observed: Duration) -> Duration {
+pub(super) async fn longest_without_release(servers: &ScriptedServers, observed: Duration) -> Duration {
     wait_for_call(servers, CallKind::ReleaseAccepted).await;
     let (mut releases, mut last, mut longest) = (1, Instant::now(), Duration::ZERO);
     let observed_until = Instant::now() + observed;
--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -4,6 +4,7 @@
 mod records;
 mod replay;
 mod requests;
+mod resets;
 mod stored;
 
 use std::cell::Cell;
@@ -22,11 +23,14 @@
 use super::timing::{CANCEL_PROPAGATION_DELAY, DEADLINE_GUARD, DELIVERY_CHECK_SHARE, MAX_NETWORK_HOLD};
 use super::*;
 use crate::exchange::{CancelToken, Failure, Payload, Request, ResponseHead, ResponsePart};
-use crate::upstream::Frame;
+use crate::upstream::{Frame, ServerAfterReset};
 
 const PREFILL_SERVERS: [u64; 2] = [11, 12];
 const DECODE_SERVERS: [u64; 2] = [21, 22];
 
+/// How long a server is asked that gives no answer.
+const SILENT_INQUIRY: Duration = Duration::from_millis(80);
+
 /// What a scripted server does with an attempt, after its delay.
 #[derive(Clone, Debug)]
 enum ScriptedReply {
@@ -40,6 +44,8 @@
     Error,
     Unprocessable,
     Fail(CallError),
+    /// The connection is reset.
+    ConnectionReset,
     NoReply,
     /// No connection can be opened.
     NoConnection,
@@ -60,6 +66,8 @@
     Attempt,
     Release,
     ReleaseAccepted,
+    /// A question after a reset.
+    InquiryAfterReset,
 }
 
 /// Servers that follow a script: for the number of an attempt and its server, a delay in milliseconds and a reply.
@@ -78,6 +86,8 @@
     unreachable: Rc<Cell<bool>>,
     /// No server notices that an attempt was cut off.
     misses_closes: Rc<Cell<bool>>,
+    /// What a connection shows that is begun after a reset.
+    after_reset: Rc<Cell<ServerAfterReset>>,
     /// The attempts so far.
     attempt_tokens: Rc<RefCell<Vec<CancelToken>>>,
 }
@@ -110,6 +120,7 @@
             releases_to_lose: Rc::default(),
             unreachable: Rc::default(),
             misses_closes: Rc::default(),
+            after_reset: Rc::new(Cell::new(ServerAfterReset::Silent)),
             attempt_tokens: Rc::default(),
         }
     }
@@ -151,6 +162,7 @@
             }
             Call::Release { .. } => self.answer_release().await,
             Call::VerifyReachable { .. } if self.unreachable.get() => Err(CallError::ConnectFailed),
+            Call::InquireAfterReset { .. } => Ok(Reply::AfterReset(self.answer_after_reset().await)),
             Call::Probe { .. } => Ok(Reply::Probed { healthy: true, report: None }),
             _ => Ok(Reply::Done),
         }
@@ -164,6 +176,15 @@
         InFlight { count, misses_closes, token: token.clone() }
     }
 
+    async fn answer_after_reset(&self) -> ServerAfterReset {
+        self.calls.borrow_mut().push((CallKind::InquiryAfterReset, 0));
+        let found = self.after_reset.get();
+        if found == ServerAfterReset::Silent {
+            sleep(SILENT_INQUIRY).await;
+        }
+        found
+    }
+
     async fn answer_release(&self) -> Result<Reply, CallError> {
         self.calls.borrow_mut().push((CallKind::Release, 0));
         sleep(Duration::from_millis(40)).await;
@@ -185,6 +206,10 @@
         ScriptedReply::Error => return Ok(Reply::Error { report: None }),
         ScriptedReply::Unprocessable => return Ok(Reply::Unprocessable { report: None }),
         ScriptedReply::Fail(error) => return Err(error),
+        ScriptedReply::ConnectionReset => {
+            in_flight.token.note(Observation::Reset);
+            return Err(CallError::Reset);
+        }
         ScriptedReply::NoReply | ScriptedReply::NoConnection => return std::future::pending().await,
         ScriptedReply::Stream => stream::iter(vec![data(), data(), end()]).boxed_local(),
         ScriptedReply::BrokenStream => stream::iter(vec![data(), Err(CallError::Reset)]).boxed_local(),
--- a/gateway/src/core/tests/replay.rs
+++ b/gateway/src/core/tests/replay.rs
@@ -183,6 +183,9 @@
     }
 
     fn reply(&mut self, attempt: usize, reply: MachineReply) {
+        if reply == MachineReply::ResetAndEnded {
+            self.confirm_close(attempt);
+        }
         let reply = match reply {
             MachineReply::Prefilled => Ok(Reply::Prefilled { cached_tokens: 0.0, report: None }),
             MachineReply::FirstEvent => Ok(self.begin_stream(attempt)),
@@ -190,7 +193,7 @@
             MachineReply::Unprocessable => Ok(Reply::Unprocessable { report: None }),
             MachineReply::Error => Ok(Reply::Error { report: None }),
             MachineReply::ConnectFailed => Err(CallError::ConnectFailed),
-            MachineReply::Reset => Err(CallError::Reset),
+            MachineReply::Reset | MachineReply::ResetAndEnded => Err(CallError::Reset),
             MachineReply::MalformedResponse => Err(CallError::MalformedResponse),
             MachineReply::NotSent => Err(CallError::NotSent),
         };
--- a/gateway/src/core/timing.rs
+++ b/gateway/src/core/timing.rs
@@ -10,6 +10,12 @@
 /// connection too by then.
 pub(super) const CANCEL_PROPAGATION_DELAY: Duration = Duration::from_millis(25);
 
+/// First pause before a server is asked again that did not answer after a reset; each further one is twice as long.
+pub(super) const RESET_INQUIRY_FIRST_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest pause between two questions to a server that does not answer after a reset.
+pub(super) const RESET_INQUIRY_MAX_PAUSE: Duration = Duration::from_secs(2);
+
 /// What the network has held back may arrive for so long after an attempt was cut off. From its arrival on a server works for
 /// at most the time that it was told.
 pub(super) const MAX_NETWORK_HOLD: Duration = Duration::from_secs(30);
--- a/gateway/src/engine/attempt.rs
+++ b/gateway/src/engine/attempt.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::{iter, once, try_unfold, StreamExt};
+use glenrail_request_lifecycle::evidence::Observation;
 use glenrail_router::{LoadReport, ServerId};
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -54,6 +55,10 @@
         let (response, connection) = self.send(server, request).await?;
         let (parts, body) = response.into_parts();
         let head = ResponseHead { status: parts.status, headers: parts.headers };
+        if head.status != StatusCode::OK {
+            // Its work is done, whether or not the rest of the answer comes.
+            request.cancel_token.note(Observation::AnswerHere);
+        }
         if head.status == StatusCode::OK && mode == ResponseMode::Streamed {
             self.streamed_reply(server, head, body, connection).await
         } else {
--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -163,6 +163,7 @@
 
     /// Notes the attempt that is written next.
     pub fn carry(&mut self, attempt: &CancelToken) {
+        attempt.set_server_address(&self.peer.address);
         self.attempt = Some(attempt.clone());
     }
 
@@ -226,11 +227,14 @@
             (_, None) => Shutdown::Both,
         };
         let is_open = SockRef::from(&*self.socket.socket).shutdown(how).is_ok();
-        if let Some((attempt, slot)) = cut_attempt.zip(self.slot.take()).filter(|_| is_open) {
-            let socket = self.socket.socket.clone();
-            // An engine that has ended waits for nothing.
-            let _ = self.closing.send(ClosingConnection { socket, attempt, slot });
+        let Some((attempt, slot)) = cut_attempt.zip(self.slot.take()) else { return };
+        if !is_open {
+            // The other side has reset it, and nobody has read that yet.
+            return attempt.note(Observation::Reset);
         }
+        let socket = self.socket.socket.clone();
+        // An engine that has ended waits for nothing.
+        let _ = self.closing.send(ClosingConnection { socket, attempt, slot });
     }
 }
 
--- a/gateway/src/engine/liveness.rs
+++ b/gateway/src/engine/liveness.rs
@@ -11,26 +11,20 @@
 use glenrail_router::ServerId;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Limited};
-use tokio::time::{timeout, Instant};
+use tokio::time::timeout;
 
 use super::connection::{Connection, SendFailure};
 use super::control_calls::MAX_SHORT_BODY;
 use super::pool::time_for;
 use super::requests::{lease_request, load_request};
 use super::server_request::{RequestKind, ServerRequest};
+use super::stall_tolerance::within;
 use super::Engine;
 use crate::log;
 use crate::upstream::{CallError, ConnectionCheck, Reply};
 
 /// A server that is well answers a probe within this time.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
-
-/// A wait that lasted this much longer than it should says that this process was stalled, not that the server is
-/// unresponsive.
-const STALL_THRESHOLD: Duration = Duration::from_millis(30);
-
-/// Waits that may be repeated since this process was stalled.
-const MAX_REPEATED_WAITS: usize = 2;
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// Why a connection is not to be written to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,27 +59,17 @@
         }
         let (_, check) = self.check_call().map_err(|_| Unverified::Withheld)?;
         let wait = time_for(ANSWER_TIMEOUT, request.connect_deadline);
-        let answer = self.answered_on(server, connection, check);
-        tokio::pin!(answer);
-        let mut repeated_waits = 0;
-        loop {
-            let started = Instant::now();
-            if let Ok(answer) = timeout(wait, &mut answer).await {
-                answer?;
-                self.record(server, Reachability::answered);
-                return Ok(());
-            }
-            let was_stalled = started.elapsed() > wait + STALL_THRESHOLD;
-            if was_stalled && repeated_waits < MAX_REPEATED_WAITS {
-                repeated_waits += 1;
-                continue;
-            }
-            if wait < ANSWER_TIMEOUT / 2 {
-                return Err(Unverified::NoTime);
-            }
-            self.record_unresponsive(server);
-            return Err(Unverified::Unresponsive);
+        let answer = self.answered_on(server, connection, RequestKind::Probe, check);
+        if let Some(answer) = within(wait, answer).await {
+            answer?;
+            self.record(server, Reachability::answered);
+            return Ok(());
+        }
+        if wait < ANSWER_TIMEOUT / 2 {
+            return Err(Unverified::NoTime);
         }
+        self.record_unresponsive(server);
+        Err(Unverified::Unresponsive)
     }
 
     fn record_unresponsive(&self, server: ServerId) {
@@ -96,11 +80,12 @@
     }
 
     /// Sends a check on a connection that is free, and reads its response.
-    async fn answered_on(
-        &self, server: ServerId, connection: &mut Connection, check: Request<Bytes>,
+    ///
+    /// What is not allowed for a request of this `kind` must not be written.
+    pub(super) async fn answered_on(
+        &self, server: ServerId, connection: &mut Connection, kind: RequestKind, check: Request<Bytes>,
     ) -> Result<(), Unverified> {
-        // A server that must not be probed must not be written to either.
-        if !connection.may_write(self.may_receive(server, &connection.peer, RequestKind::Probe)) {
+        if !connection.may_write(self.may_receive(server, &connection.peer, kind)) {
             return Err(Unverified::Withheld);
         }
         let response = match connection.send(check, || true).await {
@@ -116,11 +101,16 @@
 
     /// A call that changes nothing and is answered: a probe, or where servers may not be probed the release of an id that is
     /// no request's.
-    fn check_call(&self) -> Result<(RequestKind, Request<Bytes>), CallError> {
+    pub(super) fn check_call(&self) -> Result<(RequestKind, Request<Bytes>), CallError> {
         if self.0.limits.probes {
             self.0.counts.borrow_mut().probes += 1;
             return Ok((RequestKind::Probe, load_request()?));
         }
+        self.release_of_unused_id()
+    }
+
+    /// A call that every server answers that runs, also one that must receive nothing else.
+    pub(super) fn release_of_unused_id(&self) -> Result<(RequestKind, Request<Bytes>), CallError> {
         Ok((RequestKind::Release, lease_request(Method::DELETE, &self.0.unused_request_id)?))
     }
 
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -17,12 +17,14 @@
 mod pool;
 mod release;
 mod requests;
+mod reset_inquiry;
 mod response_fields;
 mod response_reader;
 mod resumed_stream;
 mod send;
 mod server_request;
 mod server_table;
+mod stall_tolerance;
 mod write_gate;
 
 use std::cell::{Cell, RefCell};
@@ -42,6 +44,7 @@
 use self::attempt::ResponseMode;
 use self::closing::ClosingConnections;
 use self::requests::attempt_request;
+use self::reset_inquiry::ResetInquiries;
 use self::server_request::{RequestKind, ServerRequest};
 pub use self::server_table::ServerAddress;
 use self::server_table::ServerTable;
@@ -77,6 +80,7 @@
     handing_over: watch::Sender<bool>,
     attempts_written: Rc<Cell<u64>>,
     closing: ClosingConnections,
+    reset_inquiries: ResetInquiries,
     /// An id that this process has made and gives to no request.
     unused_request_id: String,
     counts: RefCell<Counts>,
@@ -99,6 +103,7 @@
             handing_over: watch::Sender::new(false),
             attempts_written: Rc::default(),
             closing: ClosingConnections::default(),
+            reset_inquiries: ResetInquiries::default(),
             unused_request_id: format!("{:016x}", rand::random::<u64>()),
             counts: RefCell::default(),
         }))
@@ -163,6 +168,9 @@
             Call::ReserveSlot { server, payload } => self.reserve_slot(server, &payload).await,
             Call::Probe { server } => self.probe(server).await,
             Call::VerifyReachable { server } => self.verify_reachable(server).await,
+            Call::InquireAfterReset { server, cancel_token } => {
+                Ok(Reply::AfterReset(self.inquire_after_reset(server, &cancel_token).await))
+            }
             Call::CloseIdle { server } => {
                 self.close_idle_of(server);
                 Ok(Reply::Done)
--- /dev/null
+++ b/gateway/src/engine/reset_inquiry.rs
@@ -0,0 +1,112 @@
+//! What has become of a server after a reset: a connection that is begun after it is refused, is answered, or stays silent.
+//!
+//! What each of the three proves is decided in [`evidence`](glenrail_request_lifecycle::evidence). New connections and probes
+//! are priced over a fleet, so a server is asked once at a time, and all whose resets came before that question share its
+//! result.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+
+use glenrail_request_lifecycle::reachability::Reachability;
+use glenrail_router::ServerId;
+use tokio::sync::Mutex;
+use tokio::time::Instant;
+
+use super::connection::{Connection, Peer};
+use super::liveness::ANSWER_TIMEOUT;
+use super::stall_tolerance::within;
+use super::Engine;
+use crate::exchange::CancelToken;
+use crate::upstream::ServerAfterReset;
+
+/// A question that was asked.
+#[derive(Clone, Copy)]
+struct Inquiry {
+    begun_at: Instant,
+    found: ServerAfterReset,
+}
+
+/// The last question to one address; locked while one is asked.
+type LastInquiry = Rc<Mutex<Option<Inquiry>>>;
+
+/// The questions that are asked now, by the servers' addresses.
+#[derive(Default)]
+pub(super) struct ResetInquiries(RefCell<BTreeMap<String, LastInquiry>>);
+
+impl ResetInquiries {
+    /// The last question to this address; those that nobody waits for are forgotten.
+    fn of(&self, address: &str) -> LastInquiry {
+        let mut inquiries = self.0.borrow_mut();
+        inquiries.retain(|_, inquiry| Rc::strong_count(inquiry) > 1);
+        inquiries.entry(address.to_string()).or_default().clone()
+    }
+}
+
+impl Engine {
+    /// Finds out what has become of the server that this attempt was written to. Its connection was reset before this call.
+    pub(super) async fn inquire_after_reset(
+        &self, server: ServerId, attempt: &CancelToken,
+    ) -> ServerAfterReset {
+        let Some(address) = attempt.server_address() else { return ServerAfterReset::Silent };
+        let reset_before = Instant::now();
+        let inquiry = self.0.reset_inquiries.of(&address);
+        let mut last = inquiry.lock().await;
+        if let Some(shared) = last.filter(|last| last.begun_at >= reset_before) {
+            return shared.found;
+        }
+        let begun_at = Instant::now();
+        let found = self.ask_on_new_connection(server, address).await;
+        *last = Some(Inquiry { begun_at, found });
+        found
+    }
+
+    async fn ask_on_new_connection(&self, server: ServerId, address: String) -> ServerAfterReset {
+        let answer = within(ANSWER_TIMEOUT, self.answer_on_new_connection(server, address)).await;
+        let found = answer.unwrap_or(ServerAfterReset::Silent);
+        match found {
+            ServerAfterReset::Answers => self.record(server, Reachability::answered),
+            ServerAfterReset::Refuses | ServerAfterReset::Silent => {
+                self.record(server, Reachability::query_lost);
+            }
+        }
+        found
+    }
+
+    async fn answer_on_new_connection(&self, server: ServerId, address: String) -> ServerAfterReset {
+        let Some(slot) = self.acquire_slot().await else { return ServerAfterReset::Silent };
+        let listed = self.listed_peer(server).filter(|peer| peer.address == address);
+        let is_listed = listed.is_some();
+        let peer = listed.unwrap_or(Peer { address, started_ms: 0 });
+        let mut connection = match Connection::open(peer, slot, self.closing_sender()).await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.0.counts.borrow_mut().not_opened += 1;
+                return after_failed_connect(&error);
+            }
+        };
+        self.0.counts.borrow_mut().opened.probe += 1;
+        let check = if is_listed { self.check_call() } else { self.release_of_unused_id() };
+        let Ok((kind, check)) = check else { return ServerAfterReset::Silent };
+        match self.answered_on(server, &mut connection, kind, check).await {
+            Ok(()) => {
+                self.add_idle(server, connection);
+                ServerAfterReset::Answers
+            }
+            Err(_) => ServerAfterReset::Silent,
+        }
+    }
+
+    fn listed_peer(&self, server: ServerId) -> Option<Peer> {
+        self.0.servers.borrow().get(server).map(|record| record.peer.clone())
+    }
+}
+
+/// What a connection has shown that did not come up.
+fn after_failed_connect(error: &io::Error) -> ServerAfterReset {
+    match error.kind() {
+        io::ErrorKind::ConnectionRefused => ServerAfterReset::Refuses,
+        _ => ServerAfterReset::Silent,
+    }
+}
--- /dev/null
+++ b/gateway/src/engine/stall_tolerance.rs
@@ -0,0 +1,30 @@
+//! Waits for a server's answer that allow for stalls of this process.
+
+use std::future::Future;
+use std::time::Duration;
+
+use tokio::time::{timeout, Instant};
+
+/// A wait that lasted this much longer than it should says that this process was stalled, not that the server is
+/// unresponsive.
+const STALL_THRESHOLD: Duration = Duration::from_millis(30);
+
+/// Waits that may be repeated since this process was stalled.
+const MAX_REPEATED_WAITS: usize = 2;
+
+/// What is awaited, if it comes within this time; the wait is repeated where this process was stalled meanwhile.
+pub(super) async fn within<T>(wait: Duration, awaited: impl Future<Output = T>) -> Option<T> {
+    tokio::pin!(awaited);
+    let mut repeated_waits = 0;
+    loop {
+        let started = Instant::now();
+        if let Ok(result) = timeout(wait, &mut awaited).await {
+            return Some(result);
+        }
+        let was_stalled = started.elapsed() > wait + STALL_THRESHOLD;
+        if !was_stalled || repeated_waits == MAX_REPEATED_WAITS {
+            return None;
+        }
+        repeated_waits += 1;
+    }
+}
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 
 #![deny(missing_docs)]
 
+use std::cell::RefCell;
 use std::future::poll_fn;
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
@@ -61,6 +62,7 @@
     parts: Option<mpsc::WeakSender<ResponsePart>>,
     first_byte_at: Rc<watch::Sender<Option<Instant>>>,
     cut_work: Rc<watch::Sender<CutWork>>,
+    server_address: Rc<RefCell<Option<String>>>,
 }
 
 impl CancelToken {
@@ -103,16 +105,42 @@
         self.cut_work.send_modify(|known| *known = known.after(observation));
     }
 
+    /// What is known of the server's work on the attempt, if it was cut off.
+    pub fn cut_work(&self) -> CutWork {
+        *self.cut_work.borrow()
+    }
+
     /// Whether the server is known to work on the attempt no more.
     pub fn has_work_ended(&self) -> bool {
-        has_ended(*self.cut_work.borrow())
+        self.cut_work() == CutWork::Ended
     }
 
     /// Waits until the server is known to work on the attempt no more.
     pub async fn work_ended(&self) {
+        self.wait_for_work(|known| known == CutWork::Ended).await;
+    }
+
+    /// Waits until the connection was reset, or the server is known to work on the attempt no more.
+    pub async fn reset_or_ended(&self) -> CutWork {
+        self.wait_for_work(|known| known != CutWork::MayRun).await
+    }
+
+    async fn wait_for_work(&self, is_awaited: impl Fn(CutWork) -> bool) -> CutWork {
         let mut known = self.cut_work.subscribe();
         // An error would be the sender's end, and `self` has the sender.
-        let _ = known.wait_for(|known| has_ended(*known)).await;
+        let awaited = known.wait_for(|known| is_awaited(*known)).await.map(|known| *known);
+        awaited.unwrap_or_default()
+    }
+
+    /// Says that the attempt is written next on a connection to this address, of which nothing was seen yet.
+    pub fn set_server_address(&self, address: &str) {
+        self.server_address.replace(Some(address.to_string()));
+        self.cut_work.send_replace(CutWork::default());
+    }
+
+    /// The address of the server that the attempt was written to last.
+    pub fn server_address(&self) -> Option<String> {
+        self.server_address.borrow().clone()
     }
 
     /// Says that the first byte is written now, or that none was, since the connection is replaced.
@@ -121,11 +149,6 @@
     }
 }
 
-/// A reset is presumed to be the end of the server's work.
-fn has_ended(known: CutWork) -> bool {
-    known != CutWork::MayRun
-}
-
 /// Status and headers of a response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -55,6 +55,13 @@
         /// The server.
         server: ServerId,
     },
+    /// Finds out what has become of a server whose connection was reset under an attempt, on a connection that is begun now.
+    InquireAfterReset {
+        /// The server.
+        server: ServerId,
+        /// The attempt.
+        cancel_token: CancelToken,
+    },
     /// Closes the idle connections to a server.
     CloseIdle {
         /// The server.
@@ -72,6 +79,17 @@
     Answer,
 }
 
+/// What a connection has shown that was begun after another one to the same server was reset.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerAfterReset {
+    /// The connection was refused.
+    Refuses,
+    /// The server answered.
+    Answers,
+    /// No answer came in time.
+    Silent,
+}
+
 /// The frames of a response that is streamed.
 pub type Frames = LocalBoxStream<'static, Result<Frame, CallError>>;
 
@@ -117,6 +135,8 @@
         /// The server's load.
         report: Option<LoadReport>,
     },
+    /// What has become of a server that was asked after a reset.
+    AfterReset(ServerAfterReset),
     /// The call was carried out, and has nothing to return.
     Done,
 }
--- a/model-checker/src/corners/request.rs
+++ b/model-checker/src/corners/request.rs
@@ -31,6 +31,7 @@
         cancellation_corners(),
         drain_corners(),
         reservation_corners(),
+        reset_corners(),
         lost_reservation_corners(),
         delivery_corners(),
         unnoticed_close_corners(),
@@ -144,6 +145,8 @@
                     Action::ReleaseSent,
                     Action::ReleaseCompletes,
                     Action::Fail,
+                    Action::ConfirmClose(0),
+                    Action::ReleaseCompletes,
                 ],
             ],
         ),
@@ -171,6 +174,42 @@
     ]
 }
 
+/// A connection is reset while its server reads.
+fn reset_corners() -> Vec<Corner<Setup>> {
+    vec![
+        corner(
+            "read-ends-before-its-server-answers-after-a-reset",
+            "A read ends well after its connection was reset, and then its server answers on a new one: nothing waits for it",
+            vec![
+                arrives(0, PREFILL),
+                vec![
+                    Action::ConnectionBreaksAsked(0),
+                    Action::ServeAbandoned(0),
+                    Action::AnswerAfterReset(0),
+                    Action::ReleaseCompletes,
+                    Action::Reject,
+                ],
+            ],
+        ),
+        corner(
+            "server-stands-still-through-a-reset",
+            "A server stands still through a reset, its request fails, and it goes on and ends the read",
+            vec![
+                arrives(0, PREFILL),
+                vec![
+                    Action::ConnectionBreaks(0),
+                    Action::ReleaseSent,
+                    Action::ReleaseCompletes,
+                    Action::Reject,
+                    Action::ServeAbandoned(0),
+                    Action::ConfirmClose(0),
+                    Action::ReleaseCompletes,
+                ],
+            ],
+        ),
+    ]
+}
+
 /// A server holds something for a request that has ended, or nothing for one that needs it.
 fn lost_reservation_corners() -> Vec<Corner<Setup>> {
     vec![
--- a/model-checker/src/mutants.rs
+++ b/model-checker/src/mutants.rs
@@ -49,6 +49,7 @@
     CountsWrittenAsArrived => HeldIsLetGo,
     KeepsUndelivered => HeldIsLetGo,
     TakesCloseAsNoticed => HeldIsLetGo,
+    TakesResetAsEnd => RefusalIsTrue,
     TakesReleaseAsNotice => HeldIsLetGo,
     TakesDeadlineAsNotice => HeldIsLetGo,
     RefusesBesideUnnoticedClose => RefusalIsTrue,
--- a/model-checker/src/request/action.rs
+++ b/model-checker/src/request/action.rs
@@ -75,6 +75,10 @@
     /// An attempt's connection breaks.
     #[serde(rename = "Breaks")]
     ConnectionBreaks(u8),
+    /// The connection of a prefill breaks, and its server is asked what has become of it.
+    ConnectionBreaksAsked(u8),
+    /// The server's answer, or its refusal, shows that it works on the prefill no more.
+    AnswerAfterReset(u8),
     /// The time limit of an attempt passes.
     #[serde(rename = "TimesOut")]
     AttemptTimesOut(u8),
@@ -149,7 +153,9 @@
             | Action::ServerRestarts(_) => true,
             // Consequences of an earlier fault are free.
             Action::AttemptTimesOut(attempt) => !self.call(attempt).on_dead_connection,
-            Action::ConnectionBreaks(attempt) => !self.server(self.call(attempt).server).restarted,
+            Action::ConnectionBreaks(attempt) | Action::ConnectionBreaksAsked(attempt) => {
+                !self.server(self.call(attempt).server).restarted
+            }
             Action::StreamEnds(_, end) => !matches!(end, StreamEnd::Complete | StreamEnd::ClientStalled),
             _ => false,
         }
--- a/model-checker/src/request/calls.rs
+++ b/model-checker/src/request/calls.rs
@@ -32,6 +32,8 @@
     Starting,
     /// It has a connection.
     Open,
+    /// Its connection was reset, and its server is asked what has become of it.
+    Asking,
     /// Its connection is closed.
     Closed,
 }
@@ -48,8 +50,6 @@
     pub(super) answer_begun: bool,
     /// It was written to a connection that is dead without an error.
     pub(super) on_dead_connection: bool,
-    /// Its connection broke, which its server is taken to notice before the release that follows.
-    pub(super) broke: bool,
 }
 
 impl Call {
@@ -62,13 +62,12 @@
             work: ServerWork::NotReceived,
             answer_begun: false,
             on_dead_connection: false,
-            broke: false,
         }
     }
 
     /// Whether the gateway has started it and not closed it.
     pub(super) fn is_open(&self) -> bool {
-        matches!(self.state, CallState::Starting | CallState::Open)
+        matches!(self.state, CallState::Starting | CallState::Open | CallState::Asking)
     }
 
     /// Its connection is closed before its answer has come; its server may not have noticed.
@@ -90,7 +89,8 @@
 
     /// Whether its last byte has arrived at a server and its connection is open.
     pub(super) fn has_arrived(&self) -> bool {
-        self.is_open() && self.work != ServerWork::NotReceived
+        let has_connection = self.is_open() && self.state != CallState::Asking;
+        has_connection && self.work != ServerWork::NotReceived
     }
 }
 
@@ -217,13 +217,31 @@
             return;
         }
         call.cut();
-        call.broke = true;
         let reply = if effect == server::Effect::NeverRan { Reply::ConnectFailed } else { Reply::Reset };
         self.feed(setup, Input::Replied { attempt: attempt.into(), reply }, log);
     }
 
+    /// The connection of a prefill is reset, and a new one is to show what has become of its server.
+    pub(super) fn reset_and_ask(&mut self, attempt: u8) {
+        if self.step_connection(attempt, server::Input::Broken).is_some() {
+            let call = self.call_mut(attempt);
+            call.cut();
+            call.state = CallState::Asking;
+        }
+    }
+
+    /// The new connection has shown that the server works on the prefill no more.
+    pub(super) fn answer_after_reset(&mut self, setup: &Setup, attempt: u8, log: &mut Log) {
+        self.call_mut(attempt).close();
+        let reply = Reply::ResetAndEnded;
+        self.feed(setup, Input::Replied { attempt: attempt.into(), reply }, log);
+    }
+
     /// The gateway closes its end.
     fn close(&mut self, attempt: u8) {
+        if self.call(attempt).state == CallState::Asking {
+            return self.call_mut(attempt).close();
+        }
         self.step_connection(attempt, server::Input::Abandoned);
         self.call_mut(attempt).cut();
     }
@@ -238,6 +256,7 @@
         let call = self.call(attempt);
         let unwritten =
             call.state == CallState::Starting || call.connection.stage() == server::Stage::Connecting;
+        let unwritten = unwritten && call.state != CallState::Asking;
         self.close(attempt);
         let attempt = usize::from(attempt);
         let input = if unwritten {
--- a/model-checker/src/request/effects.rs
+++ b/model-checker/src/request/effects.rs
@@ -1,6 +1,6 @@
 //! Carries out what the request's machine asks for, as the gateway's driver does, and checks each effect.
 
-use glenrail_request_lifecycle::request::{Attempt, AttemptState, Effect, FinalResponse, RetrySafety, Stage};
+use glenrail_request_lifecycle::request::{Attempt, AttemptState, Effect, FinalResponse, RetrySafety};
 
 use super::calls::{Call, CallState, ServerWork};
 use super::reservations::{ReleaseCall, SlotCall};
@@ -93,11 +93,7 @@
 
     /// Whether a server works on an attempt, a prefill too, or may still.
     fn may_still_run(&self) -> bool {
-        let may_run = |call: &Call| match call.work {
-            ServerWork::Received => true,
-            ServerWork::Abandoned => !(call.broke && call.stage == Stage::Prefill),
-            _ => false,
-        };
+        let may_run = |call: &Call| matches!(call.work, ServerWork::Received | ServerWork::Abandoned);
         self.calls.iter().any(may_run)
     }
 
--- a/model-checker/src/request/enabled.rs
+++ b/model-checker/src/request/enabled.rs
@@ -73,6 +73,13 @@
         let breaks = self.may_fault() || self.server(call.server).restarted;
         if call.state == CallState::Open && state != AttemptState::Streaming && breaks {
             actions.push(Action::ConnectionBreaks(attempt));
+            if call.stage == Stage::Prefill && call.work != ServerWork::NotReceived {
+                actions.push(Action::ConnectionBreaksAsked(attempt));
+            }
+        }
+        // A server that stands still does not answer.
+        if call.state == CallState::Asking && call.work == ServerWork::Done {
+            actions.push(Action::AnswerAfterReset(attempt));
         }
         let delivered = self.machine.attempts()[usize::from(attempt)].delivered;
         if state == AttemptState::InFlight && call.has_arrived() && !delivered {
@@ -145,7 +152,10 @@
     fn enabled_ends(&self, attempt: u8, call: &Call, state: AttemptState, actions: &mut Vec<Action>) {
         match state {
             // On a dead connection nothing else ends it where the deployment forbids cancelling.
-            AttemptState::InFlight if self.may_fault() || call.on_dead_connection => {
+            // While its server is asked, its time limit ends the question.
+            AttemptState::InFlight
+                if call.state != CallState::Asking && (self.may_fault() || call.on_dead_connection) =>
+            {
                 actions.push(Action::AttemptTimesOut(attempt));
             }
             AttemptState::Cancelling => actions.push(Action::CancelCompletes(attempt)),
@@ -164,14 +174,11 @@
 
     fn enabled_for_release(&self, actions: &mut Vec<Action>) {
         let slot_call_is_unnoticed = matches!(self.slot_call, SlotCall::Abandoned { .. });
-        let break_is_unnoticed =
-            self.calls.iter().any(|call| call.broke && call.work == ServerWork::Abandoned);
         match self.release {
             None => {}
             Some(ReleaseCall::Waiting) => actions.push(Action::ReleaseSent),
-            // Nothing proves that a server has noticed that the call for a slot was cut off, or that a connection broke: it is
-            // taken to within the wait.
-            Some(ReleaseCall::Sent { after_cut: true }) if slot_call_is_unnoticed || break_is_unnoticed => {}
+            // Nothing proves that a server has noticed that the call for a slot was cut off: it is taken to within the wait.
+            Some(ReleaseCall::Sent { after_cut: true }) if slot_call_is_unnoticed => {}
             Some(ReleaseCall::Sent { .. }) => actions.push(Action::ReleaseCompletes),
         }
     }
--- a/model-checker/src/request/invariants.rs
+++ b/model-checker/src/request/invariants.rs
@@ -2,7 +2,7 @@
 
 use glenrail_request_lifecycle::request::{Attempt, AttemptState, RetrySafety, Timer};
 
-use super::calls::Call;
+use super::calls::{Call, CallState};
 use super::World;
 use crate::rules::Rule;
 
@@ -31,11 +31,12 @@
         reserved && !self.calls.iter().zip(self.machine.attempts()).any(claims)
     }
 
-    /// Whether a release is in progress, or an attempt is being cancelled: that one is dropped at once, and the release
-    /// follows.
+    /// Whether a release is in progress, an attempt is being cancelled, or a server is asked after a reset: the attempt is
+    /// dropped at once or the question ends within a bounded time, and the release follows.
     pub(super) fn is_releasing(&self) -> bool {
+        let is_asking = self.calls.iter().any(|call| call.state == CallState::Asking);
         let is_cancelling =
             self.machine.attempts().iter().any(|attempt| attempt.state == AttemptState::Cancelling);
-        self.release.is_some() || is_cancelling
+        self.release.is_some() || is_cancelling || is_asking
     }
 }
--- a/model-checker/src/request/transitions.rs
+++ b/model-checker/src/request/transitions.rs
@@ -47,6 +47,8 @@
             Action::ConnectionBreaks(attempt) => {
                 self.lose_connection(setup, attempt, server::Input::Broken, log);
             }
+            Action::ConnectionBreaksAsked(attempt) => self.reset_and_ask(attempt),
+            Action::AnswerAfterReset(attempt) => self.answer_after_reset(setup, attempt, log),
             Action::AttemptTimesOut(attempt) => self.attempt_times_out(setup, attempt, log),
             Action::CancelCompletes(attempt) => self.cancel_completes(setup, attempt, log),
             Action::StreamEnds(attempt, end) => self.stream_ends(setup, attempt, end, log),
