--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod judge;
 pub mod kept_connection;
 pub mod lateness;
+mod link_writer;
 pub mod network;
 pub mod process;
 pub mod record;
