Let a head that begins after its connection was chosen for eviction have its time

Callers at the cap: an idle connection was chosen for eviction with nothing unread; the first bytes of a request came and were read before the connection's task ran, and it was closed over a head in part, with no answer.

Cause: the choice was taken back only for unread bytes or a complete head; with a part of the head read the state machine still says that it may be evicted, and nobody asked since when.

Why it works: the eviction is asked once more, at the end, whether it is allowed by the same rule as at the choice.

--- a/gateway/src/front/connection_table.rs
+++ b/gateway/src/front/connection_table.rs
@@ -71,11 +71,13 @@
     pub async fn must_close(&self) -> CloseReason {
         loop {
             let input = self.watch.overdue().await;
-            let closes = self.watch.feed(input) == Effect::Close;
-            if closes && !self.watch.has_unread_request() {
-                return if input == Input::Evicted { CloseReason::Evicted } else { CloseReason::TimedOut };
+            let closes = self.watch.feed(input) == Effect::Close && !self.watch.has_unread_request();
+            match input {
+                Input::Evicted if closes && self.watch.is_evictable_now() => return CloseReason::Evicted,
+                Input::TimedOut if closes => return CloseReason::TimedOut,
+                _ => {}
             }
-            // A request has come between the choice and here: it is read and served, and has its entry again.
+            // A request has come between the choice and here, or some of it: it is served, and has its entry again.
             self.table.connections.borrow_mut().insert(self.number, self.watch.clone());
             yield_now().await;
         }
@@ -162,10 +164,9 @@
     /// Evicts the connection that has been idle longest, or before it one that only waits for its client's end. Says
     /// whether there was one.
     pub fn evict(&self) -> bool {
-        let now = Instant::now();
         let mut connections = self.connections.borrow_mut();
-        let is_candidate = |watch: &ConnectionWatch| watch.evictable_from().is_some_and(|from| from <= now);
-        let mut candidates: Vec<_> = connections.iter().filter(|(_, watch)| is_candidate(watch)).collect();
+        let mut candidates: Vec<_> =
+            connections.iter().filter(|(_, watch)| watch.is_evictable_now()).collect();
         candidates.sort_by_key(|(_, watch)| (!watch.is_closing(), watch.since.get()));
         let mut candidates = candidates.into_iter().take(MAX_EVICTION_CANDIDATES);
         let chosen = candidates.find(|(_, watch)| !watch.has_unread_request());
@@ -176,3 +177,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/gateway/src/front/connection_table/tests.rs
@@ -0,0 +1,51 @@
+//! Which connection of a full table is closed, on paused time.
+
+use std::future::Future;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use glenrail_request_lifecycle::client::{Framing, Input};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::advance;
+
+use super::*;
+use crate::counted_socket::CountedSocket;
+
+/// A client's end of a connection, and the table's entry of it.
+async fn entered(table: &Rc<ConnectionTable>) -> (TcpStream, CountedSocket, TableEntry) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let client = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
+    let socket = CountedSocket::new(listener.accept().await.expect("a connection").0);
+    let entry = table.enter();
+    entry.watch.watch_socket(&socket);
+    (client, socket, entry)
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    runtime.expect("a runtime").block_on(test);
+}
+
+/// Guards a client whose request begins between the choice of its idle connection and the eviction: the first bytes are read by
+/// then, and the rest of the head has its time.
+#[test]
+fn a_head_that_begins_after_the_choice_has_its_grace() {
+    run(async {
+        let table = Rc::new(ConnectionTable::new(1));
+        let (_client, _socket, entry) = entered(&table).await;
+        entry.watch.feed(Input::HeadStarted);
+        entry.watch.feed(Input::HeadComplete(Framing::Complete));
+        entry.watch.response_finished();
+        advance(EVICTION_GRACE).await;
+        assert!(table.evict() && table.len() == 0, "it is idle, and chosen");
+        entry.watch.feed(Input::HeadStarted);
+        for _ in 0..3 {
+            assert_eq!(entry.must_close().now_or_never(), None, "evicted with the first bytes read");
+        }
+        assert_eq!(table.len(), 1, "it has its entry again");
+        assert!(!table.evict(), "it is within its grace");
+        advance(HEAD_EVICTION_GRACE + Duration::from_millis(1)).await;
+        assert!(table.evict());
+        assert_eq!(entry.must_close().await, CloseReason::Evicted);
+    });
+}
--- a/gateway/src/front/connection_watch.rs
+++ b/gateway/src/front/connection_watch.rs
@@ -116,6 +116,11 @@
         (is_read && self.machine.borrow().is_evictable()).then(|| self.since.get() + grace)
     }
 
+    /// Whether it may be closed for another client's connection at this moment.
+    pub(super) fn is_evictable_now(&self) -> bool {
+        self.evictable_from().is_some_and(|from| from <= Instant::now())
+    }
+
     /// Hands the connection over if another process can go on with it now; then nothing more is done with it here.
     pub fn try_hand_over(&self) -> bool {
         matches!(self.feed(Input::HandOverRequested), Effect::HandOver { .. })
