Untie the circle of the modules that watch, list and count clients' connections

connection_table uses connection_watch, which uses closed_connections; the two grace times stand with the watch that asks for them, and the stage comes from the state machine's crate.

--- a/gateway/src/front/closed_connections.rs
+++ b/gateway/src/front/closed_connections.rs
@@ -6,9 +6,9 @@
 use std::cell::RefCell;
 use std::time::Duration;
 
+use glenrail_request_lifecycle::client::Stage;
 use serde_json::{json, Value};
 
-use super::connection_watch::Stage;
 use crate::log;
 
 /// Upper bounds of the ages that are counted apart, and their names in the operators' figures; what is older is counted last.
--- a/gateway/src/front/connection_table.rs
+++ b/gateway/src/front/connection_table.rs
@@ -3,7 +3,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 use glenrail_request_lifecycle::client::{Effect, Input};
 use tokio::sync::Notify;
@@ -16,13 +15,6 @@
 /// of the loop, so more of them than this at a time are hardly met.
 const MAX_EVICTION_CANDIDATES: usize = 32;
 
-/// A connection is not evicted for this long after it came, after the first bytes of a request, or after a response: its
-/// client may be about to send.
-pub(super) const EVICTION_GRACE: Duration = Duration::from_millis(60);
-
-/// A connection on which a request has begun has more time for the rest of its head: bytes that were read are owed an answer.
-pub(super) const HEAD_EVICTION_GRACE: Duration = Duration::from_millis(120);
-
 /// New connections wait for evictions only where at least this part of the table can be evicted soon: the few others would
 /// hold up the rejection of whoever comes.
 const MIN_EVICTABLE_PART: usize = 8;
--- a/gateway/src/front/connection_table/tests.rs
+++ b/gateway/src/front/connection_table/tests.rs
@@ -10,6 +10,7 @@
 
 use super::*;
 use crate::counted_socket::CountedSocket;
+use crate::front::connection_watch::{EVICTION_GRACE, HEAD_EVICTION_GRACE};
 
 /// A client's end of a connection, and the table's entry of it.
 async fn entered(table: &Rc<ConnectionTable>) -> (TcpStream, CountedSocket, TableEntry) {
--- a/gateway/src/front/connection_watch.rs
+++ b/gateway/src/front/connection_watch.rs
@@ -13,7 +13,6 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::closed_connections::{self, EvictedConnection};
-use super::connection_table::{EVICTION_GRACE, HEAD_EVICTION_GRACE};
 use super::lingering_close::{self, Expected, LINGER_TIMEOUT};
 use crate::counted_socket::{has_unread, CountedSocket};
 use crate::log;
@@ -30,6 +29,13 @@
 /// A client that reads nothing of its response for this time has lost it.
 const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// A connection is not evicted for this long after it came, after the first bytes of a request, or after a response: its
+/// client may be about to send.
+pub(super) const EVICTION_GRACE: Duration = Duration::from_millis(60);
+
+/// A connection on which a request has begun has more time for the rest of its head: bytes that were read are owed an answer.
+pub(super) const HEAD_EVICTION_GRACE: Duration = Duration::from_millis(120);
+
 /// What the reader, the service and the timers know of one connection.
 pub struct ConnectionWatch {
     machine: RefCell<Connection>,
