Count and log each end of a client's connection that leaves a request without an answer

What callers and operators saw: a request was read, or partly read, and its connection closed, with no line in the log: only evictions and closes over the cap were told, and their one limit of five lines in five seconds is used up by a crowd.

Now each end has a typed reason (timed out, evicted, over cap, shutdown, client ended, last response, response aborted, protocol error, handover failed, process ended), told where it is decided and reported where the connection leaves the table, whatever the path: counted under connections_closed.unanswered by how much had been read, and logged with the client's address, the bytes read and unread, the stage and its age at the decision; the limit of lines is one a reason. The keys that were there keep their place. Bytes that a lingering close drops count as unread.

Not forced: an end over the cap, a handover that fails.

--- a/gateway/src/counted_socket.rs
+++ b/gateway/src/counted_socket.rs
@@ -22,6 +22,15 @@
     count: Rc<Cell<u64>>,
 }
 
+/// Most unread bytes that are counted.
+const MAX_COUNTED_UNREAD: usize = 16 << 10;
+
+/// Bytes that have come and were not read, counted up to a bound.
+pub fn unread_bytes(socket: &TcpStream) -> usize {
+    let mut bytes = [MaybeUninit::uninit(); MAX_COUNTED_UNREAD];
+    SockRef::from(socket).peek(&mut bytes).unwrap_or(0)
+}
+
 /// Whether bytes have come that were not read; the end of the peer's sending is none.
 pub fn has_unread(socket: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
--- a/gateway/src/front/closed_connections.rs
+++ b/gateway/src/front/closed_connections.rs
@@ -9,6 +9,7 @@
 use glenrail_request_lifecycle::client::Stage;
 use serde_json::{json, Value};
 
+use super::unanswered;
 use crate::log;
 
 /// Upper bounds of the ages that are counted apart, and their names in the operators' figures; what is older is counted last.
@@ -98,5 +99,10 @@
     };
     let by_stage = STAGES.iter().zip(&counts.evicted);
     let evicted: Value = by_stage.map(|(name, ages)| ((*name).to_string(), by_age(ages))).collect();
-    json!({"evicted": evicted, "evicted_unread": counts.evicted_unread, "over_cap": counts.over_cap})
+    json!({
+        "evicted": evicted,
+        "evicted_unread": counts.evicted_unread,
+        "over_cap": counts.over_cap,
+        "unanswered": unanswered::figures(),
+    })
 }
--- a/gateway/src/front/connection.rs
+++ b/gateway/src/front/connection.rs
@@ -3,7 +3,7 @@
 use std::convert::Infallible;
 use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 
 use futures_util::future::LocalBoxFuture;
@@ -21,8 +21,9 @@
 use super::connection_watch::ConnectionWatch;
 use super::request_reader::{RequestReader, MAX_HEAD_BYTES};
 use super::tracked_body::{Framing, TrackedBody};
+use super::unanswered::EndReason;
 use super::{response, Body, HttpService};
-use crate::counted_socket::{read_closed, CountedSocket};
+use crate::counted_socket::{read_closed, unread_bytes, CountedSocket};
 use crate::metrics::{RequestCounter, RequestOutcome};
 use crate::shutdown::Shutdown;
 use crate::upgrade::transferred::{ConnectionGuard, TransferredConnection, TransferredStream};
@@ -47,15 +48,17 @@
 }
 
 impl Handover {
-    /// Sends a connection to the successor, if there is one; else it is dropped.
+    /// Sends a connection to the successor, if there is one; else it is dropped. Says whether it was sent.
     pub fn send(
         &self, socket: Option<std::net::TcpStream>, stream: Option<TransferredStream>, guard: ConnectionGuard,
-    ) {
-        let Some(socket) = socket else { return };
-        if let Some(successor) = self.shutdown.successor_updates().borrow().as_ref() {
-            // A successor that has died leaves the connection to be closed here.
-            let _ = successor.send(TransferredConnection { front: self.front, socket, stream, guard });
-        }
+    ) -> bool {
+        let Some(socket) = socket else { return false };
+        let successor = self.shutdown.successor_updates();
+        let successor = successor.borrow();
+        // A successor that has died leaves the connection to be closed here.
+        successor.as_ref().is_some_and(|successor| {
+            successor.send(TransferredConnection { front: self.front, socket, stream, guard }).is_ok()
+        })
     }
 }
 
@@ -120,7 +123,7 @@
             (counter, _) => counter,
         };
         let watch = self.watch;
-        Ok(response.map(|body| TrackedBody { body, watch, framing, counter }))
+        Ok(response.map(|body| TrackedBody { body, watch, framing, counter, is_complete: false }))
     }
 }
 
@@ -146,6 +149,7 @@
     let _ = socket.set_nodelay(true);
     let socket = CountedSocket::new(socket);
     entry.watch.watch_socket(&socket);
+    let unread = UnreadAtEnd { watch: entry.watch.clone(), socket: Rc::downgrade(&socket.socket) };
     let end = {
         let shutdown = handover.shutdown.clone();
         let service = ConnectionService { service, hooks, shutdown, watch: entry.watch.clone() };
@@ -167,8 +171,25 @@
         ServingEnd::HandOver => {
             // hyper has let go of it. Nothing of a request has been read, or all of its response so far is written: either
             // way the successor can go on.
+            drop(unread);
             let socket = Rc::try_unwrap(socket.socket).ok().and_then(|socket| socket.into_std().ok());
-            handover.send(socket, entry.watch.take_detached_stream(), guard);
+            if !handover.send(socket, entry.watch.take_detached_stream(), guard) {
+                entry.watch.decide_end(EndReason::HandoverFailed);
+            }
+        }
+    }
+}
+
+/// Notes, as a connection is dropped on whatever path, what of its client's bytes nobody has read.
+struct UnreadAtEnd {
+    watch: Rc<ConnectionWatch>,
+    socket: Weak<TcpStream>,
+}
+
+impl Drop for UnreadAtEnd {
+    fn drop(&mut self) {
+        if let Some(socket) = self.socket.upgrade() {
+            self.watch.end.note_unread(unread_bytes(&socket));
         }
     }
 }
@@ -191,15 +212,30 @@
             // In this order: what the connection has just done decides whether it is idle.
             biased;
             // Errors are the client's disconnect, or a response that broke off on purpose.
-            _ = connection.as_mut() => return ServingEnd::Close,
+            result = connection.as_mut() => {
+                let reason = match result {
+                    Ok(()) if shut_down => EndReason::Shutdown,
+                    Ok(()) => EndReason::LastResponse,
+                    Err(_) => EndReason::ProtocolError,
+                };
+                entry.watch.decide_end(entry.watch.end.reason_or(reason));
+                return ServingEnd::Close;
+            }
             // hyper does not see the disconnect where nothing is read. With the client goes its request.
             () = poll_fn(|context| match entry.watch.is_blind_to_disconnect() {
                 true => client_disconnected.as_mut().poll(context),
                 false => Poll::Pending,
-            }) => return ServingEnd::Drop,
+            }) => {
+                entry.watch.decide_end(EndReason::ClientEnded);
+                return ServingEnd::Drop;
+            }
             reason = entry.must_close() => return match reason {
-                CloseReason::TimedOut => ServingEnd::Close,
+                CloseReason::TimedOut => {
+                    entry.watch.decide_end(EndReason::TimedOut);
+                    ServingEnd::Close
+                }
                 CloseReason::Evicted => {
+                    entry.watch.decide_end(EndReason::Evicted);
                     entry.watch.count_evicted();
                     ServingEnd::Evicted
                 }
--- a/gateway/src/front/connection_table.rs
+++ b/gateway/src/front/connection_table.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use glenrail_request_lifecycle::client::{Effect, Input};
@@ -100,6 +101,7 @@
     fn drop(&mut self) {
         self.table.connections.borrow_mut().remove(&self.number);
         self.table.left.notify_waiters();
+        self.watch.report_end();
     }
 }
 
@@ -119,11 +121,11 @@
         self.lingering.get()
     }
 
-    /// Enters a new connection.
-    pub fn enter(self: &Rc<Self>) -> TableEntry {
+    /// Enters a new connection of this client.
+    pub fn enter(self: &Rc<Self>, client: Option<SocketAddr>) -> TableEntry {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
-        let watch = Rc::new(ConnectionWatch::default());
+        let watch = Rc::new(ConnectionWatch::new(client));
         self.connections.borrow_mut().insert(number, watch.clone());
         TableEntry { table: self.clone(), number, watch }
     }
--- a/gateway/src/front/connection_table/tests.rs
+++ b/gateway/src/front/connection_table/tests.rs
@@ -11,13 +11,14 @@
 use super::*;
 use crate::counted_socket::CountedSocket;
 use crate::front::connection_watch::{EVICTION_GRACE, HEAD_EVICTION_GRACE};
+use crate::front::unanswered::{self, EndReason, RequestProgress};
 
 /// A client's end of a connection, and the table's entry of it.
 async fn entered(table: &Rc<ConnectionTable>) -> (TcpStream, CountedSocket, TableEntry) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let client = TcpStream::connect(listener.local_addr().expect("an address")).await.expect("a connection");
     let socket = CountedSocket::new(listener.accept().await.expect("a connection").0);
-    let entry = table.enter();
+    let entry = table.enter(None);
     entry.watch.watch_socket(&socket);
     (client, socket, entry)
 }
@@ -50,3 +51,16 @@
         assert_eq!(entry.must_close().await, CloseReason::Evicted);
     });
 }
+
+/// Guards the report of a request that was read in part as its connection is dropped with the process, with nobody's decision.
+#[test]
+fn a_connection_that_nobody_ended_is_reported_as_it_is_dropped() {
+    run(async {
+        let table = Rc::new(ConnectionTable::new(1));
+        let (_client, _socket, entry) = entered(&table).await;
+        entry.watch.feed(Input::HeadStarted);
+        entry.watch.end.note_read(8);
+        drop(entry);
+        assert_eq!(unanswered::count(EndReason::ProcessEnded, RequestProgress::PartlyRead), 1);
+    });
+}
--- a/gateway/src/front/connection_watch.rs
+++ b/gateway/src/front/connection_watch.rs
@@ -4,6 +4,7 @@
 //! its last change of stage, and looks into the socket for bytes that nobody has read yet.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
@@ -13,7 +14,9 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::closed_connections::{self, EvictedConnection};
+use super::connection_end::{ConnectionEnd, EndDecision};
 use super::lingering_close::{self, Expected, LINGER_TIMEOUT};
+use super::unanswered::EndReason;
 use crate::counted_socket::{has_unread, CountedSocket};
 use crate::log;
 use crate::upgrade::transferred::TransferredStream;
@@ -51,13 +54,17 @@
     detached_stream: RefCell<Option<TransferredStream>>,
     /// Why the open request must be rejected: its framing could hide another one.
     pub(super) framing_fault: Cell<Option<&'static str>>,
+    /// For the report of its end.
+    pub(super) end: ConnectionEnd,
     stage_changed: Notify,
     pub(super) evicted: Notify,
 }
 
-impl Default for ConnectionWatch {
-    fn default() -> Self {
+impl ConnectionWatch {
+    /// Of a connection of this client.
+    pub fn new(client: Option<SocketAddr>) -> Self {
         ConnectionWatch {
+            end: ConnectionEnd::new(client),
             machine: RefCell::default(),
             socket: RefCell::default(),
             closing: Cell::default(),
@@ -69,9 +76,7 @@
             evicted: Notify::new(),
         }
     }
-}
 
-impl ConnectionWatch {
     /// The stage of the connection.
     pub fn stage(&self) -> Stage {
         self.machine.borrow().stage()
@@ -102,8 +107,28 @@
         self.machine.borrow().closes_after_response()
     }
 
-    /// The response has been written, or dropped.
+    /// Bytes of a body were read; behind an early response they are dropped.
+    pub(super) fn note_body_read(&self, bytes: usize) {
+        if self.stage() == Stage::Body || bytes == 0 {
+            self.end.note_read(bytes);
+        }
+    }
+
+    /// The response has been written.
     pub fn response_finished(&self) {
+        if self.stage() != Stage::HandedOver {
+            self.end.note_answered();
+        }
+        self.response_dropped();
+    }
+
+    /// The response has been dropped before its end.
+    pub fn response_aborted(&self) {
+        self.end.note_response_aborted();
+        self.response_dropped();
+    }
+
+    fn response_dropped(&self) {
         // Handed over, the response goes on elsewhere.
         if self.stage() != Stage::HandedOver {
             self.stopped_reading.set(false);
@@ -152,6 +177,20 @@
         self.feed(Input::StreamResumed);
     }
 
+    /// Notes why the connection ends; the first reason counts.
+    pub(super) fn decide_end(&self, reason: EndReason) {
+        self.end.decide(self.end_decision(reason));
+    }
+
+    fn end_decision(&self, reason: EndReason) -> EndDecision {
+        EndDecision { reason, stage: self.stage(), age: self.since.get().elapsed() }
+    }
+
+    /// Reports its end, if a request is left without an answer.
+    pub(super) fn report_end(&self) {
+        self.end.report(self.end_decision(EndReason::ProcessEnded));
+    }
+
     /// Counts its eviction, which follows at once.
     pub(super) fn count_evicted(&self) {
         closed_connections::count_evicted(&EvictedConnection {
@@ -240,6 +279,6 @@
             if self.stage() == Stage::Closing { Expected::RestOfRequest } else { Expected::Nothing };
         self.socket.take();
         self.closing.set(true);
-        lingering_close::close(socket, expected, self.evicted.notified()).await;
+        lingering_close::close(socket, expected, &self.end.bytes_dropped, self.evicted.notified()).await;
     }
 }
--- a/gateway/src/front/lingering_close.rs
+++ b/gateway/src/front/lingering_close.rs
@@ -1,6 +1,7 @@
 //! The end of a client's connection without a reset: a close over unread bytes would be one, and eat what the client has
 //! not read yet.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::io;
 use std::net::Shutdown;
@@ -28,40 +29,47 @@
     Nothing,
 }
 
-/// Sends the connection's end, then waits within bounds until the client has ended it too, or until `evicted`.
-pub(super) async fn close(socket: &TcpStream, expected: Expected, evicted: impl Future<Output = ()>) {
+/// Sends the connection's end, then waits within bounds until the client has ended it too, or until `evicted`. Adds the bytes that
+/// it drops to `dropped`.
+pub(super) async fn close(
+    socket: &TcpStream, expected: Expected, dropped: &Cell<usize>, evicted: impl Future<Output = ()>,
+) {
     // An error means that the connection has ended already.
     let _ = SockRef::from(socket).shutdown(Shutdown::Write);
     let client_ends = async {
         if expected == Expected::Nothing && matches!(socket.peek(&mut [0]).await, Ok(1..)) {
             read_closed(socket).await;
         }
-        let mut left = LINGER_MAX_BYTES;
-        while left > 0 && socket.readable().await.is_ok() && drop_some(socket, &mut left) {}
+        while dropped.get() < LINGER_MAX_BYTES
+            && socket.readable().await.is_ok()
+            && drop_some(socket, dropped)
+        {}
     };
     tokio::select! {
         _ = timeout(LINGER_TIMEOUT, client_ends) => {}
         () = evicted => {}
     }
-    drop_unread(socket);
+    drop_unread(socket, dropped);
 }
 
 /// Drops what has come and is unread, without waiting for more.
-fn drop_unread(socket: &TcpStream) {
-    let mut left = LINGER_MAX_BYTES;
-    let mut before = 0;
-    while left != before {
-        before = left;
-        drop_some(socket, &mut left);
+fn drop_unread(socket: &TcpStream, dropped: &Cell<usize>) {
+    let bound = dropped.get() + LINGER_MAX_BYTES;
+    loop {
+        let before = dropped.get();
+        drop_some(socket, dropped);
+        if dropped.get() == before || dropped.get() >= bound {
+            return;
+        }
     }
 }
 
 /// Drops some unread bytes; says whether there may be more. Not a part of the future above: a buffer there would take memory
 /// for as long as the connection lives.
-fn drop_some(socket: &TcpStream, left: &mut usize) -> bool {
+fn drop_some(socket: &TcpStream, dropped: &Cell<usize>) -> bool {
     match socket.try_read(&mut [0; LINGER_READ_BYTES]) {
         Ok(read) => {
-            *left = left.saturating_sub(read);
+            dropped.set(dropped.get() + read);
             read > 0
         }
         Err(error) => error.kind() == io::ErrorKind::WouldBlock,
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -10,6 +10,7 @@
 mod body;
 pub mod closed_connections;
 mod connection;
+mod connection_end;
 mod connection_table;
 mod connection_watch;
 pub mod inference;
@@ -20,6 +21,7 @@
 mod resumed_stream;
 pub mod server;
 mod tracked_body;
+pub mod unanswered;
 
 use std::convert::Infallible;
 use std::future::Future;
--- a/gateway/src/front/request_reader.rs
+++ b/gateway/src/front/request_reader.rs
@@ -92,6 +92,9 @@
             _ => {
                 self.passable = self.buffer.len();
                 self.watch.feed(Input::MalformedHead);
+                // hyper answers it.
+                self.note_buffer();
+                self.watch.end.note_answered();
                 return true;
             }
         };
@@ -124,8 +127,10 @@
 
     /// Reads more into the buffer; 0 at the end of what the client sends.
     fn fill(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
-        let read = ready!(self.socket.poll_read_into(context, &mut self.buffer))?;
-        self.watch.feed(Input::PipelinedBytes(!self.buffer.is_empty()));
+        let read = ready!(self.socket.poll_read_into(context, &mut self.buffer))
+            .inspect_err(|_| self.watch.end.note_client_ended())?;
+        self.watch.end.note_read(read);
+        self.note_buffer();
         Poll::Ready(Ok(read))
     }
 
@@ -135,18 +140,30 @@
         space.put_slice(&self.buffer[..length]);
         self.buffer.drain(..length);
         self.passable -= length;
+        self.note_buffer();
+    }
+
+    /// Notes what was read and not passed on.
+    fn note_buffer(&self) {
         self.watch.feed(Input::PipelinedBytes(!self.buffer.is_empty()));
+        self.watch.end.note_buffered(self.buffer.len() - self.passable);
     }
 
     /// Reads a body straight into hyper's space, up to its end.
     fn poll_body(&mut self, context: &mut Context<'_>, space: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let RemainingBody::Length(remaining) = &mut self.remaining_body else {
-            return Pin::new(&mut self.socket).poll_read(context, space);
+            let before = space.filled().len();
+            ready!(Pin::new(&mut self.socket).poll_read(context, space))
+                .inspect_err(|_| self.watch.end.note_client_ended())?;
+            self.watch.note_body_read(space.filled().len() - before);
+            return Poll::Ready(Ok(()));
         };
         let most = space.remaining().min(usize::try_from(*remaining).unwrap_or(usize::MAX));
         let mut part = ReadBuf::new(space.initialize_unfilled_to(most));
-        ready!(Pin::new(&mut self.socket).poll_read(context, &mut part))?;
+        ready!(Pin::new(&mut self.socket).poll_read(context, &mut part))
+            .inspect_err(|_| self.watch.end.note_client_ended())?;
         let read = part.filled().len();
+        self.watch.note_body_read(read);
         *remaining -= read as u64;
         if *remaining == 0 && self.watch.stage() == Stage::Body {
             self.watch.feed(Input::BodyComplete);
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -1,10 +1,12 @@
 //! The accept loop of a front: accepts connections, admits them within the cap, and serves them until the process ends.
 
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
+use glenrail_request_lifecycle::client::Stage;
 use http::{Method, Request};
 use hyper::body::Incoming;
 use tokio::net::{TcpListener, TcpStream};
@@ -14,10 +16,13 @@
 use tower::{service_fn, ServiceExt};
 
 use super::connection::{closing, serve_connection, FrontHooks, Handover};
+use super::connection_end::{ConnectionEnd, EndDecision};
 use super::connection_table::{ConnectionTable, TableEntry};
 use super::resumed_stream::{write_remainder, StreamResult};
+use super::unanswered::EndReason;
 use super::{accept_queue, closed_connections, Front, HttpService};
 use crate::core;
+use crate::counted_socket::unread_bytes;
 use crate::log;
 use crate::metrics::{RequestMetrics, RequestOutcome};
 use crate::pools::Pool;
@@ -36,8 +41,8 @@
 pub enum ConnectionFate {
     /// It is served on.
     KeepAlive,
-    /// It is closed in order.
-    Close,
+    /// It is closed in order, for this reason.
+    Close(EndReason),
     /// A further process goes on with the stream.
     HandedOver(TransferredStream),
 }
@@ -58,8 +63,10 @@
             drop(open_stream);
             let (outcome, fate) = match result {
                 StreamResult::Complete => (Some(RequestOutcome::Fulfilled), ConnectionFate::KeepAlive),
-                StreamResult::Broken => (Some(RequestOutcome::Faulted), ConnectionFate::Close),
-                StreamResult::ClientDisconnected => (None, ConnectionFate::Close),
+                StreamResult::Broken => {
+                    (Some(RequestOutcome::Faulted), ConnectionFate::Close(EndReason::ResponseAborted))
+                }
+                StreamResult::ClientDisconnected => (None, ConnectionFate::Close(EndReason::ClientEnded)),
                 StreamResult::HandedOver(remainder) => {
                     (None, ConnectionFate::HandedOver(TransferredStream { remainder, class }))
                 }
@@ -131,7 +138,7 @@
 
     /// Takes a connection. Guards the descriptors of servers and discovery, and the way in: at the cap, the connection that
     /// has been idle longest is evicted; only where all have an open request is the new one rejected.
-    fn take(&self, socket: TcpStream, stream: Option<TransferredStream>) {
+    fn take(&self, socket: TcpStream, client: Option<SocketAddr>, stream: Option<TransferredStream>) {
         if self.is_full() {
             self.table.evict();
         }
@@ -142,12 +149,13 @@
                 "connection closed: all {} connections have open requests, and no more can be rejected",
                 self.cap
             );
+            report_over_cap(&socket, client);
             return;
         }
         let admission = if self.is_full() { Admission::OverCap } else { Admission::Admitted };
         // Before the task is polled: none is uncounted in between.
         let guard = self.handover.shutdown.guard();
-        let entry = self.table.enter();
+        let entry = self.table.enter(client);
         let task = ConnectionTask {
             service: self.service.clone(),
             hooks: self.hooks.clone(),
@@ -179,9 +187,17 @@
             entry.watch.stream_resumed();
             match resume(&mut socket, stream).await {
                 ConnectionFate::KeepAlive => entry.watch.response_finished(),
-                ConnectionFate::Close => return entry.watch.close(&socket).await,
+                ConnectionFate::Close(reason) => {
+                    entry.watch.decide_end(reason);
+                    entry.watch.end.note_response_aborted();
+                    return entry.watch.close(&socket).await;
+                }
                 ConnectionFate::HandedOver(stream) => {
-                    return handover.send(socket.into_std().ok(), Some(stream), guard);
+                    if !handover.send(socket.into_std().ok(), Some(stream), guard) {
+                        entry.watch.decide_end(EndReason::HandoverFailed);
+                        entry.watch.end.note_response_aborted();
+                    }
+                    return;
                 }
             }
         }
@@ -238,12 +254,15 @@
             () = &mut stop => break,
             _ = successor_updates.changed() => {}
             Some((socket, stream)) = acceptor.when_vacant(next_transferred(&mut inbox)) => match TcpStream::from_std(socket) {
-                Ok(socket) => acceptor.take(socket, stream),
+                Ok(socket) => {
+                    let client = socket.peer_addr().ok();
+                    acceptor.take(socket, client, stream);
+                }
                 Err(error) => log!("a transferred connection could not be registered: {error}"),
             },
             accepted = acceptor.when_vacant(listener.accept()), if accepting => match accepted {
-                Ok((socket, _)) => {
-                    acceptor.take(socket, None);
+                Ok((socket, client)) => {
+                    acceptor.take(socket, Some(client), None);
                     // The evicted one closes, and the new one is read, before the next one comes.
                     if acceptor.is_full() {
                         yield_now().await;
@@ -259,10 +278,20 @@
     if !shutdown.has_successor() {
         let room = async || acceptor.table.vacancy(cap).await;
         let accept = async || listener.accept().await;
-        accept_queue::empty(room, accept, |(socket, _)| acceptor.take(socket, None)).await;
+        accept_queue::empty(room, accept, |(socket, client)| {
+            acceptor.take(socket, Some(client), None);
+        })
+        .await;
     }
 }
 
+/// Reports a connection beyond the cap that is closed without being read, if something has come on it.
+fn report_over_cap(socket: &TcpStream, client: Option<SocketAddr>) {
+    let end = ConnectionEnd::new(client);
+    end.note_unread(unread_bytes(socket));
+    end.report(EndDecision { reason: EndReason::OverCap, stage: Stage::New, age: Duration::ZERO });
+}
+
 fn hooks_of(front: impl Front) -> FrontHooks {
     let rejecting_front = front.clone();
     FrontHooks {
--- a/gateway/src/front/tracked_body.rs
+++ b/gateway/src/front/tracked_body.rs
@@ -33,6 +33,8 @@
     pub framing: Framing,
     /// Counts the request when its stream has ended.
     pub counter: Option<RequestCounter>,
+    /// Its end was passed on.
+    pub is_complete: bool,
 }
 
 impl TrackedBody {
@@ -55,7 +57,12 @@
 
 impl Drop for TrackedBody {
     fn drop(&mut self) {
-        self.watch.response_finished();
+        // A full body is handed to hyper at once.
+        if self.is_complete || matches!(self.body, Body::Full(_)) {
+            self.watch.response_finished();
+        } else {
+            self.watch.response_aborted();
+        }
     }
 }
 
@@ -78,7 +85,10 @@
         match &frame {
             Some(Ok(_)) => {}
             Some(Err(_)) => self.count(RequestOutcome::Faulted),
-            None => self.count(RequestOutcome::Fulfilled),
+            None => {
+                self.is_complete = true;
+                self.count(RequestOutcome::Fulfilled);
+            }
         }
         Poll::Ready(frame)
     }
