--- a/gateway/src/front/connection_table.rs
+++ b/gateway/src/front/connection_table.rs
@@ -2,8 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use glenrail_request_lifecycle::client::{Effect, Input};
 use tokio::sync::Notify;
@@ -16,13 +16,6 @@
 /// of the loop, so more of them than this at a time are hardly met.
 const MAX_EVICTION_CANDIDATES: usize = 32;
 
-/// A connection is not evicted for this long after it came, after the first bytes of a request, or after a response: its
-/// client may be about to send.
-pub(super) const EVICTION_GRACE: Duration = Duration::from_millis(60);
-
-/// A connection on which a request has begun has more time for the rest of its head: bytes that were read are owed an answer.
-pub(super) const HEAD_EVICTION_GRACE: Duration = Duration::from_millis(120);
-
 /// New connections wait for evictions only where at least this part of the table can be evicted soon: the few others would
 /// hold up the rejection of whoever comes.
 const MIN_EVICTABLE_PART: usize = 8;
@@ -71,11 +64,13 @@
     pub async fn must_close(&self) -> CloseReason {
         loop {
             let input = self.watch.overdue().await;
-            let closes = self.watch.feed(input) == Effect::Close;
-            if closes && !self.watch.has_unread_request() {
-                return if input == Input::Evicted { CloseReason::Evicted } else { CloseReason::TimedOut };
+            let closes = self.watch.feed(input) == Effect::Close && !self.watch.has_unread_request();
+            match input {
+                Input::Evicted if closes && self.watch.is_evictable_now() => return CloseReason::Evicted,
+                Input::TimedOut if closes => return CloseReason::TimedOut,
+                _ => {}
             }
-            // A request has come between the choice and here: it is read and served, and has its entry again.
+            // A request has come between the choice and here, or some of it: it is served, and has its entry again.
             self.table.connections.borrow_mut().insert(self.number, self.watch.clone());
             yield_now().await;
         }
@@ -106,6 +101,7 @@
     fn drop(&mut self) {
         self.table.connections.borrow_mut().remove(&self.number);
         self.table.left.notify_waiters();
+        self.watch.report_end();
     }
 }
 
@@ -125,11 +121,11 @@
         self.lingering.get()
     }
 
-    /// Enters a new connection.
-    pub fn enter(self: &Rc<Self>) -> TableEntry {
+    /// Enters a new connection of this client.
+    pub fn enter(self: &Rc<Self>, client: Option<SocketAddr>) -> TableEntry {
         let number = self.next_number.get();
         self.next_number.set(number + 1);
-        let watch = Rc::new(ConnectionWatch::default());
+        let watch = Rc::new(ConnectionWatch::new(client));
         self.connections.borrow_mut().insert(number, watch.clone());
         TableEntry { table: self.clone(), number, watch }
     }
@@ -162,10 +158,9 @@
     /// Evicts the connection that has been idle longest, or before it one that only waits for its client's end. Says
     /// whether there was one.
     pub fn evict(&self) -> bool {
-        let now = Instant::now();
         let mut connections = self.connections.borrow_mut();
-        let is_candidate = |watch: &ConnectionWatch| watch.evictable_from().is_some_and(|from| from <= now);
-        let mut candidates: Vec<_> = connections.iter().filter(|(_, watch)| is_candidate(watch)).collect();
+        let mut candidates: Vec<_> =
+            connections.iter().filter(|(_, watch)| watch.is_evictable_now()).collect();
         candidates.sort_by_key(|(_, watch)| (!watch.is_closing(), watch.since.get()));
         let mut candidates = candidates.into_iter().take(MAX_EVICTION_CANDIDATES);
         let chosen = candidates.find(|(_, watch)| !watch.has_unread_request());
@@ -176,3 +171,6 @@
         true
     }
 }
+
+#[cfg(test)]
+mod tests;
