--- a/fault-tests/src/deployment_spec.rs
+++ b/fault-tests/src/deployment_spec.rs
@@ -6,6 +6,8 @@
 
 use crate::engine::Role;
 
+/// Usual objective of each class for a first token.
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(2_500);
 /// A gateway's usual limit of descriptors.
 const SOCKETS: usize = 1_024;
 
@@ -25,6 +27,8 @@
     pub engines: Vec<EngineSpec>,
     pub lease_limit: Duration,
     pub deadline: Duration,
+    /// What each class aims at for a first token.
+    pub latency_objective: Duration,
     /// Whether engines may be probed.
     pub probes: bool,
     /// Each gateway's limit of descriptors.
@@ -43,7 +47,15 @@
         };
         let engines = of("r", Role::Prefill, readers).chain(of("w", Role::Decode, writers)).collect();
         let (pin_limit, deadline) = (Duration::from_millis(500), Duration::from_secs(9));
-        DeploymentSpec { gateways, engines, lease_limit: pin_limit, deadline, probes: true, sockets: SOCKETS }
+        DeploymentSpec {
+            gateways,
+            engines,
+            lease_limit: pin_limit,
+            deadline,
+            latency_objective: LATENCY_OBJECTIVE,
+            probes: true,
+            sockets: SOCKETS,
+        }
     }
 
     /// With writers whose first token takes this long (ms).
@@ -56,7 +68,8 @@
     /// The settings of its gateways.
     pub fn settings(&self) -> Value {
         let deadline = self.deadline.as_secs_f64() * 1000.0;
-        let class = |name: &str, semantics: &str| json!({"name": name, "aim": 2500.0, "deadline": deadline, "semantics": semantics, "worth": 2.0});
+        let objective = self.latency_objective.as_secs_f64() * 1000.0;
+        let class = |name: &str, semantics: &str| json!({"name": name, "aim": objective, "deadline": deadline, "semantics": semantics, "worth": 2.0});
         json!({"balancers": self.gateways, "quantum": 4.0, "zones": ["dc"], "discovery": "push",
             "kinds": ["prompt-side", "answer-side"],
             "services": [class("item-query", "free"), class("order-chat", "single_shot")],
--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`deployment`] starts the processes: the built gateway, and [`engine`]s, which are this crate's own program.
 //! - [`network`] holds the proxies between each gateway and each engine: they blackhole, refuse, reset and delay.
 //! - [`soak`] draws random, overlapping [`faults`] over a deployment under load.
+//! - [`single_shot`] cuts the prefills of requests that may not be repeated right before they are answered.
 //! - [`crowd`] fills a gateway's connection table with idle clients.
 //! - [`sessions`] are clients that keep their connections, spread by a [`front`]; [`restarts`] ends gateways and starts them.
 //! - [`record`] holds what engines, links and clients saw; [`judge`] finds the invariants that did not hold.
@@ -27,5 +28,6 @@
 pub mod record;
 pub mod restarts;
 pub mod sessions;
+pub mod single_shot;
 pub mod soak;
 mod unread;
--- a/fault-tests/src/main.rs
+++ b/fault-tests/src/main.rs
@@ -6,7 +6,7 @@
 
 use clap::{Parser, Subcommand};
 use glenrail_fault_tests::deployment::DeploymentError;
-use glenrail_fault_tests::{crowd, engine, soak};
+use glenrail_fault_tests::{crowd, engine, single_shot, soak};
 
 #[derive(Parser)]
 #[command(about)]
@@ -21,6 +21,8 @@
     Engine(engine::Options),
     /// Fills a gateway's connection table with idle clients, and succeeds if no request is closed with no answer.
     Crowd(crowd::Options),
+    /// Plays seeds of requests that may not be repeated, and succeeds if every answer that allows sending them again is true.
+    SingleShot(single_shot::Options),
     /// Plays seeds of random, overlapping faults, and succeeds if every invariant held in each.
     Soak(soak::Options),
 }
@@ -67,6 +69,21 @@
     }
 }
 
+fn single_shot(options: &single_shot::Options) -> Result<(), Failure> {
+    let program = std::env::current_exe()?;
+    let runtime = runtime()?;
+    let mut broken = 0;
+    for seed in options.seed..options.seed + options.seeds {
+        let report = runtime.block_on(single_shot::run(options, seed, &program))?;
+        print!("{report}");
+        broken += usize::from(!report.passed());
+    }
+    match broken {
+        0 => Ok(()),
+        broken => Err(Failure::Broken(broken)),
+    }
+}
+
 fn run(command: Command) -> Result<(), Failure> {
     match command {
         Command::Engine(options) => {
@@ -74,6 +91,7 @@
             Ok(runtime.block_on(engine::run(options))?)
         }
         Command::Crowd(options) => crowd(&options),
+        Command::SingleShot(options) => single_shot(&options),
         Command::Soak(options) => soak(&options),
     }
 }
