--- a/fault-tests/src/single_shot.rs
+++ b/fault-tests/src/single_shot.rs
@@ -2,8 +2,8 @@
 //! seed has gateways whose links hold bytes and closes back around the deadlines of their requests, some under SIGTERM.
 //!
 //! An answer that says that sending again is harmless must be true: judged by [`Invariant::RejectionIsTrue`] and
-//! [`Invariant::AtMostOnce`]. What else the judge finds is reported beside it and decides nothing: links that hold everything back
-//! for up to 300 ms leave a release less time than a soak does.
+//! [`Invariant::AtMostOnce`]. What else the judge finds is reported beside it and decides nothing: links that hold everything
+//! back for up to 300 ms leave a release less time than a soak does.
 
 use std::collections::BTreeMap;
 use std::fmt;
--- a/fault-tests/tests/single_shot.rs
+++ b/fault-tests/tests/single_shot.rs
@@ -1,4 +1,4 @@
-//! A short slice of the run of requests that may not be repeated. The command `glenrail-fault-tests single-shot` plays more seeds.
+//! A short slice of the run of requests that may not be repeated; the command `glenrail-fault-tests single-shot` plays more.
 
 use std::path::Path;
 
@@ -8,8 +8,8 @@
 /// The answer that says that sending again is harmless.
 const REJECTED: u16 = 503;
 
-/// Guards what a rejection says (the operators' rule `duplicate`): prefills are cut right before it, links hold their closes back, and
-/// gateways end beside them.
+/// Guards what a rejection says (the operators' rule `duplicate`): prefills are cut right before it, links hold closes back,
+/// and gateways end beside them.
 #[test]
 fn a_rejection_is_true_although_links_hold_back_the_closes_of_cut_prefills() {
     let program = Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"));
--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -2,6 +2,7 @@
 
 mod leases;
 mod records;
+mod rejections;
 mod replay;
 mod requests;
 mod stored;
--- /dev/null
+++ b/gateway/src/core/tests/rejections.rs
@@ -0,0 +1,123 @@
+//! What a request that may not be repeated is answered where the process is about to end: a rejection only if no attempt of
+//! it can have run, and none may still.
+
+use super::*;
+
+/// Timeout of every attempt, in milliseconds.
+const ATTEMPT_TIMEOUT: Millis = 5_000.0;
+/// When the process answers what is pending.
+const ANSWERED_AT: Duration = Duration::from_millis(300);
+/// The class that may not be repeated.
+const NON_IDEMPOTENT: u32 = 1;
+
+/// A policy that sends each request to one prefill server and then to one decode server, once each, and cancels the prefill
+/// after a time if it is still in flight.
+struct OneAttemptAStage {
+    cancels_prefill_after: Option<Millis>,
+}
+
+impl OneAttemptAStage {
+    fn send(id: RequestId, server: u64) -> Action {
+        Action::Send { id, server: ServerId(server), timeout: ATTEMPT_TIMEOUT }
+    }
+}
+
+impl DecisionPolicy for OneAttemptAStage {
+    fn handle(&mut self, now: Millis, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::Request(request) => {
+                actions.push(Self::send(request.id, PREFILL_SERVERS[0]));
+                if let Some(after) = self.cancels_prefill_after {
+                    let request_id = request.id;
+                    actions.push(Action::Timer {
+                        at: now + after,
+                        key: request_id.0,
+                        request: Some(request_id),
+                    });
+                }
+            }
+            Event::Timer { key } => actions.push(Action::Cancel { id: RequestId(key), attempt: 0 }),
+            Event::Outcome(AttemptOutcome { id, status: AttemptStatus::Prefilled, .. }) => {
+                actions.push(Self::send(id, DECODE_SERVERS[0]));
+            }
+            _ => {}
+        }
+    }
+}
+
+/// What has become of the attempts when the process answers what is pending.
+struct History {
+    prefill: ScriptedReply,
+    cancels_prefill_after: Option<Millis>,
+    misses_closes: bool,
+    decode: ScriptedReply,
+}
+
+impl History {
+    /// A prefill that gets this reply after 20 ms, and whose server notices all closes.
+    fn of_prefill(prefill: ScriptedReply) -> History {
+        let decode = ScriptedReply::NoReply;
+        History { prefill, cancels_prefill_after: None, misses_closes: false, decode }
+    }
+
+    /// A prefill that has succeeded, and a decode that gets this reply after 20 ms.
+    fn of_decode(decode: ScriptedReply) -> History {
+        History { decode, ..History::of_prefill(ScriptedReply::Prefilled) }
+    }
+
+    /// A prefill without a reply that is cancelled some time before the answer.
+    fn of_cut_prefill(misses_closes: bool) -> History {
+        let cancels_prefill_after = Some(200.0);
+        History { cancels_prefill_after, misses_closes, ..History::of_prefill(ScriptedReply::NoReply) }
+    }
+
+    /// Whether the request is rejected; else it has failed.
+    fn ends_in_rejection(self) -> bool {
+        let History { prefill, cancels_prefill_after, misses_closes, decode } = self;
+        paused(async move {
+            let servers = ScriptedServers::new(move |_, server| {
+                let is_prefill = PREFILL_SERVERS.contains(&server.0);
+                (20, if is_prefill { prefill.clone() } else { decode.clone() })
+            });
+            servers.misses_closes.set(misses_closes);
+            let core = core_with_policy(&servers, OneAttemptAStage { cancels_prefill_after });
+            let client = core.submit(request(NON_IDEMPOTENT, 10_000.0));
+            sleep(ANSWERED_AT).await;
+            core.answer_pending();
+            match response_parts(client).await.pop().flatten() {
+                Some(ResponsePart::Rejected(_)) => true,
+                Some(ResponsePart::Failed(Failure::Upstream)) => false,
+                other => panic!("another answer: {other:?}"),
+            }
+        })
+    }
+}
+
+/// Guards what callers are told shortly before the kill: that sending again is harmless, only where it is.
+#[test]
+fn a_request_that_may_have_run_is_failed_before_the_process_ends() {
+    for decode in [
+        ScriptedReply::NoReply,
+        ScriptedReply::Error,
+        ScriptedReply::Fail(CallError::Reset),
+        ScriptedReply::Fail(CallError::MalformedResponse),
+    ] {
+        assert!(!History::of_decode(decode.clone()).ends_in_rejection(), "decode: {decode:?}");
+    }
+    assert!(!History::of_prefill(ScriptedReply::NoReply).ends_in_rejection(), "a prefill that still runs");
+    assert!(!History::of_cut_prefill(true).ends_in_rejection(), "a cut prefill that may still run");
+}
+
+/// Guards callers from a failure where a rejection would be true.
+#[test]
+fn a_request_that_cannot_have_run_is_rejected_before_the_process_ends() {
+    for decode in [
+        ScriptedReply::Rejected,
+        ScriptedReply::Fail(CallError::ConnectFailed),
+        ScriptedReply::Fail(CallError::NotSent),
+    ] {
+        assert!(History::of_decode(decode.clone()).ends_in_rejection(), "decode: {decode:?}");
+    }
+    assert!(History::of_prefill(ScriptedReply::Error).ends_in_rejection(), "a prefill has no effect");
+    assert!(History::of_cut_prefill(false).ends_in_rejection(), "a cut prefill whose server has noticed");
+}
