Have the single-shot run learn quick servers, and delay attempts so that others overtake them

Now each gateway learns quick servers before a burst, links delay attempts in turns, and there is one prefill server: an attempt that others overtake is cancelled, its request is late, and has tried all.

--- a/fault-tests/src/single_shot.rs
+++ b/fault-tests/src/single_shot.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng};
 use rustix::process::Signal;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{sleep, Instant};
 
 use crate::client::{self, ClientRequest};
 use crate::clock;
@@ -27,11 +27,18 @@
 
 const GATEWAYS: usize = 4;
 const DECODE_SERVERS: usize = 3;
-/// The least and the most time that a prefill takes at each prefill server (ms). The quick ones show that the slow ones get on
-/// late, so that attempts there are cancelled; a slow one works on for long if it does not notice that.
-const PREFILL_TIMES: [(u64, u64); 4] = [(20, 60), (20, 60), (20, 60), (250, 600)];
-/// Attempts at slow servers are cancelled as lost at about this time, with little of it left for another one.
-const LATENCY_OBJECTIVE: Duration = Duration::from_millis(250);
+/// So few that a request whose attempt is cancelled has tried all.
+const PREFILL_SERVERS: usize = 1;
+/// The least and the most time that a prefill takes (ms).
+const PREFILL_TIME: (u64, u64) = (2, 8);
+/// The least and the most time to a decode server's first token (ms).
+const DECODE_TIME: (u64, u64) = (2, 8);
+/// An attempt that others overtake is cancelled at about this time, and its request is late by then.
+const LATENCY_OBJECTIVE: Duration = Duration::from_millis(100);
+/// Requests before each burst, while nothing disturbs.
+const WARM_UP: u32 = 12;
+const WARM_UP_PAUSE: Duration = Duration::from_millis(15);
+const WARM_UP_DEADLINE: Duration = Duration::from_secs(1);
 /// Bursts of requests at each gateway, one after the other, and the requests of one.
 const BURSTS: usize = 2;
 const BURST_REQUESTS: std::ops::RangeInclusive<usize> = 10..=14;
@@ -41,17 +48,20 @@
 const SENT_WITHIN: std::ops::RangeInclusive<u64> = 0..=40;
 /// What clients wait for a first token (ms).
 const DEADLINES: std::ops::RangeInclusive<u64> = 150..=400;
-/// Links begin to hold back so long after the first request of a burst (ms), and hold for so long.
+/// Links hold everything back from so long after the first request of a burst (ms), for so long, some of them.
 const HELD_AFTER: std::ops::RangeInclusive<u64> = 30..=250;
 const HELD_FOR: std::ops::RangeInclusive<u64> = 5..=300;
-/// Share of the links to prefill servers that hold back in a burst.
-const HELD_LINKS: f64 = 0.8;
-/// Share of those links that only delay what passes, from the burst's first request on.
-const DELAYS_ONLY: f64 = 0.5;
+const HELD_LINKS: f64 = 0.5;
+/// While the requests of a burst are sent and the first attempts are cancelled, each link delays what passes, or does not, in
+/// turns of this length (ms), so that some attempts overtake others.
+const DELAYED_FOR: std::ops::RangeInclusive<u64> = 5..=20;
+const DELAYS: std::ops::RangeInclusive<u64> = 150..=300;
+const DELAYED_TURNS: f64 = 0.5;
+const DELAYS_UNTIL: Duration = Duration::from_millis(250);
 /// Share of the gateways that are told to end in one of their bursts, so long after its first request (ms).
 const TERMINATED: f64 = 0.5;
 const TERMINATED_AFTER: std::ops::RangeInclusive<u64> = 30..=350;
-/// What was held back has arrived and ended by then, the longest prefill too.
+/// What was held back has arrived and ended by then.
 const QUIET: Duration = Duration::from_millis(700);
 
 /// How the seeds are played.
@@ -108,14 +118,14 @@
 
 /// Plays one seed.
 pub async fn run(options: &Options, seed: u64, program: &Path) -> Result<Report, DeploymentError> {
-    let mut spec = DeploymentSpec::new(GATEWAYS, PREFILL_TIMES.len(), DECODE_SERVERS);
+    let mut spec = DeploymentSpec::new(GATEWAYS, PREFILL_SERVERS, DECODE_SERVERS)
+        .with_decode_time(DECODE_TIME.0, DECODE_TIME.1);
     spec.latency_objective = LATENCY_OBJECTIVE;
-    spec.engines.iter_mut().zip(PREFILL_TIMES).for_each(|(engine, time)| engine.service_time_ms = time);
+    spec.engines.iter_mut().take(PREFILL_SERVERS).for_each(|engine| engine.service_time_ms = PREFILL_TIME);
     let deployment = Deployment::start(spec, program, &options.gateway).await?;
     let mut played = JoinSet::new();
     for (index, gateway) in deployment.gateways.iter().enumerate() {
-        let links =
-            (0..PREFILL_TIMES.len()).map(|engine| deployment.links[&(index, engine)].clone()).collect();
+        let links = (0..PREFILL_SERVERS).map(|engine| deployment.links[&(index, engine)].clone()).collect();
         let plan = Plan::random(seed, index);
         played.spawn(Bursts::new(gateway, links, &deployment.records, seed, index).play(plan));
     }
@@ -213,9 +223,24 @@
         outcome
     }
 
+    /// Lets the gateway learn how quick its servers are, from one request shortly after the other.
+    async fn warm_up(&self, burst: usize) {
+        let mut asked = JoinSet::new();
+        for number in 0..WARM_UP {
+            let id = format!("{}-{burst}-warm{number}", self.prefix);
+            let mut ask = ClientRequest::new(id, "item-query", WARM_UP_DEADLINE, true);
+            ask.session = u64::from(number);
+            ask.first_byte_after = WARM_UP_PAUSE * number;
+            let (gateway, address, records) = (self.gateway.clone(), self.address, self.records.clone());
+            asked.spawn(async move { client::send_request(&gateway, address, ask, &records).await });
+        }
+        asked.join_all().await;
+    }
+
     /// Sends some requests at about the same time; meanwhile links hold back, and the gateway is told to end if `terminates`.
     async fn burst(&mut self, burst: usize, terminates: bool) -> Vec<Option<u16>> {
-        let holds = self.hold();
+        self.warm_up(burst).await;
+        let disturbances = self.disturb();
         let signal = self.signal(terminates);
         let mut asked = JoinSet::new();
         for number in 0..self.random.random_range(BURST_REQUESTS) {
@@ -227,26 +252,21 @@
             asked.spawn(async move { client::send_request(&gateway, address, ask, &records).await });
         }
         let asked = asked.join_all();
-        tokio::join!(asked, holds, signal).0
+        tokio::join!(asked, disturbances, signal).0
     }
 
     fn random_time(&mut self, within_ms: std::ops::RangeInclusive<u64>) -> Duration {
         Duration::from_millis(self.random.random_range(within_ms))
     }
 
-    /// Has some links hold back for a while: what passes is late, or nothing passes.
-    fn hold(&mut self) -> impl Future<Output = ()> + Send + use<> {
-        let mut holds = JoinSet::new();
+    /// Has links delay what passes, and hold everything back for a while.
+    fn disturb(&mut self) -> impl Future<Output = ()> + Send + use<> {
+        let mut disturbed = JoinSet::new();
         for link in self.links.clone() {
+            disturbed.spawn(delay_in_turns(link.clone(), self.random.random()));
             let (after, lasts) = (self.random_time(HELD_AFTER), self.random_time(HELD_FOR));
-            let delays_only = self.random.random_bool(DELAYS_ONLY);
             if self.random.random_bool(HELD_LINKS) {
-                holds.spawn(async move {
-                    if delays_only {
-                        link.delay(lasts);
-                        sleep(after + lasts).await;
-                        return link.delay(Duration::ZERO);
-                    }
+                disturbed.spawn(async move {
                     sleep(after).await;
                     link.set(Condition::Blackholed);
                     sleep(lasts).await;
@@ -254,7 +274,7 @@
                 });
             }
         }
-        async move { while holds.join_next().await.is_some() {} }
+        async move { while disturbed.join_next().await.is_some() {} }
     }
 
     /// Tells the gateway to end, some time into the burst.
@@ -271,3 +291,16 @@
         }
     }
 }
+
+/// Has a link delay what passes in some turns, and not in others.
+async fn delay_in_turns(link: Link, seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let until = Instant::now() + DELAYS_UNTIL;
+    while Instant::now() < until {
+        let is_delayed = random.random_bool(DELAYED_TURNS);
+        let delay = if is_delayed { random.random_range(DELAYS) } else { 0 };
+        link.delay(Duration::from_millis(delay));
+        sleep(Duration::from_millis(random.random_range(DELAYED_FOR))).await;
+    }
+    link.delay(Duration::ZERO);
+}
