Have the judge find two more of the planted faults: no answer at a process's end, a forwarded request as unread

Records made by hand for a drain that closes at once, one that answers nothing from 0.7 s on, an eviction of an open request, a reset taken for the end of the work, a delivery that is believed, and a second run. Of these the judge missed two: a request that had no end on the records although its gateway's process had ended (it waited for the deadline, past the end of the run), and one whose connection was closed as unread although an attempt of it had been forwarded. Both are found now; no bound is changed.

--- a/fault-tests/src/judge.rs
+++ b/fault-tests/src/judge.rs
@@ -75,6 +75,7 @@
         violations.extend(case.not_after_client_left());
         violations.extend(case.deadline_announced());
         violations.extend(case.answered());
+        violations.extend(case.not_taken_is_true());
         violations.extend(case.at_most_once());
     }
     violations.sort_by_key(|violation| violation.at);
@@ -100,6 +101,10 @@
 }
 
 impl Attempt<'_> {
+    fn gateway(&self) -> &str {
+        self.link.rsplit_once('-').map_or(self.link, |(gateway, _)| gateway)
+    }
+
     fn engine(&self) -> &str {
         self.link.rsplit_once('-').map_or(self.link, |(_, engine)| engine)
     }
@@ -238,6 +243,8 @@
     fn answered(&self) -> Option<Violation> {
         let (sent, deadline, _) = self.sent()?;
         let due = sent + (deadline * 1e6) as Micros + ANSWER_SLACK;
+        // What its process has left unanswered stays so.
+        let seen_by = self.life_end().map_or(due, |life| due.min(life.ended_at + ANSWER_SLACK));
         let end = self.records.iter().find(|r| {
             matches!(
                 r.event,
@@ -265,13 +272,25 @@
             Some((Event::Answered { status, .. }, at)) if *status != 200 && at > due => {
                 Some(self.violation(Invariant::Answered, at, format!("{status} too late")))
             }
-            None if self.end > due && !excused(due) => {
-                Some(self.violation(Invariant::Answered, due, "no answer in time".into()))
+            None if self.end > seen_by && !excused(seen_by) => {
+                Some(self.violation(Invariant::Answered, seen_by, "no answer in time".into()))
             }
             _ => None,
         }
     }
 
+    /// What a gateway leaves unread it cannot have forwarded.
+    fn not_taken_is_true(&self) -> Option<Violation> {
+        let not_taken = self.records.iter().find(|r| matches!(r.event, Event::NotTaken { .. }))?;
+        let forwarded = self
+            .attempts()
+            .into_iter()
+            .find(|attempt| attempt.gateway() == not_taken.source && attempt.began < not_taken.at)?;
+        let what =
+            format!("its connection was closed as if it were unread, and it had begun on {}", forwarded.link);
+        Some(self.violation(Invariant::Answered, not_taken.at, what))
+    }
+
     /// Whether the gateway was killed about when its client saw this.
     fn is_cut_by_kill(&self, seen: Micros) -> bool {
         let killed_at = self.life_end().and_then(|end| end.killed_at());
--- a/fault-tests/tests/judge.rs
+++ b/fault-tests/tests/judge.rs
@@ -52,3 +52,162 @@
     let may_be_repeated = vec![sent(true), delivered(100), refused(), ended(REFUSED_AT + 100)];
     assert_eq!(broken(may_be_repeated), []);
 }
+
+fn first_byte(at: Micros, link: &str, connection: u64) -> Record {
+    record(at, link, Event::FirstByte { request: REQUEST.into(), connection })
+}
+
+fn closed(at: Micros, link: &str, connection: u64) -> Record {
+    record(at, link, Event::Closed { request: REQUEST.into(), connection })
+}
+
+fn leased(at: Micros) -> Record {
+    record(at, "r0", Event::StateLeased { request: REQUEST.into() })
+}
+
+fn claimed(at: Micros, server: &str) -> Record {
+    record(at, server, Event::StateClaimed { request: REQUEST.into() })
+}
+
+fn unanswered(at: Micros) -> Record {
+    record(at, "n0", Event::Unanswered { request: REQUEST.into() })
+}
+
+fn terminated(at: Micros) -> Record {
+    record(at, "n0", Event::GatewayTerminated)
+}
+
+fn process_ended(at: Micros, killed: bool) -> Record {
+    record(at, "n0", Event::GatewayEnded { killed })
+}
+
+/// When SIGTERM comes, and the platform's kill (ms).
+const TERMINATED_AT: Micros = 100;
+const KILLED_AT: Micros = TERMINATED_AT + 3_700;
+
+/// Guards against a planted fault: a gateway that drains closes its connections at once, with requests on them.
+#[test]
+fn a_drain_that_closes_at_once_is_found() {
+    let read_before = vec![sent(true), terminated(TERMINATED_AT), unanswered(TERMINATED_AT + 1)];
+    assert_eq!(broken(read_before), [Invariant::Answered]);
+    let ended = process_ended(TERMINATED_AT + 2, false);
+    let with_its_end = vec![sent(true), terminated(TERMINATED_AT), unanswered(TERMINATED_AT + 1), ended];
+    assert_eq!(broken(with_its_end), [Invariant::Answered]);
+    let at_the_kill = process_ended(KILLED_AT, true);
+    let long_before_the_kill =
+        vec![sent(true), terminated(TERMINATED_AT), unanswered(TERMINATED_AT + 1), at_the_kill.clone()];
+    assert_eq!(broken(long_before_the_kill), [Invariant::Answered]);
+    // What came before SIGTERM and is unanswered at the kill is the kill's.
+    let mut waits_longer = sent(true);
+    waits_longer.event = Event::Sent { request: REQUEST.into(), deadline: 9.0, repeatable: true };
+    let by_the_kill = vec![waits_longer, terminated(TERMINATED_AT), unanswered(KILLED_AT), at_the_kill];
+    assert_eq!(broken(by_the_kill), []);
+}
+
+/// Guards against a planted fault: a gateway that drains answers nothing that comes later than 0.7 s after SIGTERM.
+#[test]
+fn a_drain_that_answers_nothing_that_comes_late_is_found() {
+    let sent_at = |at: Micros| {
+        record(at, "n0", Event::Sent { request: REQUEST.into(), deadline: 9.0, repeatable: true })
+    };
+    let late = TERMINATED_AT + 701;
+    let at_the_kill = process_ended(KILLED_AT, true);
+    let closed_by_the_kill =
+        vec![terminated(TERMINATED_AT), sent_at(late), unanswered(KILLED_AT), at_the_kill.clone()];
+    assert_eq!(broken(closed_by_the_kill), [Invariant::Answered]);
+    let with_no_end_at_all = vec![terminated(TERMINATED_AT), sent_at(late), at_the_kill.clone()];
+    assert_eq!(broken(with_no_end_at_all), [Invariant::Answered]);
+    let closed_before = vec![terminated(TERMINATED_AT), sent_at(late), unanswered(late + 50), at_the_kill];
+    assert_eq!(broken(closed_before), [Invariant::Answered]);
+}
+
+/// Guards against a planted fault: a connection with an open request is evicted for another client's.
+#[test]
+fn an_eviction_of_an_open_request_is_found() {
+    let while_it_is_at_a_server = vec![
+        sent(true),
+        first_byte(100, "n0-r0", 7),
+        delivered(101),
+        unanswered(120),
+        closed(121, "n0-r0", 7),
+        ended(122),
+    ];
+    assert_eq!(broken(while_it_is_at_a_server), [Invariant::Answered]);
+    let before_it_is_sent = vec![sent(true), unanswered(20)];
+    assert_eq!(broken(before_it_is_sent), [Invariant::Answered]);
+    let unread = vec![sent(true), record(20, "n0", Event::NotTaken { request: REQUEST.into() })];
+    assert_eq!(broken(unread), [], "an end that crosses a request is no eviction of it");
+    let forwarded_as_unread = vec![
+        sent(true),
+        first_byte(10, "n0-r0", 7),
+        record(20, "n0", Event::NotTaken { request: REQUEST.into() }),
+        closed(21, "n0-r0", 7),
+    ];
+    assert_eq!(broken(forwarded_as_unread), [Invariant::Answered], "it was read: an attempt was begun");
+}
+
+/// Guards against a planted fault: a reset of a server's connection is taken for the end of its work. The request goes on to a
+/// second server and is rejected while the first one, which stood still, goes on; and its state stays.
+#[test]
+fn a_reset_taken_for_the_end_of_the_work_is_found() {
+    let rejected = vec![
+        sent(false),
+        first_byte(10, "n0-r0", 7),
+        delivered(11),
+        closed(50, "n0-r0", 7),
+        record(60, "r0", Event::Released { request: REQUEST.into() }),
+        refused(),
+        leased(400),
+        record(401, "r0", ended(401).event),
+    ];
+    assert_eq!(broken(rejected), [Invariant::RejectionIsTrue, Invariant::LeaseEndsInTime]);
+    let released_again = vec![
+        sent(true),
+        first_byte(10, "n0-r0", 7),
+        delivered(11),
+        closed(50, "n0-r0", 7),
+        record(60, "r0", Event::Released { request: REQUEST.into() }),
+        refused(),
+        leased(400),
+        ended(401),
+        record(900, "r1", Event::Released { request: REQUEST.into() }),
+    ];
+    assert_eq!(broken(released_again), []);
+}
+
+/// Guards against a planted fault: a decode attempt that was written on a silent connection is believed to have arrived.
+#[test]
+fn a_delivery_that_is_believed_is_found() {
+    let believed = vec![
+        sent(true),
+        delivered(10),
+        leased(40),
+        ended(41),
+        first_byte(60, "n0-w0", 3),
+        closed(1_500, "n0-w0", 3),
+        record(1_510, "r0", Event::Released { request: REQUEST.into() }),
+        record(1_600, "n0", Event::Answered { request: REQUEST.into(), status: 502, complete: true }),
+    ];
+    assert_eq!(broken(believed), [Invariant::LeaseEndsInTime]);
+    let arrived = record(62, "w0", Event::Delivered { request: REQUEST.into(), stage: Stage::Decode });
+    let has_arrived = vec![
+        sent(true),
+        delivered(10),
+        leased(40),
+        ended(41),
+        first_byte(60, "n0-w0", 3),
+        arrived,
+        claimed(1_500, "w0"),
+        record(1_600, "n0", Event::Answered { request: REQUEST.into(), status: 200, complete: true }),
+    ];
+    assert_eq!(broken(has_arrived), []);
+}
+
+/// Guards against a planted fault: a believed delivery that arrives late after all, once its request has gone on elsewhere.
+#[test]
+fn a_second_run_of_what_may_not_be_repeated_is_found() {
+    let twice = vec![sent(false), leased(40), claimed(60, "w0"), leased(80), claimed(100, "w1")];
+    let answered =
+        record(200, "n0", Event::Answered { request: REQUEST.into(), status: 200, complete: true });
+    assert_eq!(broken([twice, vec![answered]].concat()), [Invariant::AtMostOnce]);
+}
