Release what a prefill may have left that its server answered with an error

Callers saw nothing at once; a prefill server that answers 500 after it has reserved the state keeps it until its own limit.

Evidence: two of the three new tests in gateway/src/core/tests/prefill_errors.rs failed before (no release; 0 where 3 are due) and pass; the third, that a declined prefill needs no release, passed before and after.

The answer comes on the attempt's own connection, so its server works on it no more: one release is enough and waits for no notice.

--- a/crates/request-lifecycle/src/request/attempts.rs
+++ b/crates/request-lifecycle/src/request/attempts.rs
@@ -249,6 +249,11 @@
         if status == Status::Prefilled {
             self.reserve(Reservation::KvState);
         }
+        // The request may have run, so a prefill may have left its state; its server works on it no more.
+        if status == Status::Error && stage == Stage::Prefill && !self.has_fault(Fault::ForgetsFailedRead) {
+            self.reserve(Reservation::KvState);
+            self.make_release_due();
+        }
         self.may_have_executed |= stage == Stage::Execute && status.may_have_run();
     }
 }
--- a/crates/request-lifecycle/src/request/planted_faults.rs
+++ b/crates/request-lifecycle/src/request/planted_faults.rs
@@ -19,6 +19,8 @@
     RunsOrderTwice,
     /// KV state that a cut-off prefill may have left is not released.
     ForgetsCutRead,
+    /// What a prefill may have left that its server answered with an error is not released.
+    ForgetsFailedRead,
     /// Reservations are not released when the request is closed.
     ForgetsHeldAtEnd,
     /// A release starts while an attempt is at a server.
--- /dev/null
+++ b/gateway/src/core/tests/prefill_errors.rs
@@ -0,0 +1,48 @@
+//! A prefill that a server answers with an error: the request may have run there, so that it may have left its state.
+
+use super::*;
+
+/// Guards a server from a state that nobody releases: the prefill may have left one although its answer is an error.
+#[test]
+fn what_a_prefill_that_failed_may_have_left_is_released_before_the_retry() {
+    paused(async {
+        let servers = ScriptedServers::new(|number, server| match number {
+            0 => (20, ScriptedReply::Error),
+            _ => two_stages(number, server),
+        });
+        let core = core(&servers);
+        let parts = response_parts(core.submit(request(0, 10_000.0))).await;
+        assert!(matches!(parts.last(), Some(Some(ResponsePart::End))), "{parts:?}");
+        let expected = [CallKind::Attempt, CallKind::Release, CallKind::ReleaseAccepted, CallKind::Attempt];
+        assert_eq!(servers.call_kinds()[..4], expected);
+    });
+}
+
+/// Guards the same where no retry follows.
+#[test]
+fn what_a_prefill_that_failed_may_have_left_is_released_at_the_end() {
+    paused(async {
+        let servers = ScriptedServers::new(|_, _| (20, ScriptedReply::Error));
+        let core = core(&servers);
+        response_parts(core.submit(request(1, 200.0))).await;
+        wait_until_idle(&core).await;
+        let attempts = servers.count(CallKind::Attempt);
+        assert!(attempts > 0);
+        assert_eq!(servers.count(CallKind::ReleaseAccepted), attempts);
+    });
+}
+
+/// Guards servers from needless releases: one that declined a prefill, or finds the request itself at fault, has begun nothing.
+#[test]
+fn a_prefill_that_was_not_begun_needs_no_release() {
+    for reply in [ScriptedReply::Rejected, ScriptedReply::Unprocessable] {
+        paused(async move {
+            let script = reply.clone();
+            let servers = ScriptedServers::new(move |_, _| (20, script.clone()));
+            let core = core(&servers);
+            response_parts(core.submit(request(1, 200.0))).await;
+            wait_until_idle(&core).await;
+            assert_eq!(servers.count(CallKind::Release), 0, "{reply:?}");
+        });
+    }
+}
--- a/model-checker/src/mutants.rs
+++ b/model-checker/src/mutants.rs
@@ -32,6 +32,7 @@
     SecondAttempt => NoSecondAttempt,
     RunsOrderTwice => NeverRunsTwice,
     ForgetsCutRead => HeldIsLetGo,
+    ForgetsFailedRead => HeldIsLetGo,
     ForgetsHeldAtEnd => HeldIsLetGo,
     ForgetsPlace => HeldIsLetGo,
     NoPinLimit => HeldIsLetGo,
--- a/model-checker/src/request/servers.rs
+++ b/model-checker/src/request/servers.rs
@@ -65,9 +65,12 @@
         Reply::FirstEvent
     }
 
-    /// A server fails. It may have executed the request before.
+    /// A server fails. It may have executed the request before, and a prefill has left its KV state.
     pub(super) fn server_fails(&mut self, attempt: u8) {
         self.count_execution(attempt);
+        if self.call(attempt).stage == Stage::Prefill {
+            self.prefill(attempt);
+        }
         self.prepare_reply(attempt, Reply::Error);
     }
 
