--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`deployment`] starts the processes: the built gateway, and [`engine`]s, which are this crate's own program.
 //! - [`network`] holds the proxies between each gateway and each engine: they blackhole, refuse, reset and delay.
 //! - [`soak`] draws random, overlapping [`faults`] over a deployment under load.
+//! - [`single_shot`] cuts the prefills of requests that may not be repeated right before they are answered.
 //! - [`crowd`] fills a gateway's connection table with idle clients.
 //! - [`sessions`] are clients that keep their connections, spread by a [`front`]; [`restarts`] ends gateways and starts them.
 //! - [`lateness`] measures how late a run itself is; [`report`] holds what a run gave.
@@ -32,5 +33,6 @@
 pub mod report;
 pub mod restarts;
 pub mod sessions;
+pub mod single_shot;
 pub mod soak;
 pub mod unread;
