Take a stream for cut by a kill only from the kill's signal on

Trace: the gateway ended the stream at 2,699,958.441 ms, by its own log ("a stream was idle for too long and is ended"; its connection to w9 had said nothing for 4.56 s); the client saw the end at .574. The unplanned kill was sent at 2,700,037.696, 79 ms later. The judge took what is seen up to 100 ms before a kill for the kill's, while the excuse for an unplanned kill counts from the signal since it has a time of its own: the two differed by those 100 ms.

Both ask the life's end the same question now: seen after the signal, or, where no signal was noted, as before with their own slack. The test has both sides: a stream that ended 79 ms before a kill (failed before, passes now), and one that was taken late and cut by the kill, which is found as before.

--- a/fault-tests/src/gateway_lives.rs
+++ b/fault-tests/src/gateway_lives.rs
@@ -83,13 +83,20 @@
         self.killed.then_some(self.kill_began_at.unwrap_or(self.ended_at))
     }
 
+    /// Whether what a client saw then came from the kill. Where the kill's beginning was not noted, its end may be noted so much
+    /// later than clients have seen it.
+    pub fn is_by_kill(&self, seen: Micros, noted_within: Micros) -> bool {
+        let seen_after_kill = match self.kill_began_at {
+            Some(kill_began_at) => seen >= kill_began_at,
+            None => seen + noted_within >= self.ended_at,
+        };
+        self.killed && seen_after_kill
+    }
+
     /// Whether a request that was sent then and found no answer by the kill, which its client saw at `seen`, is lost by the
     /// kill alone and not by the gateway: it came before a planned one, or nobody had planned it.
     pub fn excuses(&self, sent: Micros, seen: Micros) -> bool {
-        let by_the_kill = match self.kill_began_at {
-            Some(kill_began_at) => self.killed && seen >= kill_began_at,
-            None => self.killed && seen + SEEN_WITHIN >= self.ended_at,
-        };
+        let by_the_kill = self.is_by_kill(seen, SEEN_WITHIN);
         let came_late = self.terminated_at.is_some_and(|terminated| sent > terminated + TAKEN_LATE_AFTER);
         by_the_kill && !came_late
     }
--- a/fault-tests/src/judge.rs
+++ b/fault-tests/src/judge.rs
@@ -273,8 +273,7 @@
 
     /// Whether the gateway was killed about when its client saw this.
     fn is_cut_by_kill(&self, seen: Micros) -> bool {
-        let killed_at = self.life_end().and_then(|end| end.killed_at());
-        killed_at.is_some_and(|killed_at| seen + CLOSE_SLACK >= killed_at)
+        self.life_end().is_some_and(|end| end.is_by_kill(seen, CLOSE_SLACK))
     }
 
     fn at_most_once(&self) -> Option<Violation> {
--- a/fault-tests/tests/recorded_times.rs
+++ b/fault-tests/tests/recorded_times.rs
@@ -71,6 +71,20 @@
     assert_eq!(broken(records), [Invariant::Answered]);
 }
 
+/// Guards a gateway that ends a stream shortly before it is killed from being charged with the kill's cut (soak seed 9590), and
+/// the judge: a stream that was taken late and that the kill cuts is found.
+#[test]
+fn a_stream_is_cut_by_a_kill_only_from_its_signal_on() {
+    let cut = |at| record(at, Event::Answered { request: REQUEST.into(), status: 200, complete: false });
+    let mut ended_before = vec![begun(500, 400), sent(500), cut(KILLED_AT - 79)];
+    ended_before.extend(killed(KILLED_AT + 2));
+    assert_eq!(broken(ended_before), []);
+    let terminated = record(100, Event::GatewayTerminated);
+    let mut taken_late = vec![terminated, begun(900, 90), sent(900), cut(KILLED_AT + 1)];
+    taken_late.extend(killed(KILLED_AT + 2));
+    assert_eq!(broken(taken_late), [Invariant::Answered]);
+}
+
 /// Guards a process from being charged with a request that was written on a connection to the process before it (soak seed
 /// 9688): its first byte went before the kill, its last after it.
 #[test]
