--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -1,6 +1,7 @@
 //! The core on paused time, with a scripted service in the place of the servers.
 
 mod leases;
+mod permissions;
 mod prefill_errors;
 mod records;
 mod rejections;
--- /dev/null
+++ b/gateway/src/core/tests/permissions.rs
@@ -0,0 +1,89 @@
+//! What the core itself checks of the router's decisions, whatever the router says.
+
+use glenrail_router::DeduplicationScope;
+
+use super::*;
+
+/// A policy that sends each request to one prefill server, whatever the list says of that server.
+struct IgnoresTheList;
+
+impl DecisionPolicy for IgnoresTheList {
+    fn handle(&mut self, _: Millis, event: Event, actions: &mut Vec<Action>) {
+        if let Event::Request(request) = event {
+            actions.push(Action::Send { id: request.id, server: ServerId(PREFILL_SERVERS[0]), timeout: 0.0 });
+        }
+    }
+}
+
+/// Attempts that are started at a server that the list has in this state.
+fn attempts_at_server_that_is(state: ServerState) -> usize {
+    paused(async move {
+        let servers = ScriptedServers::new(two_stages);
+        let core = core_with_policy(&servers, IgnoresTheList);
+        let listed = ServerEntry { state, ..entry(PREFILL_SERVERS[0], 0) };
+        core.update_servers(ListUpdate::Delta, vec![listed]);
+        let _client = core.submit(request(0, 10_000.0));
+        sleep(Duration::from_millis(100)).await;
+        servers.count(CallKind::Attempt)
+    })
+}
+
+/// Guards servers that drain or are gone from attempts that the router orders all the same.
+#[test]
+fn an_attempt_is_started_only_at_a_server_that_is_ready() {
+    assert_eq!(attempts_at_server_that_is(ServerState::Ready), 1);
+    assert_eq!(attempts_at_server_that_is(ServerState::Draining), 0);
+    assert_eq!(attempts_at_server_that_is(ServerState::Terminated), 0);
+}
+
+/// The answer, once the process is about to end, to a request of a class with idempotency keys that the servers of one zone
+/// recognise; its prefill has succeeded, and its decode server has said this.
+fn answer_at_the_end(decode: ScriptedReply) -> Option<ResponsePart> {
+    paused(async move {
+        let servers = ScriptedServers::new(move |_, server| {
+            let is_prefill = PREFILL_SERVERS.contains(&server.0);
+            (20, if is_prefill { ScriptedReply::Prefilled } else { decode.clone() })
+        });
+        let mut settings = settings();
+        settings.classes[KEYED as usize].deduplication_scope = DeduplicationScope::Zone;
+        let service = tower::service_fn(move |call| servers.clone().answer(call));
+        let core = Core::with_policy(DecodesOnce, settings, clock(), service);
+        core.update_servers(
+            ListUpdate::Full,
+            vec![entry(PREFILL_SERVERS[0], 0), entry(DECODE_SERVERS[0], 1)],
+        );
+        let client = core.submit(request(KEYED, 10_000.0));
+        sleep(Duration::from_millis(300)).await;
+        core.answer_pending();
+        response_parts(client).await.pop().flatten()
+    })
+}
+
+/// The class whose requests carry idempotency keys.
+const KEYED: u32 = 2;
+
+/// A policy that sends each request to one prefill server and one decode server, once each.
+struct DecodesOnce;
+
+impl DecisionPolicy for DecodesOnce {
+    fn handle(&mut self, _: Millis, event: Event, actions: &mut Vec<Action>) {
+        let (id, server) = match event {
+            Event::Request(request) => (request.id, PREFILL_SERVERS[0]),
+            Event::Outcome(AttemptOutcome { id, status: AttemptStatus::Prefilled, .. }) => {
+                (id, DECODE_SERVERS[0])
+            }
+            _ => return,
+        };
+        actions.push(Action::Send { id, server: ServerId(server), timeout: 5_000.0 });
+    }
+}
+
+/// Guards requests with idempotency keys: the servers of other zones do not recognise them, so before the process ends one that
+/// may have run is failed, not rejected.
+#[test]
+fn a_request_with_an_idempotency_key_that_may_have_run_is_failed_at_the_end() {
+    let failed = answer_at_the_end(ScriptedReply::Error);
+    assert!(matches!(failed, Some(ResponsePart::Failed(Failure::Upstream))), "{failed:?}");
+    let rejected = answer_at_the_end(ScriptedReply::Rejected);
+    assert!(matches!(rejected, Some(ResponsePart::Rejected(_))), "{rejected:?}");
+}
