Confirm a delivery on a connection that stood when the attempt was written

Cause: after the write the server was asked on any connection. One that had stood was asked first where the pool had one, was silent and was closed; the retry opened a new connection, whose answer counted as delivery. What silences connections with no error strikes those that stand, so that answer says nothing of the attempt's own.

Change: a connection that was open before the write is asked. Its answer confirms; its silence, while a newer one answers, is doubt that no newer answer removes, so the lease limit cancels the attempt and has the state released. Silence counts only from a connection that has worked since the attempt's was opened; therefore attempts take the connection that became idle next to last and the last one stays (the plan had the oldest as sentinel: its silence may be older than the attempt's connection, which would cancel slow decodes). Where none would stand, one is opened beside the check (SENTINEL_POLICY), on a free slot, and nothing waits for it. Checks of later attempts, probes and releases speak for earlier attempts too: they use the same connections and would else use the evidence up. A silent connection is listened to for a second more, so that a server that stood still for a moment keeps its requests.

The model checker's world has no connections beside an attempt's own, so no mutant there.

Tests that changed: three in connection_verification.rs counted connections (1, 2, 1) to say that the check and the attempt share one. One more stands now, so they look at the connection that each request came on, and bound the count as well. The scripted servers of the core's tests answer the new call in place of VerifyReachable.

--- a/crates/request-lifecycle/src/evidence/mod.rs
+++ b/crates/request-lifecycle/src/evidence/mod.rs
@@ -7,9 +7,11 @@
 
 mod cut_work;
 mod delivery;
+mod standing;
 
 pub use self::cut_work::CutWork;
 pub use self::delivery::Delivery;
+pub use self::standing::{StandingCall, WrittenAttempt};
 
 /// Something that was seen of a connection to a server, after something was written on it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
--- a/crates/request-lifecycle/src/evidence/tests.rs
+++ b/crates/request-lifecycle/src/evidence/tests.rs
@@ -1,6 +1,6 @@
 //! What each observation proves.
 
-use super::{CutWork, Delivery, Observation};
+use super::{CutWork, Delivery, Observation, StandingCall, WrittenAttempt};
 
 const ALL: [Observation; 11] = [
     Observation::Connected,
@@ -58,3 +58,22 @@
     assert_eq!(shows(Delivery::Doubted), [Observation::AnswerHere, Observation::AnswerOnStanding]);
     assert_eq!(Delivery::Unknown.after(Observation::SilenceOnStanding), Delivery::Doubted);
 }
+
+/// Guards the order of the four moments on which a call on a standing connection depends.
+#[test]
+fn only_a_connection_that_stood_at_the_write_and_was_asked_later_speaks_for_an_attempt() {
+    let attempt = WrittenAttempt { connection_opened: 10, written: 20 };
+    let call = |connection_opened, last_answer, asked| StandingCall { connection_opened, last_answer, asked };
+    let says = |call: StandingCall<i32>| {
+        (call.answer_shows_delivery(&attempt), call.silence_doubts_delivery(&attempt))
+    };
+    assert_eq!(says(call(12, 12, 30)), (true, true), "opened beside the attempt's own");
+    assert_eq!(says(call(5, 15, 30)), (true, true), "older, and it has worked since");
+    assert_eq!(
+        says(call(5, 8, 30)),
+        (true, false),
+        "it may have fallen silent before the attempt's was opened"
+    );
+    assert_eq!(says(call(21, 21, 30)), (false, false), "newer than the write");
+    assert_eq!(says(call(12, 15, 19)), (false, false), "asked before the write");
+}
--- a/crates/request-lifecycle/src/lib.rs
+++ b/crates/request-lifecycle/src/lib.rs
@@ -1,5 +1,5 @@
 //! Sans-I/O state machines of a request with its attempts, of a client's connection, and of a connection to a server;
-//! and two plain schedules: which server to ask for a release, and when to poll discovery.
+//! and plain decisions: which server to ask for a release, what stands beside an attempt, and when to poll discovery.
 //!
 //! Inputs go in, effects come out; there is no clock, no socket and no task in here. What runs in the gateway is what
 //! the model checker explores: `gateway/src/core` drives [`request`], the front drives [`client`], the engine drives
@@ -29,6 +29,7 @@
 mod planting;
 pub mod reachability;
 pub mod request;
+pub mod sentinel;
 pub mod server;
 
 /// An input that cannot occur in the state that the machine is in. The machine is unchanged.
--- /dev/null
+++ b/crates/request-lifecycle/src/sentinel/tests.rs
@@ -0,0 +1,47 @@
+//! Which connections are used, and when one is opened.
+
+use super::{connection_to_take, SentinelPolicy};
+
+/// A connection of the pool, by the order of its opening.
+type Connection = usize;
+
+/// A pool through attempts one after the other; gives the connections that were opened, and those that the last attempts used.
+fn play(policy: SentinelPolicy, attempts: usize) -> (usize, Vec<Connection>) {
+    let (mut idle, mut opened, mut used): (Vec<Connection>, usize, Vec<Connection>) = (vec![], 0, vec![]);
+    for _ in 0..attempts {
+        let taken = match connection_to_take(idle.len()) {
+            Some(from_last) => idle.remove(idle.len() - 1 - from_last),
+            None => {
+                opened += 1;
+                opened
+            }
+        };
+        if policy.opens_one(idle.len()) {
+            opened += 1;
+            idle.push(opened);
+        }
+        used.push(taken);
+        idle.push(taken);
+    }
+    (opened, used)
+}
+
+/// Guards the price of sentinels: one connection more a server, however many attempts follow.
+#[test]
+fn a_sentinel_costs_one_connection_once() {
+    assert_eq!(play(SentinelPolicy::Kept, 100).0, 2);
+    assert_eq!(play(SentinelPolicy::IfStanding, 100).0, 1);
+}
+
+/// Guards both connections against their idle time.
+#[test]
+fn the_two_connections_take_turns() {
+    assert_eq!(play(SentinelPolicy::Kept, 4).1, [1, 2, 1, 2]);
+}
+
+/// Guards the choice: with several idle ones the last stays, and none is opened.
+#[test]
+fn the_connection_that_became_idle_last_stays() {
+    assert_eq!([0, 1, 2, 3, 9].map(connection_to_take), [None, Some(0), Some(1), Some(1), Some(1)]);
+    assert!(!SentinelPolicy::Kept.opens_one(1));
+}
--- a/fault-tests/src/attempt_observer.rs
+++ b/fault-tests/src/attempt_observer.rs
@@ -30,10 +30,14 @@
     /// When the first byte of the head under way passed.
     began: Option<u64>,
     attempt: Option<Attempt>,
+    /// Called when the last byte of an attempt has been seen, before it is passed on.
+    on_attempt: Box<dyn Fn() + Send>,
 }
 
 impl AttemptObserver {
-    pub fn new(records: Records, link: &str, connection: u64) -> AttemptObserver {
+    pub fn new(
+        records: Records, link: &str, connection: u64, on_attempt: impl Fn() + Send + 'static,
+    ) -> AttemptObserver {
         AttemptObserver {
             records,
             link: link.to_string(),
@@ -42,6 +46,7 @@
             head: Vec::new(),
             began: None,
             attempt: None,
+            on_attempt: Box::new(on_attempt),
         }
     }
 
@@ -99,6 +104,7 @@
             return;
         };
         self.record(Event::Written { request, connection: self.connection, announced_deadline: told });
+        (self.on_attempt)();
     }
 
     /// Bytes of an answer are given to the gateway.
--- a/fault-tests/src/network.rs
+++ b/fault-tests/src/network.rs
@@ -61,6 +61,8 @@
     listener: Arc<StdListener>,
     next: Arc<Mutex<u64>>,
     filling: Arc<Mutex<Filling>>,
+    /// So long after the next attempt has come, what stands falls silent.
+    stall_after_attempt: Arc<Mutex<Option<Duration>>>,
 }
 
 /// Connections of the link's own that fill its queue.
@@ -86,6 +88,7 @@
             listener: Arc::new(listener),
             next: Arc::default(),
             filling: Arc::default(),
+            stall_after_attempt: Arc::default(),
         };
         tokio::spawn(link.clone().accept(accepting, engine, records));
         Ok(link)
@@ -106,6 +109,25 @@
         self.state.send_modify(|state| state.stalled_below = next);
     }
 
+    /// Does the same so long after the next attempt has come; at no time after it, before the attempt is passed on.
+    pub fn stall_after_next_attempt(&self, pause: Option<Duration>) {
+        *self.stall_after_attempt.lock().unwrap_or_else(PoisonError::into_inner) = pause;
+    }
+
+    fn attempt_came(&self) {
+        match self.stall_after_attempt.lock().unwrap_or_else(PoisonError::into_inner).take() {
+            None => {}
+            Some(Duration::ZERO) => self.stall_open_connections(),
+            Some(pause) => {
+                let link = self.clone();
+                tokio::spawn(async move {
+                    sleep(pause).await;
+                    link.stall_open_connections();
+                });
+            }
+        }
+    }
+
     /// Resets every connection that stands now.
     pub fn reset(&self) {
         let next = *self.next.lock().unwrap_or_else(PoisonError::into_inner);
@@ -163,7 +185,9 @@
                 *next += 1;
                 *next - 1
             };
-            let sighting = AttemptObserver::new(records.clone(), &self.name, connection);
+            let link = self.clone();
+            let attempt_came = move || link.attempt_came();
+            let sighting = AttemptObserver::new(records.clone(), &self.name, connection, attempt_came);
             tokio::spawn(carry(socket, engine, self.state.subscribe(), connection, sighting));
         }
     }
--- a/fault-tests/tests/unresponsive_decode_servers.rs
+++ b/fault-tests/tests/unresponsive_decode_servers.rs
@@ -1,9 +1,11 @@
 //! Decode servers that take a request's bytes and do not respond, behind the built gateway: state that is leased for a request
 //! is claimed or released in time all the same. This is the incident of docs/incidents/2026-12-held-states-at-silent-writers.md.
 
-use std::path::{Path, PathBuf};
+mod common;
+
 use std::time::Duration;
 
+use common::*;
 use glenrail_fault_tests::client::ClientRequest;
 use glenrail_fault_tests::clock;
 use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
@@ -14,43 +16,6 @@
 use tokio::time::sleep;
 
 const PREFILL_SERVER: usize = 0;
-const DECODE_SERVERS: [usize; 2] = [1, 2];
-/// Enough requests that each writer has connections that stand.
-const WARM_UP: usize = 8;
-/// What is held has been let go by then, or it is late: 500 ms, and 350 ms more.
-const JUDGED_AFTER: Duration = Duration::from_millis(1_500);
-const DEADLINE: Duration = Duration::from_secs(9);
-const CLASSES: [(&str, bool); 2] = [("item-query", true), ("order-chat", false)];
-
-fn program() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"))
-}
-
-/// The gateway lies beside this crate's program; a test of the whole workspace builds both.
-fn gateway() -> PathBuf {
-    let path = program().with_file_name("glenrail");
-    assert!(
-        path.exists(),
-        "{} is not built: run the tests of the workspace, or cargo build -p glenrail",
-        path.display()
-    );
-    path
-}
-
-fn block_on<F: std::future::Future>(scenario: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    runtime.expect("a runtime").block_on(scenario)
-}
-
-/// One gateway, one reader and two writers, with connections that stand.
-async fn warmed_up(spec: DeploymentSpec) -> Deployment {
-    let deployment = Deployment::start(spec, program(), &gateway()).await.expect("it starts");
-    let warm_up = (0..WARM_UP)
-        .map(|n| deployment.send(0, ClientRequest::new(format!("warm{n}"), "item-query", DEADLINE, true)));
-    let answers = futures_util::future::join_all(warm_up).await;
-    assert_eq!(answers, vec![Some(200); WARM_UP], "{:?}", deployment.log_lines(""));
-    deployment
-}
 
 /// Sends one request of each class at once, and gives what the invariants say some time later.
 async fn violations_of_one_request_a_class(deployment: &Deployment) -> Vec<String> {
@@ -63,11 +28,6 @@
     violations(deployment)
 }
 
-fn violations(deployment: &Deployment) -> Vec<String> {
-    let violations = judge(&deployment.records.all(), deployment.spec.lease_limit, clock::now());
-    violations.iter().map(ToString::to_string).collect()
-}
-
 /// Guards the incident's rule: connections to both writers stand, take bytes and are silent.
 #[test]
 fn leases_end_in_time_while_all_links_to_decode_servers_are_blackholed() {
--- a/gateway/src/core/delivery.rs
+++ b/gateway/src/core/delivery.rs
@@ -1,7 +1,8 @@
-//! Confirmation that an attempt was delivered: its server answers a probe after the attempt was written.
+//! Confirmation that an attempt was delivered: its server answers after the attempt was written.
 //!
 //! The attempt's own response may take any time, and what was written onto a connection that has fallen silent is never
-//! delivered, with no error. While a lease waits, that is checked.
+//! delivered, with no error. While a lease waits, that is checked; what an answer shows is decided in
+//! [`evidence`](glenrail_request_lifecycle::evidence).
 
 use std::convert::Infallible;
 use std::future::pending;
@@ -15,19 +16,21 @@
 use super::timing::{DELIVERY_CHECK_RETRY_DELAY, DELIVERY_CHECK_SHARE};
 use super::{Core, DecisionPolicy, Upstream};
 use crate::exchange::CancelToken;
-use crate::upstream::Call;
+use crate::upstream::{Call, Reply};
 
 impl<U: Upstream, R: DecisionPolicy> Core<U, R> {
     /// Checks the delivery of an attempt for as long as a lease waits for it; never ends.
     pub(super) async fn confirm_delivery(
         &self, id: u64, attempt: usize, server: ServerId, cancel_token: &CancelToken,
     ) -> Infallible {
+        let mut known = Delivery::default();
         loop {
             let written = cancel_token.first_byte_written().await;
             let Some(check_at) = self.delivery_check_at(id, written) else { return pending().await };
             sleep_until(check_at).await;
             // Meanwhile it may have been written to another connection.
             if cancel_token.first_byte_at() != Some(written) {
+                known = Delivery::default();
                 continue;
             }
             if !self.has_waiting_lease(id) {
@@ -36,19 +39,28 @@
                 sleep(pause).await;
                 continue;
             }
-            let seen = self.ask_elsewhere(server).await;
-            if seen.is_some_and(|seen| Delivery::default().after(seen) == Delivery::Shown) {
-                self.confirm_delivered(id, attempt);
-                return pending().await;
+            if let Some(seen) = self.ask_for_delivery(server, cancel_token).await {
+                known = known.after(seen);
+            }
+            match known {
+                Delivery::Unknown => sleep(DELIVERY_CHECK_RETRY_DELAY).await,
+                // The lease limit cancels the attempt, unless its own response comes before.
+                Delivery::Doubted => return pending().await,
+                Delivery::Shown => {
+                    self.confirm_delivered(id, attempt);
+                    return pending().await;
+                }
             }
-            sleep(DELIVERY_CHECK_RETRY_DELAY).await;
         }
     }
 
-    /// Asks whether a server responds now, on another connection than the attempt's.
-    async fn ask_elsewhere(&self, server: ServerId) -> Option<Observation> {
-        let call = Call::VerifyReachable { server };
-        self.upstream.clone().oneshot(call).await.ok().map(|_| Observation::AnswerOnNewer)
+    /// Asks the server for a sign on other connections than the attempt's.
+    async fn ask_for_delivery(&self, server: ServerId, cancel_token: &CancelToken) -> Option<Observation> {
+        let call = Call::ConfirmDelivery { server, cancel_token: cancel_token.clone() };
+        match self.upstream.clone().oneshot(call).await {
+            Ok(Reply::Observed(seen)) => Some(seen),
+            _ => None,
+        }
     }
 
     fn confirm_delivered(&self, id: u64, attempt: usize) {
--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -1,5 +1,6 @@
 //! The core on paused time, with a scripted service in the place of the servers.
 
+mod delivery;
 mod leases;
 mod records;
 mod replay;
@@ -76,6 +77,8 @@
     releases_to_lose: Rc<Cell<usize>>,
     /// No server answers when it is asked whether it can be reached.
     unreachable: Rc<Cell<bool>>,
+    /// What is seen, one after the other, when a server is asked for a sign that an attempt was delivered.
+    delivery_signs: Rc<RefCell<Vec<Observation>>>,
     /// No server notices that an attempt was cut off.
     misses_closes: Rc<Cell<bool>>,
     /// The attempts so far.
@@ -109,6 +112,7 @@
             max_in_flight: Rc::default(),
             releases_to_lose: Rc::default(),
             unreachable: Rc::default(),
+            delivery_signs: Rc::new(RefCell::new(vec![Observation::AnswerOnNewer])),
             misses_closes: Rc::default(),
             attempt_tokens: Rc::default(),
         }
@@ -150,12 +154,22 @@
                 reply(scripted, in_flight).await
             }
             Call::Release { .. } => self.answer_release().await,
-            Call::VerifyReachable { .. } if self.unreachable.get() => Err(CallError::ConnectFailed),
+            Call::ConfirmDelivery { .. } => self.confirm_delivery(),
             Call::Probe { .. } => Ok(Reply::Probed { healthy: true, report: None }),
             _ => Ok(Reply::Done),
         }
     }
 
+    /// The sign that comes now; the last one comes again and again.
+    fn confirm_delivery(&self) -> Result<Reply, CallError> {
+        if self.unreachable.get() {
+            return Err(CallError::ConnectFailed);
+        }
+        let mut signs = self.delivery_signs.borrow_mut();
+        let seen = if signs.len() > 1 { signs.remove(0) } else { signs[0] };
+        Ok(Reply::Observed(seen))
+    }
+
     fn begin_attempt(&self, token: &CancelToken) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
         self.max_in_flight.set(self.max_in_flight.get().max(self.in_flight.get()));
--- a/gateway/src/core/tests/replay/servers.rs
+++ b/gateway/src/core/tests/replay/servers.rs
@@ -67,8 +67,10 @@
                 self.0.borrow_mut().slot_request = Some(reply);
                 replied.await.map(Reply::SlotReserved).map_err(|_| CallError::Reset)
             }
-            Call::VerifyReachable { .. } if self.0.borrow().is_reachable => Ok(Reply::Done),
-            Call::VerifyReachable { .. } => Err(CallError::ConnectFailed),
+            Call::ConfirmDelivery { .. } if self.0.borrow().is_reachable => {
+                Ok(Reply::Observed(Observation::AnswerOnNewer))
+            }
+            Call::ConfirmDelivery { .. } => Err(CallError::ConnectFailed),
             _ => Ok(Reply::Done),
         }
     }
--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{spawn_local, AbortHandle};
+use tokio::time::Instant;
 
 use super::body_tap::BodyTap;
 use super::closing::{ClosingConnection, ClosingSender};
@@ -57,6 +58,10 @@
 pub struct Connection {
     /// Where it leads.
     pub peer: Peer,
+    /// When it was opened.
+    pub opened: Instant,
+    /// When it last carried a complete response; before the first one, when it was opened.
+    pub last_answer: Instant,
     machine: server::Connection,
     /// hyper's end, for requests.
     pub sender: SendRequest<Full<Bytes>>,
@@ -94,9 +99,11 @@
         let mut machine = server::Connection::default();
         step(&mut machine, Input::Connected);
         let (task, slot) = (task.abort_handle(), Some(slot));
-        let attempt = None;
+        let (attempt, opened) = (None, Instant::now());
         Ok(Connection {
             peer,
+            opened,
+            last_answer: opened,
             machine,
             sender,
             socket,
@@ -156,11 +163,13 @@
             step(&mut self.machine, Input::Drained);
         }
         self.attempt = None;
+        self.last_answer = Instant::now();
         step(&mut self.machine, Input::ResponseComplete) == Effect::Reuse
     }
 
     /// Notes the attempt that is written next.
     pub fn carry(&mut self, attempt: &CancelToken) {
+        attempt.set_connection_opened_at(self.opened);
         self.attempt = Some(attempt.clone());
     }
 
--- a/gateway/src/engine/liveness.rs
+++ b/gateway/src/engine/liveness.rs
@@ -1,9 +1,11 @@
 //! Verification that a server, and the network path to it, responds now.
 //!
 //! An open connection may fall silent with no error, and bytes that were handed to the kernel may never be delivered. Before
-//! an attempt that a lease waits for is written to a connection, the connection answers a probe; after that, the server
-//! answers one. Where servers may not be probed, the release of an id that is no request's stands for the probe.
+//! an attempt that a lease waits for is written to a connection, the connection answers a probe; after that, a connection that
+//! stood beside it answers one ([`standing`](super::standing)). Where servers may not be probed, the release of an id that is no
+//! request's stands for the probe.
 
+use std::future::Future;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -23,7 +25,7 @@
 use crate::upstream::{CallError, ConnectionCheck, Reply};
 
 /// A server that is well answers a probe within this time.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(80);
 
 /// A wait that lasted this much longer than it should says that this process was stalled, not that the server is
 /// unresponsive.
@@ -55,40 +57,40 @@
     }
 }
 
+/// What comes within this time; a wait in which this process was stalled is repeated.
+pub(super) async fn within<F: Future + Unpin>(wait: Duration, awaited: &mut F) -> Option<F::Output> {
+    for _ in 0..=MAX_REPEATED_WAITS {
+        let started = Instant::now();
+        if let Ok(output) = timeout(wait, &mut *awaited).await {
+            return Some(output);
+        }
+        let was_stalled = started.elapsed() > wait + STALL_THRESHOLD;
+        if !was_stalled {
+            return None;
+        }
+    }
+    None
+}
+
 impl Engine {
     /// Verifies that this connection answers the check that the request needs, by the time at which it must be written.
     pub(super) async fn verify_connection(
-        &self, server: ServerId, connection: &mut Connection, request: &ServerRequest,
-    ) -> Result<(), Unverified> {
+        &self, server: ServerId, connection: Connection, request: &ServerRequest,
+    ) -> Result<Connection, Unverified> {
         if request.connection_check == ConnectionCheck::None {
-            return Ok(());
+            return Ok(connection);
         }
-        let (_, check) = self.check_call().map_err(|_| Unverified::Withheld)?;
         let wait = time_for(ANSWER_TIMEOUT, request.connect_deadline);
-        let answer = self.answered_on(server, connection, check);
-        tokio::pin!(answer);
-        let mut repeated_waits = 0;
-        loop {
-            let started = Instant::now();
-            if let Ok(answer) = timeout(wait, &mut answer).await {
-                answer?;
-                self.record(server, Reachability::answered);
-                return Ok(());
-            }
-            let was_stalled = started.elapsed() > wait + STALL_THRESHOLD;
-            if was_stalled && repeated_waits < MAX_REPEATED_WAITS {
-                repeated_waits += 1;
-                continue;
-            }
-            if wait < ANSWER_TIMEOUT / 2 {
-                return Err(Unverified::NoTime);
-            }
-            self.record_unresponsive(server);
-            return Err(Unverified::Unresponsive);
+        let mut checked = self.start_check(server, connection)?;
+        match within(wait, &mut checked).await {
+            // Without a word its task has ended with the engine.
+            Some(checked) => checked.unwrap_or(Err(Unverified::Broken)),
+            None if wait < ANSWER_TIMEOUT / 2 => Err(Unverified::NoTime),
+            None => Err(Unverified::Unresponsive),
         }
     }
 
-    fn record_unresponsive(&self, server: ServerId) {
+    pub(super) fn record_unresponsive(&self, server: ServerId) {
         self.record(server, Reachability::query_lost);
         log!("a connection to server {:x} is open and unresponsive", server.0);
         // The other idle connections to it are not tried one after the other.
@@ -96,7 +98,7 @@
     }
 
     /// Sends a check on a connection that is free, and reads its response.
-    async fn answered_on(
+    pub(super) async fn answered_on(
         &self, server: ServerId, connection: &mut Connection, check: Request<Bytes>,
     ) -> Result<(), Unverified> {
         // A server that must not be probed must not be written to either.
@@ -116,7 +118,7 @@
 
     /// A call that changes nothing and is answered: a probe, or where servers may not be probed the release of an id that is
     /// no request's.
-    fn check_call(&self) -> Result<(RequestKind, Request<Bytes>), CallError> {
+    pub(super) fn check_call(&self) -> Result<(RequestKind, Request<Bytes>), CallError> {
         if self.0.limits.probes {
             self.0.counts.borrow_mut().probes += 1;
             return Ok((RequestKind::Probe, load_request()?));
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -23,6 +23,7 @@
 mod send;
 mod server_request;
 mod server_table;
+mod standing;
 mod write_gate;
 
 use std::cell::{Cell, RefCell};
@@ -163,6 +164,9 @@
             Call::ReserveSlot { server, payload } => self.reserve_slot(server, &payload).await,
             Call::Probe { server } => self.probe(server).await,
             Call::VerifyReachable { server } => self.verify_reachable(server).await,
+            Call::ConfirmDelivery { server, cancel_token } => {
+                self.confirm_delivery(server, &cancel_token).await
+            }
             Call::CloseIdle { server } => {
                 self.close_idle_of(server);
                 Ok(Reply::Done)
--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use glenrail_request_lifecycle::reachability::Reachability;
+use glenrail_request_lifecycle::sentinel::{connection_to_take, SENTINEL_POLICY};
 use glenrail_router::ServerId;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::{spawn_local, yield_now};
@@ -10,12 +11,16 @@
 
 use super::connection::{Connection, Peer};
 use super::server_request::RequestKind;
+use super::server_table::ServerRecord;
 use super::Engine;
 use crate::upstream::CallError;
 
 /// A connection whose response has been read is free for the next request within this time, or it is closed.
 const REUSE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Idle connections that are looked at for an attempt: the one that it takes and the one that stands beside it.
+const MOST_COMPARED: usize = 2;
+
 /// The usual time for a step, or what is left until the deadline if that is less.
 pub(super) fn time_for(usual: Duration, deadline: Option<Instant>) -> Duration {
     deadline.map_or(usual, |deadline| usual.min(deadline.saturating_duration_since(Instant::now())))
@@ -40,17 +45,75 @@
 
     /// An idle connection that can be used.
     pub(super) fn take_idle(&self, server: ServerId) -> Option<Connection> {
+        let mut servers = self.0.servers.borrow_mut();
+        self.pop_usable(servers.get_mut(server)?).map(|(_, connection)| connection)
+    }
+
+    /// An idle connection for an attempt that a lease waits for, with another one left beside it if there are two.
+    pub(super) fn take_idle_beside_sentinel(&self, server: ServerId) -> Option<Connection> {
         let mut servers = self.0.servers.borrow_mut();
         let record = servers.get_mut(server)?;
+        let mut last_idle = Vec::new();
+        while last_idle.len() < MOST_COMPARED {
+            let Some(usable) = self.pop_usable(record) else { break };
+            last_idle.push(usable);
+        }
+        let taken = connection_to_take(last_idle.len()).map(|index| last_idle.remove(index));
+        record.idle.extend(last_idle.into_iter().rev());
+        taken.map(|(_, connection)| connection)
+    }
+
+    /// The connection that became idle last, of those that can be used.
+    fn pop_usable(&self, record: &mut ServerRecord) -> Option<(Instant, Connection)> {
         while let Some((idle_since, mut connection)) = record.idle.pop() {
             // The task that closes old ones may not have run yet.
             if idle_since.elapsed() < self.0.limits.idle_timeout && connection.is_usable() {
-                return Some(connection);
+                return Some((idle_since, connection));
             }
         }
         None
     }
 
+    /// Takes the idle connection that was used last of those that were open at this moment.
+    pub(super) fn take_standing(&self, server: ServerId, at: Instant) -> Option<Connection> {
+        let mut servers = self.0.servers.borrow_mut();
+        let record = servers.get_mut(server)?;
+        loop {
+            let index = record.idle.iter().rposition(|(_, connection)| connection.opened < at)?;
+            let (_, mut connection) = record.idle.remove(index);
+            if connection.is_usable() {
+                return Some(connection);
+            }
+        }
+    }
+
+    /// Opens a connection that stands beside attempts where the policy wants one. Nothing waits for it, and it occupies a slot
+    /// that is free.
+    pub(super) fn open_sentinel(&self, server: ServerId) {
+        let mut servers = self.0.servers.borrow_mut();
+        let Some(record) = servers.get_mut(server) else { return };
+        if record.is_opening_sentinel || !SENTINEL_POLICY.opens_one(record.idle.len()) {
+            return;
+        }
+        let Ok(slot) = self.0.connection_slots.clone().try_acquire_owned() else { return };
+        record.is_opening_sentinel = true;
+        let (engine, opened) =
+            (self.clone(), Connection::open(record.peer.clone(), slot, self.closing_sender()));
+        spawn_local(async move {
+            let opened = timeout(engine.0.limits.connect_timeout, opened).await;
+            if let Some(record) = engine.0.servers.borrow_mut().get_mut(server) {
+                record.is_opening_sentinel = false;
+            }
+            match opened {
+                Ok(Ok(connection)) => {
+                    engine.0.counts.borrow_mut().opened.probe += 1;
+                    engine.add_idle(server, connection);
+                }
+                _ => engine.0.counts.borrow_mut().not_opened += 1,
+            }
+        });
+    }
+
     /// Closes the idle connections to a server.
     pub(super) fn close_idle_of(&self, server: ServerId) {
         if let Some(record) = self.0.servers.borrow_mut().get_mut(server) {
--- a/gateway/src/engine/send.rs
+++ b/gateway/src/engine/send.rs
@@ -11,10 +11,11 @@
 use super::event_stream::broken_response;
 use super::liveness::Unverified;
 use super::server_request::{RequestKind, ServerRequest};
+use super::standing::CallInFlight;
 use super::Engine;
 use crate::exchange::CancelToken;
 use crate::invariants::MAX_STATED_DEADLINE_AGE;
-use crate::upstream::CallError;
+use crate::upstream::{CallError, ConnectionCheck};
 
 impl Engine {
     /// Writes a request to a server once and returns the head of the response, and the connection that it comes on.
@@ -28,21 +29,32 @@
             {
                 return Err(CallError::NotSent);
             }
-            let idle = self.take_idle(server);
+            let has_sentinel = request.connection_check == ConnectionCheck::Answer;
+            let idle = match has_sentinel {
+                true => self.take_idle_beside_sentinel(server),
+                false => self.take_idle(server),
+            };
             let is_reused = idle.is_some();
             self.0.counts.borrow_mut().reused += u64::from(is_reused);
-            let mut connection = match idle {
+            let connection = match idle {
                 Some(connection) => connection,
                 None => self.open_counted(server, request.kind, request.connect_deadline).await?,
             };
-            match self.verify_connection(server, &mut connection, request).await {
-                Ok(()) => {}
+            if has_sentinel {
+                self.open_sentinel(server);
+            }
+            let mut connection = match self.verify_connection(server, connection, request).await {
+                Ok(connection) => connection,
                 // It was closed while it was idle, which says nothing about its server.
                 Err(Unverified::Broken) if is_reused => continue,
                 Err(unverified) => return Err(unverified.into()),
-            }
+            };
+            // Servers answer these at once, whoever asks, and they may use the connection that stands beside an attempt.
+            let is_check = matches!(request.kind, RequestKind::Probe | RequestKind::Release);
+            let call = is_check.then(|| self.add_check(server, &connection));
             match self.write(server, request, &mut connection).await {
                 Ok(response) => {
+                    call.iter().for_each(CallInFlight::answered);
                     self.record(server, Reachability::answered);
                     return Ok((response, connection));
                 }
--- a/gateway/src/engine/server_table.rs
+++ b/gateway/src/engine/server_table.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::connection::{Connection, Peer};
+use super::standing::RecentChecks;
 
 /// A server as discovery lists it.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -31,6 +32,10 @@
     zone: u32,
     /// Idle connections, and since when; the oldest first.
     pub idle: Vec<(Instant, Connection)>,
+    /// Whether a connection is being opened that is to stand beside attempts.
+    pub is_opening_sentinel: bool,
+    /// The last checks of connections to it.
+    pub checks: RecentChecks,
     reachability: Reachability,
 }
 
@@ -60,6 +65,7 @@
             let peer = Peer { address: listed.address.clone(), started_ms: listed.started_ms };
             if record.peer.address != peer.address {
                 record.reachability = Reachability::default();
+                record.checks = RecentChecks::default();
             }
             // A connection to its earlier address, or to the process before its restart, carries no request.
             if record.peer != peer || !listed.is_serving {
--- /dev/null
+++ b/gateway/src/engine/standing.rs
@@ -0,0 +1,242 @@
+//! Checks of connections, and what they say of attempts that were written to the same server before.
+//!
+//! Each check is a call that changes nothing. It speaks for its own connection, and if that one stood when an attempt was
+//! written, also for the attempt: what silences connections with no error strikes those that stand. What a check says of an
+//! attempt is decided in [`evidence`](glenrail_request_lifecycle::evidence).
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use bytes::Bytes;
+use glenrail_request_lifecycle::evidence::{Observation, StandingCall, WrittenAttempt};
+use glenrail_request_lifecycle::reachability::Reachability;
+use glenrail_router::ServerId;
+use http::Request;
+use tokio::sync::{oneshot, watch};
+use tokio::task::spawn_local;
+use tokio::time::{timeout, timeout_at, Instant};
+
+use super::connection::Connection;
+use super::liveness::{within, Unverified, ANSWER_TIMEOUT};
+use super::Engine;
+use crate::exchange::CancelToken;
+use crate::upstream::{CallError, Reply};
+
+/// A silent connection may still answer for so long: a server that stood still for a moment answers late on each of its
+/// connections.
+const LATE_ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Checks of one server's connections that are remembered. Attempts ask for them within the lease limit.
+const MAX_CHECKS: usize = 32;
+
+/// A call that has been pending for longer is taken for silent; whoever makes it may wait longer.
+const OVERDUE_AFTER: Duration = ANSWER_TIMEOUT.saturating_mul(2);
+
+/// What has come of a check.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Outcome {
+    Pending,
+    /// No answer came in time; one may come late.
+    Silent,
+    Answered,
+    /// The connection has ended, which shows nothing.
+    Broken,
+}
+
+/// A check of a connection.
+#[derive(Clone)]
+pub(super) struct Check {
+    call: StandingCall<Instant>,
+    outcome: watch::Receiver<Outcome>,
+}
+
+impl Check {
+    fn outcome(&self) -> Outcome {
+        match *self.outcome.borrow() {
+            Outcome::Pending if self.call.asked.elapsed() > OVERDUE_AFTER => Outcome::Silent,
+            outcome => outcome,
+        }
+    }
+
+    /// Waits until the outcome is not pending.
+    async fn settled(mut self) {
+        let overdue_at = self.call.asked + OVERDUE_AFTER;
+        let outcome = self.outcome.wait_for(|outcome| *outcome != Outcome::Pending);
+        // What comes of it is read from the check.
+        let _ = timeout_at(overdue_at, outcome).await;
+    }
+
+    /// Whether an answer comes late, within the time in which one comes usually.
+    async fn answers_late(mut self) -> bool {
+        let answered = self.outcome.wait_for(|outcome| *outcome == Outcome::Answered);
+        within(ANSWER_TIMEOUT, &mut Box::pin(answered)).await.is_some_and(|answered| answered.is_ok())
+    }
+}
+
+/// A call that serves as a check, until its response has begun. If it ends without one, it counts as silent if that took long
+/// enough.
+pub(super) struct CallInFlight {
+    asked: Instant,
+    outcome: watch::Sender<Outcome>,
+}
+
+impl CallInFlight {
+    /// Its response has begun.
+    pub fn answered(&self) {
+        self.settle(Outcome::Answered);
+    }
+
+    fn settle(&self, outcome: Outcome) {
+        self.outcome.send_replace(outcome);
+    }
+}
+
+impl Drop for CallInFlight {
+    fn drop(&mut self) {
+        let is_silent = self.asked.elapsed() >= ANSWER_TIMEOUT;
+        self.outcome.send_if_modified(|outcome| {
+            let is_pending = *outcome == Outcome::Pending;
+            if is_pending {
+                *outcome = if is_silent { Outcome::Silent } else { Outcome::Broken };
+            }
+            is_pending
+        });
+    }
+}
+
+/// The last checks of one server's connections.
+#[derive(Default)]
+pub(super) struct RecentChecks(VecDeque<Check>);
+
+impl RecentChecks {
+    fn add(&mut self, check: Check) {
+        if self.0.len() == MAX_CHECKS {
+            self.0.pop_front();
+        }
+        self.0.push_back(check);
+    }
+
+    /// The last check with this outcome that speaks for the attempt.
+    fn find(&self, outcome: Outcome, attempt: &WrittenAttempt<Instant>) -> Option<Check> {
+        let speaks_for_attempt = |check: &&Check| match outcome {
+            Outcome::Silent => check.call.silence_doubts_delivery(attempt),
+            _ => check.call.answer_shows_delivery(attempt),
+        };
+        let with_outcome = self.0.iter().rev().filter(|check| check.outcome() == outcome);
+        with_outcome.clone().find(speaks_for_attempt).cloned()
+    }
+}
+
+impl Engine {
+    /// Asks the server for a sign that an attempt was delivered. A connection that stood when the attempt was written is asked; where
+    /// none did, or it is silent, a newer one.
+    pub(super) async fn confirm_delivery(
+        &self, server: ServerId, cancel_token: &CancelToken,
+    ) -> Result<Reply, CallError> {
+        let attempt = cancel_token.written_attempt().ok_or(CallError::NotSent)?;
+        loop {
+            if self.find_check(server, Outcome::Answered, &attempt).is_some() {
+                return Ok(Reply::Observed(Observation::AnswerOnStanding));
+            }
+            if let Some(check) = self.find_check(server, Outcome::Pending, &attempt) {
+                check.settled().await;
+                continue;
+            }
+            let Some(connection) = self.take_standing(server, attempt.written) else { break };
+            // The connection goes back to the pool once it has answered.
+            let _ = self.start_check(server, connection);
+        }
+        let silent = self.find_check(server, Outcome::Silent, &attempt);
+        self.verify_reachable(server).await?;
+        // The call may have gone out on a connection that stood, and has come back to the pool since.
+        let is_shown = self.find_check(server, Outcome::Answered, &attempt).is_some();
+        Ok(Reply::Observed(match silent {
+            _ if is_shown => Observation::AnswerOnStanding,
+            // A server that stood still answers on all of its connections.
+            Some(silent) if silent.clone().answers_late().await => Observation::AnswerOnStanding,
+            Some(_) => Observation::SilenceOnStanding,
+            None => Observation::AnswerOnNewer,
+        }))
+    }
+
+    fn find_check(
+        &self, server: ServerId, outcome: Outcome, attempt: &WrittenAttempt<Instant>,
+    ) -> Option<Check> {
+        self.0.servers.borrow().get(server)?.checks.find(outcome, attempt)
+    }
+
+    /// Starts a check of a connection that is free, and gives the connection back once it has answered; if nobody waits for
+    /// that any more it goes to the pool.
+    pub(super) fn start_check(
+        &self, server: ServerId, connection: Connection,
+    ) -> Result<oneshot::Receiver<Result<Connection, Unverified>>, Unverified> {
+        let (_, request) = self.check_call().map_err(|_| Unverified::Withheld)?;
+        let (checked, receiver) = oneshot::channel();
+        let call = self.add_check(server, &connection);
+        spawn_local(self.clone().check(server, connection, request, call, checked));
+        Ok(receiver)
+    }
+
+    /// Notes a call that a server answers at once, and that so serves as a check of its connection.
+    pub(super) fn add_check(&self, server: ServerId, connection: &Connection) -> CallInFlight {
+        let asked = Instant::now();
+        let (connection_opened, last_answer) = (connection.opened, connection.last_answer);
+        let (sender, outcome) = watch::channel(Outcome::Pending);
+        if let Some(record) = self.0.servers.borrow_mut().get_mut(server) {
+            let call = StandingCall { connection_opened, last_answer, asked };
+            record.checks.add(Check { call, outcome });
+        }
+        CallInFlight { asked, outcome: sender }
+    }
+
+    async fn check(
+        self, server: ServerId, mut connection: Connection, request: Request<Bytes>, call: CallInFlight,
+        checked: oneshot::Sender<Result<Connection, Unverified>>,
+    ) {
+        let mut checked = Some(checked);
+        let answered = {
+            let answer = self.answered_on(server, &mut connection, request);
+            tokio::pin!(answer);
+            match within(ANSWER_TIMEOUT, &mut answer).await {
+                Some(answered) => answered,
+                None => {
+                    self.record_unresponsive(server);
+                    call.settle(Outcome::Silent);
+                    if let Some(checked) = checked.take() {
+                        let _ = checked.send(Err(Unverified::Unresponsive));
+                    }
+                    timeout(LATE_ANSWER_TIMEOUT, answer).await.unwrap_or(Err(Unverified::Unresponsive))
+                }
+            }
+        };
+        match answered {
+            Ok(()) => {
+                self.record(server, Reachability::answered);
+                call.answered();
+                self.give_back(server, connection, checked);
+            }
+            Err(unverified) => {
+                if unverified != Unverified::Unresponsive {
+                    call.settle(Outcome::Broken);
+                }
+                if let Some(checked) = checked {
+                    let _ = checked.send(Err(unverified));
+                }
+            }
+        }
+    }
+
+    /// Gives a connection to whoever had it checked, or to the pool.
+    fn give_back(
+        &self, server: ServerId, connection: Connection,
+        checked: Option<oneshot::Sender<Result<Connection, Unverified>>>,
+    ) {
+        let not_taken = match checked {
+            Some(checked) => checked.send(Ok(connection)).err(),
+            None => Some(Ok(connection)),
+        };
+        if let Some(Ok(connection)) = not_taken {
+            self.add_idle(server, connection);
+        }
+    }
+}
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -6,6 +6,7 @@
 
 #![deny(missing_docs)]
 
+use std::cell::Cell;
 use std::future::poll_fn;
 use std::net::TcpStream;
 use std::os::fd::AsRawFd;
@@ -14,7 +15,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use glenrail_request_lifecycle::evidence::{CutWork, Observation};
+use glenrail_request_lifecycle::evidence::{CutWork, Observation, WrittenAttempt};
 use http::{HeaderMap, Method, StatusCode, Uri};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -60,6 +61,7 @@
 pub struct CancelToken {
     parts: Option<mpsc::WeakSender<ResponsePart>>,
     first_byte_at: Rc<watch::Sender<Option<Instant>>>,
+    connection_opened_at: Rc<Cell<Option<Instant>>>,
     cut_work: Rc<watch::Sender<CutWork>>,
 }
 
@@ -98,6 +100,17 @@
         }
     }
 
+    /// Says when the connection was opened on which the attempt is written next.
+    pub fn set_connection_opened_at(&self, opened: Instant) {
+        self.connection_opened_at.set(Some(opened));
+    }
+
+    /// When the attempt was written, and on a connection of which age; `None` before.
+    pub fn written_attempt(&self) -> Option<WrittenAttempt<Instant>> {
+        let (written, connection_opened) = (self.first_byte_at()?, self.connection_opened_at.get()?);
+        Some(WrittenAttempt { connection_opened, written })
+    }
+
     /// Notes what was seen of the connection on which the attempt was written, after it was cut off.
     pub fn note(&self, observation: Observation) {
         self.cut_work.send_modify(|known| *known = known.after(observation));
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
+use glenrail_request_lifecycle::evidence::Observation;
 use glenrail_router::{LoadReport, ServerId};
 use tokio::time::Instant;
 
@@ -55,6 +56,13 @@
         /// The server.
         server: ServerId,
     },
+    /// Asks a server for a sign that an attempt was delivered, on a connection that stood when it was written if there is one.
+    ConfirmDelivery {
+        /// The server.
+        server: ServerId,
+        /// The attempt's.
+        cancel_token: CancelToken,
+    },
     /// Closes the idle connections to a server.
     CloseIdle {
         /// The server.
@@ -117,6 +125,8 @@
         /// The server's load.
         report: Option<LoadReport>,
     },
+    /// What was seen of an attempt's delivery.
+    Observed(Observation),
     /// The call was carried out, and has nothing to return.
     Done,
 }
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -64,6 +64,22 @@
     pub id: String,
     pub body: Bytes,
     pub headers: http::HeaderMap,
+    /// The count of connections before the one that it came on.
+    pub connection: usize,
+}
+
+impl Seen {
+    fn of(parts: http::request::Parts, body: Bytes, connection: usize) -> Seen {
+        let id = parts.headers.get("req-id").map_or("", |v| v.to_str().unwrap_or(""));
+        Seen {
+            method: parts.method.to_string(),
+            path: parts.uri.to_string(),
+            id: id.to_string(),
+            body,
+            headers: parts.headers,
+            connection,
+        }
+    }
 }
 
 type Script = Rc<dyn Fn(usize, &Seen) -> Act>;
@@ -123,8 +139,9 @@
             let it = it.clone();
             async move {
                 while let Ok((socket, _)) = listener.accept().await {
-                    it.connections.set(it.connections.get() + 1);
-                    let task = spawn_local(serve(socket, it.clone(), script.clone()));
+                    let connection = it.connections.get();
+                    it.connections.set(connection + 1);
+                    let task = spawn_local(serve(socket, it.clone(), script.clone(), connection));
                     it.tasks.borrow_mut().push(task.abort_handle());
                 }
             }
@@ -151,7 +168,7 @@
     (socket, address)
 }
 
-async fn serve(socket: TcpStream, it: StandIn, script: Script) {
+async fn serve(socket: TcpStream, it: StandIn, script: Script, connection: usize) {
     let (cut, ended) = (Rc::new(tokio::sync::Notify::new()), it.closed.clone());
     let service = service_fn({
         let cut = cut.clone();
@@ -160,14 +177,7 @@
             async move {
                 let (parts, body) = request.into_parts();
                 let Ok(body) = body.collect().await else { return std::future::pending().await };
-                let id = parts.headers.get("req-id").map_or("", |v| v.to_str().unwrap_or(""));
-                let seen = Seen {
-                    method: parts.method.to_string(),
-                    path: parts.uri.to_string(),
-                    id: id.to_string(),
-                    body: body.to_bytes(),
-                    headers: parts.headers.clone(),
-                };
+                let seen = Seen::of(parts, body.to_bytes(), connection);
                 if !seen.id.is_empty() {
                     checks::note_attempt(&seen.id);
                 }
--- a/gateway/tests/connection_verification.rs
+++ b/gateway/tests/connection_verification.rs
@@ -45,6 +45,11 @@
     server.seen.borrow().iter().map(|seen| seen.method.clone()).collect()
 }
 
+/// The connections that requests came on, in the order of the requests.
+fn used_connections(server: &StandIn) -> Vec<usize> {
+    server.seen.borrow().iter().map(|seen| seen.connection).collect()
+}
+
 /// Guards the order: the probe is answered first, on the very connection that the write goes out on.
 #[test]
 fn an_attempt_is_written_on_a_connection_that_has_just_answered() {
@@ -57,7 +62,10 @@
         let engine = before(&server);
         assert!(matches!(write(&engine, TIME).await.0, Ok(Reply::Response { .. })));
         assert_eq!(methods(&server), ["GET", "POST"]);
-        assert_eq!(server.connections.get(), 1);
+        assert_eq!(used_connections(&server), [0, 0]);
+        until(|| server.connections.get() == 2).await;
+        back_to_the_pool().await;
+        assert_eq!(server.connections.get(), 2, "one stands beside it, and no more");
     });
 }
 
@@ -104,7 +112,14 @@
         back_to_the_pool().await;
         closes.set(true);
         assert!(matches!(write(&engine, TIME).await.0, Ok(Reply::Prefilled { .. })));
-        assert_eq!((server.count("POST"), server.connections.get()), (2, 2));
+        assert_eq!(server.count("POST"), 2);
+        let used = used_connections(&server);
+        assert_eq!((used[0], used[1]), (0, 0), "the first attempt, and the check on its connection");
+        assert!(
+            used[2] != 0 && used[3] == used[2] && used.len() == 4,
+            "checked and written on another: {used:?}"
+        );
+        assert!(server.connections.get() <= 3, "the one that ended, the one that is used, and one beside it");
     });
 }
 
@@ -121,7 +136,11 @@
         server.scripts_checks.set(true);
         let engine = before_with(&server, false);
         assert!(matches!(write(&engine, TIME).await.0, Ok(Reply::Response { .. })));
-        assert_eq!((methods(&server), server.connections.get()), (vec!["DELETE".into(), "POST".into()], 1));
+        assert_eq!(
+            (methods(&server), used_connections(&server)),
+            (vec!["DELETE".into(), "POST".into()], vec![0, 0])
+        );
+        until(|| server.connections.get() == 2).await;
         let silent = StandIn::start(|_, _| Act::Silence).await;
         silent.scripts_checks.set(true);
         let engine = before_with(&silent, false);
