--- a/gateway/src/engine/liveness.rs
+++ b/gateway/src/engine/liveness.rs
@@ -1,8 +1,9 @@
 //! Verification that a server, and the network path to it, responds now.
 //!
 //! An open connection may fall silent with no error, and bytes that were handed to the kernel may never be delivered. Before
-//! an attempt that a lease waits for is written to a connection, the connection answers a probe; after that, the server
-//! answers one. Where servers may not be probed, the release of an id that is no request's stands for the probe.
+//! an attempt that a lease waits for is written to a connection, the connection answers a probe; after that, a connection that
+//! stood beside it answers one ([`standing`](super::standing)). Where servers may not be probed, the release of an id that is no
+//! request's stands for the probe.
 
 use std::time::Duration;
 
@@ -52,27 +53,22 @@
 impl Engine {
     /// Verifies that this connection answers the check that the request needs, by the time at which it must be written.
     pub(super) async fn verify_connection(
-        &self, server: ServerId, connection: &mut Connection, request: &ServerRequest,
-    ) -> Result<(), Unverified> {
+        &self, server: ServerId, connection: Connection, request: &ServerRequest,
+    ) -> Result<Connection, Unverified> {
         if request.connection_check == ConnectionCheck::None {
-            return Ok(());
+            return Ok(connection);
         }
-        let (_, check) = self.check_call().map_err(|_| Unverified::Withheld)?;
         let wait = time_for(ANSWER_TIMEOUT, request.connect_deadline);
-        let answer = self.answered_on(server, connection, RequestKind::Probe, check);
-        if let Some(answer) = within(wait, answer).await {
-            answer?;
-            self.record(server, Reachability::answered);
-            return Ok(());
-        }
-        if wait < ANSWER_TIMEOUT / 2 {
-            return Err(Unverified::NoTime);
+        let mut checked = self.start_check(server, connection)?;
+        match within(wait, &mut checked).await {
+            // Without a word its task has ended with the engine.
+            Some(checked) => checked.unwrap_or(Err(Unverified::Broken)),
+            None if wait < ANSWER_TIMEOUT / 2 => Err(Unverified::NoTime),
+            None => Err(Unverified::Unresponsive),
         }
-        self.record_unresponsive(server);
-        Err(Unverified::Unresponsive)
     }
 
-    fn record_unresponsive(&self, server: ServerId) {
+    pub(super) fn record_unresponsive(&self, server: ServerId) {
         self.record(server, Reachability::query_lost);
         log!("a connection to server {:x} is open and unresponsive", server.0);
         // The other idle connections to it are not tried one after the other.
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -25,6 +25,7 @@
 mod server_request;
 mod server_table;
 mod stall_tolerance;
+mod standing;
 mod write_gate;
 
 use std::cell::{Cell, RefCell};
@@ -171,6 +172,9 @@
             Call::InquireAfterReset { server, cancel_token } => {
                 Ok(Reply::AfterReset(self.inquire_after_reset(server, &cancel_token).await))
             }
+            Call::ConfirmDelivery { server, cancel_token } => {
+                self.confirm_delivery(server, &cancel_token).await
+            }
             Call::CloseIdle { server } => {
                 self.close_idle_of(server);
                 Ok(Reply::Done)
