--- a/crates/request-lifecycle/src/evidence/standing.rs
+++ b/crates/request-lifecycle/src/evidence/standing.rs
@@ -29,8 +29,8 @@
 
     /// Whether the connection's silence speaks against the attempt's own connection, too.
     ///
-    /// Only if it has worked since the attempt's connection was opened: what silenced it after that met both. An older one may have
-    /// been struck before the attempt's connection was there.
+    /// Only if it has worked since the attempt's connection was opened: what silenced it after that met both. An older one
+    /// may have been struck before the attempt's connection was there.
     pub fn silence_doubts_delivery(&self, attempt: &WrittenAttempt<T>) -> bool {
         self.answer_shows_delivery(attempt) && self.last_answer >= attempt.connection_opened
     }
--- a/gateway/src/engine/standing.rs
+++ b/gateway/src/engine/standing.rs
@@ -130,8 +130,8 @@
 }
 
 impl Engine {
-    /// Asks the server for a sign that an attempt was delivered. A connection that stood when the attempt was written is asked; where
-    /// none did, or it is silent, a newer one.
+    /// Asks the server for a sign that an attempt was delivered. A connection that stood when the attempt was written is
+    /// asked; where none did, or it is silent, a newer one.
     pub(super) async fn confirm_delivery(
         &self, server: ServerId, cancel_token: &CancelToken,
     ) -> Result<Reply, CallError> {
