Count rejections that are not true

One that it can see itself is an answer that says that sending again is harmless while an attempt of a request that may not be repeated is in flight, may have run, or was cut off and may still run: it is checked where the answer is given, counted under rejection_is_true in the operators' figures, and logged with its request, as the other invariants are.

--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -107,6 +107,9 @@
     fn respond(&self, id: u64, response: FinalResponse) {
         let inner = self.inner.borrow();
         let Some(request) = inner.requests.get(&id) else { return };
+        if response == FinalResponse::Rejected {
+            invariants::check_rejection(&request.machine, &request.payload.request_id);
+        }
         let part = match response {
             FinalResponse::Rejected => ResponsePart::Rejected(request.retry_after),
             FinalResponse::Failed => ResponsePart::Failed(Failure::Upstream),
--- a/gateway/src/invariants.rs
+++ b/gateway/src/invariants.rs
@@ -29,16 +29,19 @@
     NothingAfterEnd,
     /// A request that was admitted is answered before it finishes.
     Answered,
+    /// A request that may run at most once is rejected only while no attempt of it can have run, or may still.
+    RejectionIsTrue,
 }
 
 impl Invariant {
     /// Every invariant, in the order of the operators' figures.
-    pub const ALL: [Invariant; 5] = [
+    pub const ALL: [Invariant; 6] = [
         Invariant::LeaseInTime,
         Invariant::OneAttempt,
         Invariant::AtMostOnce,
         Invariant::NothingAfterEnd,
         Invariant::Answered,
+        Invariant::RejectionIsTrue,
     ];
 
     /// The invariant's name in the operators' figures.
@@ -49,6 +52,7 @@
             Invariant::AtMostOnce => "runs_once",
             Invariant::NothingAfterEnd => "nothing_after_end",
             Invariant::Answered => "answered",
+            Invariant::RejectionIsTrue => "rejection_is_true",
         }
     }
 }
@@ -98,6 +102,12 @@
     check(holds, Invariant::LeaseInTime, request, || format!("released after {} ms", unclaimed.as_millis()));
 }
 
+/// Checks a request whose client is told now that sending it again is harmless.
+pub fn check_rejection(machine: &Request, request: &str) {
+    let holds = machine.policy().retry_safety != RetrySafety::AtMostOnce || !machine.may_have_run();
+    check(holds, Invariant::RejectionIsTrue, request, || "rejected although it may have run".into());
+}
+
 /// Checks a request that has finished.
 pub fn check_end(machine: &Request, request: &str) {
     let is_unanswered = matches!(machine.response(), ResponseState::Pending | ResponseState::Streaming);
