Listen for late answers to the lease limit before a delivery counts as doubted

Callers would have seen: a slow decode server's request cancelled and failed at the lease limit, where an older call to it ended after 80 ms for a reason of its own: its connection broke, its caller gave up, or this process stood still.

Cause, found by reading: a call that was dropped after 80 ms counted as silence, also one that broke; an answer that came more than 80 ms later was read by nobody; the check of a newer connection did not allow for stalls of this process.

Change: a broken call shows nothing, one that is given up is silent only when overdue (160 ms), a late answer is awaited for as long as its call is listened to (1 s), and the newer connection's check allows for stalls. The lease limit cancels as before.

Measured: the unit tests of the gateway (99), delivery_confirmation (10), connection_verification (5), reset_inquiries (7) pass.

--- a/gateway/src/engine/liveness.rs
+++ b/gateway/src/engine/liveness.rs
@@ -12,7 +12,6 @@
 use glenrail_router::ServerId;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Limited};
-use tokio::time::timeout;
 
 use super::connection::{Connection, SendFailure};
 use super::control_calls::MAX_SHORT_BODY;
@@ -115,9 +114,9 @@
         let (kind, call) = self.check_call()?;
         let request = ServerRequest::new(kind, call);
         let verified = self.short_call(server, &request);
-        match timeout(ANSWER_TIMEOUT, verified).await {
-            Ok(verified) => verified.map(|_| Reply::Done),
-            Err(_) => {
+        match within(ANSWER_TIMEOUT, verified).await {
+            Some(verified) => verified.map(|_| Reply::Done),
+            None => {
                 self.record(server, Reachability::query_lost);
                 Err(CallError::ConnectFailed)
             }
--- a/gateway/src/engine/send.rs
+++ b/gateway/src/engine/send.rs
@@ -29,18 +29,16 @@
             {
                 return Err(CallError::NotSent);
             }
-            let has_sentinel = request.connection_check == ConnectionCheck::Answer;
-            let idle = match has_sentinel {
-                true => self.take_idle_beside_sentinel(server),
-                false => self.take_idle(server),
-            };
+            let needs_sentinel = request.connection_check == ConnectionCheck::Answer;
+            let idle =
+                if needs_sentinel { self.take_idle_beside_sentinel(server) } else { self.take_idle(server) };
             let is_reused = idle.is_some();
             self.0.counts.borrow_mut().reused += u64::from(is_reused);
             let connection = match idle {
                 Some(connection) => connection,
                 None => self.open_counted(server, request.kind, request.connect_deadline).await?,
             };
-            if has_sentinel {
+            if needs_sentinel {
                 self.open_sentinel(server);
             }
             let mut connection = match self.verify_connection(server, connection, request).await {
@@ -52,17 +50,21 @@
             // Servers answer these at once, whoever asks, and they may use the connection that stands beside an attempt.
             let is_check = matches!(request.kind, RequestKind::Probe | RequestKind::Release);
             let call = is_check.then(|| self.add_check(server, &connection));
-            match self.write(server, request, &mut connection).await {
+            let (call, failure) = match self.write(server, request, &mut connection).await {
                 Ok(response) => {
                     call.iter().for_each(CallInFlight::answered);
                     self.record(server, Reachability::answered);
                     return Ok((response, connection));
                 }
+                Err(failure) => (call, failure),
+            };
+            call.iter().for_each(CallInFlight::broken);
+            match failure {
                 // The server closed the idle connection just now, and not a byte was written.
-                Err(SendFailure::Replace) => request.cancel_token.set_written(false),
-                Err(SendFailure::Withheld) => return Err(CallError::NotSent),
-                Err(SendFailure::NeverRan) => return Err(CallError::ConnectFailed),
-                Err(SendFailure::MayHaveRun(error)) => return Err(broken_response(&error)),
+                SendFailure::Replace => request.cancel_token.set_written(false),
+                SendFailure::Withheld => return Err(CallError::NotSent),
+                SendFailure::NeverRan => return Err(CallError::ConnectFailed),
+                SendFailure::MayHaveRun(error) => return Err(broken_response(&error)),
             }
         }
     }
--- a/gateway/src/engine/standing.rs
+++ b/gateway/src/engine/standing.rs
@@ -55,7 +55,7 @@
 impl Check {
     fn outcome(&self) -> Outcome {
         match *self.outcome.borrow() {
-            Outcome::Pending if self.call.asked.elapsed() > OVERDUE_AFTER => Outcome::Silent,
+            Outcome::Pending if self.call.asked.elapsed() >= OVERDUE_AFTER => Outcome::Silent,
             outcome => outcome,
         }
     }
@@ -68,15 +68,13 @@
         let _ = timeout_at(overdue_at, outcome).await;
     }
 
-    /// Whether an answer comes late, within the time in which one comes usually.
+    /// Whether an answer comes late, for as long as somebody listens.
     async fn answers_late(mut self) -> bool {
-        let answered = self.outcome.wait_for(|outcome| *outcome == Outcome::Answered);
-        within(ANSWER_TIMEOUT, &mut Box::pin(answered)).await.is_some_and(|answered| answered.is_ok())
+        self.outcome.wait_for(|outcome| *outcome == Outcome::Answered).await.is_ok()
     }
 }
 
-/// A call that serves as a check, until its response has begun. If it ends without one, it counts as silent if that took long
-/// enough.
+/// A call that serves as a check, until its response has begun. One that is given up counts as silent if it was overdue.
 pub(super) struct CallInFlight {
     asked: Instant,
     outcome: watch::Sender<Outcome>,
@@ -88,6 +86,11 @@
         self.settle(Outcome::Answered);
     }
 
+    /// Its connection has ended, which shows nothing.
+    pub fn broken(&self) {
+        self.settle(Outcome::Broken);
+    }
+
     fn settle(&self, outcome: Outcome) {
         self.outcome.send_replace(outcome);
     }
@@ -95,7 +98,7 @@
 
 impl Drop for CallInFlight {
     fn drop(&mut self) {
-        let is_silent = self.asked.elapsed() >= ANSWER_TIMEOUT;
+        let is_silent = self.asked.elapsed() >= OVERDUE_AFTER;
         self.outcome.send_if_modified(|outcome| {
             let is_pending = *outcome == Outcome::Pending;
             if is_pending {
