Close no standing connection for a question after a reset

Cause, found by reading: at the cap of connections the question took its slot by closing all idle ones and abandoning those that wait for servers' ends. Both are evidence for other requests, and a lack of slots here was noted against the server.

Change: a question takes a slot that is free; without one nothing is asked and nothing noted, and the next question comes after its pause.

--- a/gateway/src/engine/pool.rs
+++ b/gateway/src/engine/pool.rs
@@ -158,7 +158,7 @@
 
     /// A slot for one more connection; where there is none, all idle connections are closed for it, and those that wait for
     /// their servers' ends.
-    pub(super) async fn acquire_slot(&self) -> Option<OwnedSemaphorePermit> {
+    async fn acquire_slot(&self) -> Option<OwnedSemaphorePermit> {
         if let Ok(slot) = self.0.connection_slots.clone().try_acquire_owned() {
             return Some(slot);
         }
--- a/gateway/src/engine/reset_inquiry.rs
+++ b/gateway/src/engine/reset_inquiry.rs
@@ -11,7 +11,7 @@
 
 use glenrail_request_lifecycle::reachability::Reachability;
 use glenrail_router::ServerId;
-use tokio::sync::Mutex;
+use tokio::sync::{Mutex, OwnedSemaphorePermit};
 use tokio::time::Instant;
 
 use super::connection::{Connection, Peer};
@@ -63,7 +63,11 @@
     }
 
     async fn ask_on_new_connection(&self, server: ServerId, address: String) -> ServerAfterReset {
-        let answer = within(ANSWER_TIMEOUT, self.answer_on_new_connection(server, address)).await;
+        // Connections that stand are evidence for other requests: none is closed for a question.
+        let Ok(slot) = self.0.connection_slots.clone().try_acquire_owned() else {
+            return ServerAfterReset::Silent;
+        };
+        let answer = within(ANSWER_TIMEOUT, self.answer_on_new_connection(server, address, slot)).await;
         let found = answer.unwrap_or(ServerAfterReset::Silent);
         match found {
             ServerAfterReset::Answers => self.record(server, Reachability::answered),
@@ -74,8 +78,9 @@
         found
     }
 
-    async fn answer_on_new_connection(&self, server: ServerId, address: String) -> ServerAfterReset {
-        let Some(slot) = self.acquire_slot().await else { return ServerAfterReset::Silent };
+    async fn answer_on_new_connection(
+        &self, server: ServerId, address: String, slot: OwnedSemaphorePermit,
+    ) -> ServerAfterReset {
         let listed = self.listed_peer(server).filter(|peer| peer.address == address);
         let is_listed = listed.is_some();
         let peer = listed.unwrap_or(Peer { address, started_ms: 0 });
