--- a/gateway/src/front/accept_watch.rs
+++ b/gateway/src/front/accept_watch.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 /// The accept loop wakes up at least this often, so that it notices that its process stood still.
-pub(super) const HEARTBEAT: Duration = Duration::from_millis(250);
+pub(super) const HEARTBEAT: Duration = Duration::from_millis(100);
 /// A heartbeat that is later than this says that the process stood still, or was too busy to look.
 const HEARTBEAT_SLACK: Duration = Duration::from_millis(20);
 /// Most that is counted of a wait: where the queue never becomes empty, nobody knows how long one of it has waited.
