Judge a begun request whose connection a gateway ends before its time

Change: where the connection ends before the whole request is written, the client asks how much was read. Some read, within 120 ms of the first byte, at a process that nobody told to end: Answered is broken. The bound is the guarantee's (docs/guarantees.md, clients' connections); the rig's lateness can only make the time longer.

Measured: a_begun_request_that_is_cut_before_its_time_is_found passes, with both sides of the bound; before, nothing judged it.

--- a/fault-tests/src/gateway_lives.rs
+++ b/fault-tests/src/gateway_lives.rs
@@ -59,12 +59,13 @@
     /// The end of the process that got a request, by all records of it, if that process has ended: the one to which the
     /// client's connection was made, whenever the request was written on it.
     pub fn end_for(&self, request: &[&Record]) -> Option<LifeEnd> {
-        let sent = request.iter().find(|record| matches!(record.event, Event::Sent { .. }))?;
-        let connected_at = request.iter().find_map(|record| match record.event {
-            Event::RequestBegun { connected_at, .. } => Some(connected_at),
+        let connected = request.iter().find_map(|record| match record.event {
+            Event::RequestBegun { connected_at, .. } => Some((&record.source, connected_at)),
             _ => None,
         });
-        self.end_after(&sent.source, connected_at.unwrap_or(sent.at))
+        let sent = || request.iter().find(|record| matches!(record.event, Event::Sent { .. }));
+        let (gateway, at) = connected.or_else(|| sent().map(|record| (&record.source, record.at)))?;
+        self.end_after(gateway, at)
     }
 
     /// The end of the process that got what a client did at this time, if it has ended.
@@ -93,6 +94,12 @@
         self.killed && seen_after_kill
     }
 
+    /// Whether the process had been told to end, or had ended, by then.
+    pub fn ends_by(&self, at: Micros) -> bool {
+        let ends_from = [self.terminated_at, self.kill_began_at, Some(self.ended_at)];
+        ends_from.into_iter().flatten().any(|ends| ends <= at)
+    }
+
     /// Whether a request that was sent then and found no answer by the kill, which its client saw at `seen`, is lost by the
     /// kill alone and not by the gateway: it came before a planned one, or nobody had planned it.
     pub fn excuses(&self, sent: Micros, seen: Micros) -> bool {
--- a/fault-tests/src/judge.rs
+++ b/fault-tests/src/judge.rs
@@ -20,6 +20,8 @@
 const CLOSE_SLACK: Micros = 100 * MILLISECOND;
 /// An engine's end of its work is recorded so much later than the end of its connection, at most.
 const END_SLACK: Micros = 10 * MILLISECOND;
+/// A connection on which a request has begun is not closed for another client's within this time.
+const BEGUN_REQUEST_TIME: Micros = 120 * MILLISECOND;
 /// Answers that say that trying again is harmless.
 const REFUSALS: [u16; 2] = [429, 503];
 
@@ -76,6 +78,7 @@
         violations.extend(case.deadline_announced());
         violations.extend(case.answered());
         violations.extend(case.not_taken_is_true());
+        violations.extend(case.begun_request_has_its_time());
         violations.extend(case.at_most_once());
     }
     violations.sort_by_key(|violation| violation.at);
@@ -295,6 +298,20 @@
         self.life_end().is_some_and(|end| end.is_by_kill(seen, CLOSE_SLACK))
     }
 
+    /// A connection on which a request has begun is not ended over what was read of it before its time, unless its process ends.
+    fn begun_request_has_its_time(&self) -> Option<Violation> {
+        let at =
+            |fits: fn(&Event) -> bool| self.records.iter().find(|record| fits(&record.event)).map(|r| r.at);
+        let began = at(|event| matches!(event, Event::RequestBegun { .. }))?;
+        let ended = at(|event| matches!(event, Event::EndedInPart { .. }))?;
+        let process_ends = self.life_end().is_some_and(|life| life.ends_by(ended));
+        if ended >= began + BEGUN_REQUEST_TIME || process_ends {
+            return None;
+        }
+        let what = format!("closed {} us after its first byte, with some of it read", ended - began);
+        Some(self.violation(Invariant::Answered, ended, what))
+    }
+
     fn at_most_once(&self) -> Option<Violation> {
         let (_, _, repeatable) = self.sent()?;
         let runs: Vec<&&Record> =
--- a/fault-tests/src/kept_connection.rs
+++ b/fault-tests/src/kept_connection.rs
@@ -129,6 +129,12 @@
         written
     }
 
+    /// Whether the gateway, which has ended the connection, has read some of these bytes, or may have.
+    pub fn may_have_read_some(&self, written: usize) -> bool {
+        let unread = unread::bytes_at(self.address, self.client_address);
+        written > 0 && !matches!(unread, Ok(Some(unread)) if unread >= written as u64)
+    }
+
     /// Reads the next answer to its end; `written` is what has been written for requests without an answer, in bytes.
     pub async fn answer(&mut self, written: usize) -> Result<Answer, End> {
         let (status, closes, is_chunked, mut left) = loop {
--- a/fault-tests/src/record.rs
+++ b/fault-tests/src/record.rs
@@ -62,6 +62,8 @@
     Answered { request: String, status: u16, complete: bool },
     /// The gateway closed a client's connection with no answer.
     Unanswered { request: String },
+    /// The gateway closed a client's connection before the whole request was written on it, and has read some of it.
+    EndedInPart { request: String },
     /// The gateway closed a client's connection in order and has not read the request: its client sends it again elsewhere.
     NotTaken { request: String },
     /// The request was written behind another one, before that one was answered; it counts as sent once it has been.
@@ -97,6 +99,7 @@
             | Event::ClientDisconnected { request }
             | Event::Answered { request, .. }
             | Event::Unanswered { request }
+            | Event::EndedInPart { request }
             | Event::NotTaken { request }
             | Event::Pipelined { request } => request,
             Event::GatewayTerminated
--- a/fault-tests/src/sessions.rs
+++ b/fault-tests/src/sessions.rs
@@ -148,6 +148,9 @@
             self.records.add(&gateway.name, Event::Pipelined { request: second.id.clone() });
         }
         let Some(sent_at) = written.when(texts[0].len()) else {
+            if connection.may_have_read_some(written.bytes()) {
+                self.records.add(&gateway.name, Event::EndedInPart { request: first.id.clone() });
+            }
             *outcomes.entry("ended while it was written".into()).or_default() += 1;
             return Next::Reconnect;
         };
--- a/fault-tests/tests/judge.rs
+++ b/fault-tests/tests/judge.rs
@@ -211,3 +211,18 @@
         record(200, "n0", Event::Answered { request: REQUEST.into(), status: 200, complete: true });
     assert_eq!(broken([twice, vec![answered]].concat()), [Invariant::AtMostOnce]);
 }
+
+/// Guards slow writers: a gateway that ends a connection over the first bytes of a request before their time is found; one that
+/// waits for them, and one that is told to end, is not.
+#[test]
+fn a_begun_request_that_is_cut_before_its_time_is_found() {
+    let client = "127.0.0.1:4000".parse().expect("an address");
+    let begun =
+        || record(100, "n0", Event::RequestBegun { request: REQUEST.into(), client, connected_at: 0 });
+    let cut = |at| record(at, "n0", Event::EndedInPart { request: REQUEST.into() });
+    assert_eq!(broken(vec![begun(), cut(100 + 119)]), [Invariant::Answered]);
+    assert_eq!(broken(vec![begun(), cut(100 + 120)]), []);
+    let terminated = record(90, "n0", Event::GatewayTerminated);
+    let process_ended = record(400, "n0", Event::GatewayEnded { killed: false });
+    assert_eq!(broken(vec![begun(), cut(150), terminated, process_ended]), []);
+}
