Ask the kernel for one connection in the gateway's tests, not for all of them

What was seen: beside a table of many closed connections, `a_finished_stream_is_forwarded_to_its_end` had 503 in place of 200, and `a_request_after_the_connection_closed_stays_unread` found 0 unread bytes in place of 123.

Cause: the stand-ins read the machine's whole socket table for one row of it. Over tens of thousands of rows, that look outlasts the lease limit while the gateway is stopped, and the second for which an ended connection stays.

What is looked for is the same (established with all acknowledged, ended by the peer, gone, unread bytes), but at once and of exactly this connection; three looks in a row for a connection that is gone are not needed, as no row can be passed over any more. No bound and no assertion is changed. `Full::dialled` still reads the table, since it looks for a port that it does not know.

--- /dev/null
+++ b/crates/socket-diagnosis/src/lib.rs
@@ -0,0 +1,116 @@
+//! The state of one TCP connection of this machine, asked of the kernel's socket diagnosis (`sock_diag` over netlink).
+//!
+//! The question names one connection by its addresses, so that the answer takes microseconds however many sockets the
+//! machine has. A list of all of them takes up to half a second to read, and shows the connection as it is by then.
+
+use std::io;
+use std::net::SocketAddr;
+
+use netlink_packet_core::{NetlinkHeader, NetlinkMessage, NetlinkPayload, NLM_F_REQUEST};
+use netlink_packet_sock_diag::constants::{AF_INET, IPPROTO_TCP, TCP_CLOSE_WAIT, TCP_ESTABLISHED};
+use netlink_packet_sock_diag::inet::{ExtensionFlags, InetRequest, InetResponseHeader, SocketId, StateFlags};
+use netlink_packet_sock_diag::SockDiagMessage;
+use netlink_sys::protocols::NETLINK_SOCK_DIAG;
+use netlink_sys::{Socket, SocketAddr as NetlinkAddress};
+
+/// The kernel's own address on a netlink socket.
+const KERNEL: (u32, u32) = (0, 0);
+/// Asks for a socket by its addresses alone.
+const ANY_COOKIE: [u8; 8] = [0xff; 8];
+/// Longest answer about one socket.
+const ANSWER_BYTES: usize = 4 << 10;
+
+/// How far a connection has come, as one of its ends sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    /// Both sides may send.
+    Established,
+    /// The other side has ended what it sends, this one has not (`CLOSE_WAIT`).
+    EndedByPeer,
+    /// Any other state of TCP.
+    Other,
+}
+
+/// One end of a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Connection {
+    pub state: State,
+    /// Bytes that have come and that the process has not read.
+    pub unread_bytes: u64,
+    /// Bytes that the process has written and that the other machine has not acknowledged.
+    pub unacknowledged_bytes: u64,
+}
+
+/// The end `local` of the connection with `remote`; `None` where that end is gone.
+///
+/// Never waits: the kernel answers within the call that asks.
+pub fn connection_at(local: SocketAddr, remote: SocketAddr) -> io::Result<Option<Connection>> {
+    let mut socket = Socket::new(NETLINK_SOCK_DIAG)?;
+    socket.bind_auto()?;
+    socket.connect(&NetlinkAddress::new(KERNEL.0, KERNEL.1))?;
+    socket.set_non_blocking(true)?;
+    socket.send(&question(local, remote), 0)?;
+    let mut answer = Vec::with_capacity(ANSWER_BYTES);
+    socket.recv(&mut answer, 0)?;
+    connection_in(&answer, local, remote)
+}
+
+/// The bytes of the question about one connection.
+fn question(local: SocketAddr, remote: SocketAddr) -> Vec<u8> {
+    let socket_id = SocketId {
+        source_port: local.port(),
+        destination_port: remote.port(),
+        source_address: local.ip(),
+        destination_address: remote.ip(),
+        interface_id: 0,
+        cookie: ANY_COOKIE,
+    };
+    let request = InetRequest {
+        family: AF_INET,
+        protocol: IPPROTO_TCP,
+        extensions: ExtensionFlags::empty(),
+        states: StateFlags::all(),
+        socket_id,
+    };
+    let mut header = NetlinkHeader::default();
+    header.flags = NLM_F_REQUEST;
+    let mut message = NetlinkMessage::new(header, SockDiagMessage::InetRequest(request).into());
+    message.finalize();
+    let mut bytes = vec![0; message.buffer_len()];
+    message.serialize(&mut bytes);
+    bytes
+}
+
+/// What the kernel's answer says of this connection.
+fn connection_in(answer: &[u8], local: SocketAddr, remote: SocketAddr) -> io::Result<Option<Connection>> {
+    let message: NetlinkMessage<SockDiagMessage> =
+        NetlinkMessage::deserialize(answer).map_err(io::Error::other)?;
+    match message.payload {
+        NetlinkPayload::InnerMessage(SockDiagMessage::InetResponse(response)) => {
+            let found = &response.header.socket_id;
+            // Once the connection's end is gone, the kernel finds the listener at the same address.
+            let is_connection = found.source_port == local.port() && found.destination_port == remote.port();
+            Ok(is_connection.then(|| Connection::from(&response.header)))
+        }
+        NetlinkPayload::Error(error) => match error.to_io() {
+            error if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            error => Err(error),
+        },
+        _ => Err(io::ErrorKind::InvalidData.into()),
+    }
+}
+
+impl From<&InetResponseHeader> for Connection {
+    fn from(header: &InetResponseHeader) -> Connection {
+        let state = match header.state {
+            TCP_ESTABLISHED => State::Established,
+            TCP_CLOSE_WAIT => State::EndedByPeer,
+            _ => State::Other,
+        };
+        Connection {
+            state,
+            unread_bytes: header.recv_queue.into(),
+            unacknowledged_bytes: header.send_queue.into(),
+        }
+    }
+}
--- a/gateway/tests/common/child.rs
+++ b/gateway/tests/common/child.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use glenrail_socket_diagnosis::connection_at;
 use serde_json::{json, Value};
 
 use super::{until, StandIn};
@@ -96,12 +97,9 @@
 
     /// Bytes that have come from this port and that it has not read.
     pub fn unread_from(&self, port: u16) -> usize {
-        let (own, other) = (format!(":{:04X}", self.address.port()), format!(":{port:04X}"));
-        let table = std::fs::read_to_string("/proc/net/tcp").expect("a table");
-        let mut rows = table.lines().map(|row| row.split_whitespace().collect::<Vec<_>>());
-        let row = rows.find(|r| r[1].ends_with(&own) && r[2].ends_with(&other)).expect("a connection");
-        let unread = row[4].split_once(':').expect("two queues").1;
-        usize::from_str_radix(unread, 16).expect("a count")
+        let client = SocketAddr::new(self.address.ip(), port);
+        let connection = connection_at(self.address, client).expect("the kernel answers");
+        connection.expect("a connection").unread_bytes.try_into().expect("a count")
     }
 
     pub fn descriptors(&self) -> usize {
--- a/gateway/tests/common/crossing.rs
+++ b/gateway/tests/common/crossing.rs
@@ -6,6 +6,7 @@
 use std::process::Command;
 use std::time::Duration;
 
+use glenrail_socket_diagnosis::{connection_at, State};
 use serde_json::{json, Value};
 use socket2::SockRef;
 
@@ -92,7 +93,7 @@
     /// Goes, and comes back once its going has reached the program's machine; gives what is left open of it. A child that
     /// another test is just starting may hold a copy of a socket for a moment, so that a close alone tells nothing.
     pub fn goes(self, how: Going) -> Option<TcpStream> {
-        let [own, front] = [self.0.local_addr(), self.0.peer_addr()].map(|at| at.expect("an address").port());
+        let [own, front] = [self.0.local_addr(), self.0.peer_addr()].map(|at| at.expect("an address"));
         let left = match how {
             Going::Closes => {
                 drop(self.0);
@@ -109,14 +110,10 @@
             }
         };
         // The program's end of it: stands, or the other side has ended it; after a reset it is no more.
-        let line = format!(":{front:04X} 0100007F:{own:04X} ");
-        let mut gone = 0;
         wait("the client's going", || {
-            let all = std::fs::read_to_string("/proc/net/tcp").expect("the machine's connections");
-            // A line may be passed over once while others come and go.
-            gone = if all.contains(&line) { 0 } else { gone + 1 };
-            let ended = if how == Going::Resets { gone == 3 } else { all.contains(&format!("{line}08 ")) };
-            ended.then_some(())
+            let state = connection_at(front, own).expect("the kernel answers").map(|end| end.state);
+            let expected = if how == Going::Resets { None } else { Some(State::EndedByPeer) };
+            (state == expected).then_some(())
         });
         left
     }
--- a/gateway/tests/common/scripted.rs
+++ b/gateway/tests/common/scripted.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use glenrail_socket_diagnosis::{connection_at, State};
 use socket2::SockRef;
 
 use super::checks::{is_check, note_attempt};
@@ -45,12 +46,11 @@
         };
         let _ = socket.write_all(&bytes);
         if resets {
-            let [own, other] =
-                [socket.local_addr(), socket.peer_addr()].map(|at| at.expect("an address").port());
-            let line = format!(":{own:04X} 0100007F:{other:04X} 01 00000000:");
+            let [own, other] = [socket.local_addr(), socket.peer_addr()].map(|at| at.expect("an address"));
             wait("its coming", || {
-                let all = std::fs::read_to_string("/proc/net/tcp").expect("the machine's connections");
-                all.contains(&line).then_some(())
+                let connection = connection_at(own, other).expect("the kernel answers")?;
+                let has_come = connection.state == State::Established && connection.unacknowledged_bytes == 0;
+                has_come.then_some(())
             });
             SockRef::from(&*socket).set_linger(Some(Duration::ZERO)).expect("set");
         }
