--- a/gateway/tests/common/child.rs
+++ b/gateway/tests/common/child.rs
@@ -10,7 +10,7 @@
 use glenrail_socket_diagnosis::connection_at;
 use serde_json::{json, Value};
 
-use super::{until, StandIn};
+use super::{signals, until, StandIn};
 
 pub struct Program {
     child: Child,
@@ -63,8 +63,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+        signals::send(&self.child, name);
     }
 
     pub fn terminate(&self) {
--- a/gateway/tests/common/member.rs
+++ b/gateway/tests/common/member.rs
@@ -10,7 +10,7 @@
 
 use serde_json::{json, Value};
 
-use super::AGES;
+use super::{signals, AGES};
 
 /// Keys that no fleet uses.
 pub const KEYS: [&str; 2] = [
@@ -159,8 +159,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let id = self.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+        signals::send(&self.child, name);
     }
 
     pub fn kill(&mut self) {
--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -11,6 +11,7 @@
 pub mod member;
 pub mod raw;
 pub mod scripted;
+pub mod signals;
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
