Share the runtime and the start of a deployment among the fault tests' files

Change: links.rs and resets.rs take what tests/common has; no check, bound or order of steps is changed.

--- a/fault-tests/tests/links.rs
+++ b/fault-tests/tests/links.rs
@@ -1,10 +1,12 @@
 //! The links between gateways and engines, by what a gateway sees of them.
 
+mod common;
+
 use std::io::ErrorKind;
-use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
+use common::{block_on, started};
+use glenrail_fault_tests::deployment::DeploymentSpec;
 use glenrail_fault_tests::network::Condition;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -14,32 +16,11 @@
 /// A refused or reset connection shows as such within this time on loopback.
 const SHOWN_WITHIN: Duration = Duration::from_secs(2);
 
-fn program() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"))
-}
-
-/// The gateway lies beside this crate's program; a test of the whole workspace builds both.
-fn gateway() -> PathBuf {
-    let path = program().with_file_name("glenrail");
-    assert!(
-        path.exists(),
-        "{} is not built: run the tests of the workspace, or cargo build -p glenrail",
-        path.display()
-    );
-    path
-}
-
-fn block_on<F: std::future::Future>(scenario: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    runtime.expect("a runtime").block_on(scenario)
-}
-
 /// Guards the rig against an orderly end in place of a reset, which would prove that the engine has ended the connection.
 #[test]
 fn a_reset_of_a_link_shows_as_one() {
     block_on(async {
-        let deployment =
-            Deployment::start(DeploymentSpec::new(1, 1, 1), program(), &gateway()).await.expect("it starts");
+        let deployment = started(DeploymentSpec::new(1, 1, 1)).await;
         let link = &deployment.links[&(0, PREFILL_SERVER)];
         let mut connection = TcpStream::connect(link.address).await.expect("it accepts");
         let check = b"GET /health HTTP/1.1\r\nhost: api.internal\r\n\r\n";
@@ -58,7 +39,7 @@
 fn a_link_refuses_while_the_process_of_its_engine_is_gone() {
     block_on(async {
         let spec = DeploymentSpec::new(1, 1, 1);
-        let mut deployment = Deployment::start(spec, program(), &gateway()).await.expect("it starts");
+        let mut deployment = started(spec).await;
         let address = deployment.links[&(0, PREFILL_SERVER)].address;
         let connect = || timeout(SHOWN_WITHIN, TcpStream::connect(address));
         connect().await.expect("in time").expect("it accepts");
--- a/fault-tests/tests/resets.rs
+++ b/fault-tests/tests/resets.rs
@@ -1,9 +1,11 @@
 //! Connections that are reset while a prefill runs, behind the built gateway: a server that stands still through the reset and
 //! goes on. This is the incident of docs/incidents/2026-12-resets-taken-for-an-end.md.
 
-use std::path::{Path, PathBuf};
+mod common;
+
 use std::time::Duration;
 
+use common::{block_on, started};
 use glenrail_fault_tests::client::{send_request, ClientRequest};
 use glenrail_fault_tests::clock;
 use glenrail_fault_tests::deployment::{Deployment, DeploymentSpec};
@@ -27,26 +29,6 @@
 /// The server stands still for so long after the reset: longer than the router waits for a server before it rejects.
 const STANDS_STILL: Duration = Duration::from_millis(4_000);
 
-fn program() -> &'static Path {
-    Path::new(env!("CARGO_BIN_EXE_glenrail-fault-tests"))
-}
-
-/// The gateway lies beside this crate's program; a test of the whole workspace builds both.
-fn gateway() -> PathBuf {
-    let path = program().with_file_name("glenrail");
-    assert!(
-        path.exists(),
-        "{} is not built: run the tests of the workspace, or cargo build -p glenrail",
-        path.display()
-    );
-    path
-}
-
-fn block_on<F: std::future::Future>(scenario: F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    runtime.expect("a runtime").block_on(scenario)
-}
-
 /// What becomes of a prefill whose connection has ended.
 #[derive(Clone, Copy, PartialEq)]
 enum Prefills {
@@ -62,7 +44,7 @@
         engine.service_time_ms = (PREFILL_MS, PREFILL_MS);
         engine.finishes_prefills = prefills == Prefills::Finished;
     }
-    let deployment = Deployment::start(spec, program(), &gateway()).await.expect("it starts");
+    let deployment = started(spec).await;
     // One after the other: beside each other they would be rejected as too slow.
     for n in 0..WARM_UP {
         let ask = ClientRequest::new(format!("warm{n}"), "item-query", DEADLINE, true);
