--- a/gateway/tests/common/signals.rs
+++ b/gateway/tests/common/signals.rs
@@ -10,6 +10,8 @@
     let signal = match name {
         "-CONT" => Signal::CONT,
         "-HUP" => Signal::HUP,
+        "-INT" => Signal::INT,
+        "-KILL" => Signal::KILL,
         "-STOP" => Signal::STOP,
         "-TERM" => Signal::TERM,
         _ => panic!("{name} is not among the tests' signals"),
