Move the processes of the upgrade tests into their support modules

Change: Process, Place, PARTS and host of gateway/tests/upgrade.rs are in gateway/tests/common/upgrades.rs, and three copies of the stand-in discovery are one function. No assertion changes.

--- /dev/null
+++ b/gateway/tests/common/upgrades.rs
@@ -0,0 +1,130 @@
+//! Processes that take over from one another at one address, before stand-in servers.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::{json, Value};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+
+use super::{answer, until, Act, StandIn};
+
+/// The pieces in which a server sends a stream; one event is cut in two.
+pub const PARTS: [&str; 9] = [
+    "data: {\"n\":0}\n\n",
+    "data: {\"n\":1}\n\n",
+    "data: {\"n\":2}\n\nda",
+    "ta: {\"n\":3}\n\n",
+    "data: {\"n\":4}\n\n",
+    "data: {\"n\":5}\n\n",
+    "data: {\"n\":6}\n\n",
+    "data: {\"n\":7}\n\n",
+    "data: [DONE]\n\n",
+];
+
+/// A process of the gateway, killed with the test.
+pub struct Process {
+    child: Child,
+    ops: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// What the processes of one gateway share: the address, the state directory and the settings.
+pub struct Place {
+    dir: PathBuf,
+    pub listen: SocketAddr,
+    pub settings: Value,
+}
+
+impl Place {
+    pub fn new(name: &str, agent: &StandIn, hosts: &Value) -> Place {
+        let dir =
+            Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("upgrade-{name}-{}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).expect("a directory");
+        let settings = json!({"name": "n0", "seed": "8c1f30d27a5be964", "discovery": agent.address.to_string(),
+            "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": {"seq": 7, "whole": true, "hosts": hosts},
+            "settings": {"quantum": 4.0, "zones": ["dc"], "kinds": ["prompt-side", "answer-side"],
+                "services": [{"name": "item-query", "aim": 8000.0, "deadline": 10000.0, "semantics": "free"}],
+                "domain": {"stage-of-kind": ["read", "write"], "pin-limit": 500.0},
+                "policy-limits": {"max-attempts": 5, "cancel": true, "dial-timeout": 5000.0}}});
+        Place { dir, listen: free(), settings }
+    }
+
+    pub fn orders(&self) -> PathBuf {
+        self.dir.join(format!("glenrail-{}", self.listen).replace(':', "-")).join("offline")
+    }
+
+    /// Starts a process here; the platform waits until it says yes.
+    pub async fn start(&self) -> Process {
+        let ops = free();
+        let mut config = self.settings.clone();
+        config["listen"] = self.listen.to_string().into();
+        config["ops"] = ops.to_string().into();
+        let file = self.dir.join(format!("config-{}.json", ops.port()));
+        std::fs::write(&file, config.to_string()).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_glenrail"));
+        let command = command.env("EDGE_CONFIG", &file).env("TMPDIR", &self.dir).stderr(Stdio::null());
+        let process = Process { child: command.spawn().expect("the program starts"), ops };
+        while process.call("GET", "/control/ready").await != Some(200) {
+            sleep(Duration::from_millis(5)).await;
+        }
+        process
+    }
+}
+
+/// An address that was free just now, for a process to listen on.
+fn free() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+impl Process {
+    pub async fn call(&self, method: &str, path: &str) -> Option<u16> {
+        let mut raw = TcpStream::connect(self.ops).await.ok()?;
+        raw.write_all(format!("{method} {path} HTTP/1.1\r\nhost: ops\r\n\r\n").as_bytes()).await.ok()?;
+        let mut said = String::new();
+        raw.read_to_string(&mut said).await.ok()?;
+        said.get(9..12)?.parse().ok()
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
+    }
+
+    pub async fn ended(&mut self) -> bool {
+        let mut status = None;
+        until(|| {
+            status = self.child.try_wait().expect("a state");
+            status.is_some()
+        })
+        .await;
+        status.expect("an end").success()
+    }
+}
+
+pub fn host(name: &str, kind: &str, at: &StandIn) -> Value {
+    json!({"host": name, "dial": at.address.to_string(), "site": "dc", "class": kind, "block": 0,
+        "health": "SERVING", "share": 1.0, "born_ms": 0})
+}
+
+/// Discovery that gives this list to each process.
+pub async fn discovery(hosts: &Value) -> StandIn {
+    let list = json!({"seq": 8, "whole": true, "hosts": hosts}).to_string();
+    StandIn::start(move |_, seen| match seen.path.as_str() {
+        "/v1/endpoints" => Act::Answer(answer(200, &[], list.clone())),
+        _ => Act::Silence,
+    })
+    .await
+}
--- a/gateway/tests/upgrade.rs
+++ b/gateway/tests/upgrade.rs
@@ -4,111 +4,22 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use common::gateway::CHAT;
+use common::upgrades::{discovery, host, Place, PARTS};
 use common::*;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1::{handshake, SendRequest};
 use hyper_util::rt::TokioIo;
-use serde_json::{json, Value};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use serde_json::json;
 use tokio::net::TcpStream;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, Instant};
 
-struct Process {
-    child: Child,
-    ops: SocketAddr,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
-struct Place {
-    dir: PathBuf,
-    listen: SocketAddr,
-    settings: Value,
-}
-
-impl Place {
-    fn new(name: &str, agent: &StandIn, hosts: &Value) -> Place {
-        let dir =
-            Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("upgrade-{name}-{}", std::process::id()));
-        let _ = std::fs::remove_dir_all(&dir);
-        std::fs::create_dir_all(&dir).expect("a directory");
-        let settings = json!({"name": "n0", "seed": "8c1f30d27a5be964", "discovery": agent.address.to_string(),
-            "limits": {"memory_mb": 192, "sockets": 1024},
-            "known": {"seq": 7, "whole": true, "hosts": hosts},
-            "settings": {"quantum": 4.0, "zones": ["dc"], "kinds": ["prompt-side", "answer-side"],
-                "services": [{"name": "item-query", "aim": 8000.0, "deadline": 10000.0, "semantics": "free"}],
-                "domain": {"stage-of-kind": ["read", "write"], "pin-limit": 500.0},
-                "policy-limits": {"max-attempts": 5, "cancel": true, "dial-timeout": 5000.0}}});
-        Place { dir, listen: free(), settings }
-    }
-
-    fn orders(&self) -> PathBuf {
-        self.dir.join(format!("glenrail-{}", self.listen).replace(':', "-")).join("offline")
-    }
-
-    /// Starts a process here; the platform waits until it says yes.
-    async fn start(&self) -> Process {
-        let ops = free();
-        let mut config = self.settings.clone();
-        config["listen"] = self.listen.to_string().into();
-        config["ops"] = ops.to_string().into();
-        let file = self.dir.join(format!("config-{}.json", ops.port()));
-        std::fs::write(&file, config.to_string()).expect("a file");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_glenrail"));
-        let command = command.env("EDGE_CONFIG", &file).env("TMPDIR", &self.dir).stderr(Stdio::null());
-        let process = Process { child: command.spawn().expect("the program starts"), ops };
-        while process.call("GET", "/control/ready").await != Some(200) {
-            sleep(Duration::from_millis(5)).await;
-        }
-        process
-    }
-}
-
-/// An address that was free just now, for a process to listen on.
-fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
-    listener.local_addr().expect("an address")
-}
-
-impl Process {
-    async fn call(&self, method: &str, path: &str) -> Option<u16> {
-        let mut raw = TcpStream::connect(self.ops).await.ok()?;
-        raw.write_all(format!("{method} {path} HTTP/1.1\r\nhost: ops\r\n\r\n").as_bytes()).await.ok()?;
-        let mut said = String::new();
-        raw.read_to_string(&mut said).await.ok()?;
-        said.get(9..12)?.parse().ok()
-    }
-
-    fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("kill").success());
-    }
-
-    async fn ended(&mut self) -> bool {
-        let mut status = None;
-        until(|| {
-            status = self.child.try_wait().expect("a state");
-            status.is_some()
-        })
-        .await;
-        status.expect("an end").success()
-    }
-}
-
 /// A client that keeps its connection for as long as the gateway does.
 struct Client {
     address: SocketAddr,
@@ -144,23 +55,6 @@
     }
 }
 
-const PARTS: [&str; 9] = [
-    "data: {\"n\":0}\n\n",
-    "data: {\"n\":1}\n\n",
-    "data: {\"n\":2}\n\nda",
-    "ta: {\"n\":3}\n\n",
-    "data: {\"n\":4}\n\n",
-    "data: {\"n\":5}\n\n",
-    "data: {\"n\":6}\n\n",
-    "data: {\"n\":7}\n\n",
-    "data: [DONE]\n\n",
-];
-
-fn host(name: &str, kind: &str, at: &StandIn) -> Value {
-    json!({"host": name, "dial": at.address.to_string(), "site": "dc", "class": kind, "block": 0,
-        "health": "SERVING", "share": 1.0, "born_ms": 0})
-}
-
 /// Guards an upgrade under load, and then another: no request is lost or turned away, clients keep their connections,
 /// a stream that outlives both processes that began it comes whole and once, and an engine that operators took out
 /// stays out. Each process ends by itself once told to.
@@ -180,12 +74,7 @@
             host("w", "answer-side", &writer),
             host("out", "answer-side", &banned)
         ]);
-        let list = json!({"seq": 8, "whole": true, "hosts": hosts}).to_string();
-        let agent = StandIn::start(move |_, seen| match seen.path.as_str() {
-            "/v1/endpoints" => Act::Answer(answer(200, &[], list.clone())),
-            _ => Act::Silence,
-        })
-        .await;
+        let agent = discovery(&hosts).await;
         let place = Place::new("load", &agent, &hosts);
         let mut first = place.start().await;
         assert_eq!(first.call("POST", "/control/engines/out/offline").await, Some(200));
@@ -260,12 +149,7 @@
         let reader = StandIn::start(|_, _| read()).await;
         let writer = StandIn::start(move |_, _| Act::Told(parts.take().expect("one request"))).await;
         let hosts = json!([host("r", "prompt-side", &reader), host("w", "answer-side", &writer)]);
-        let list = json!({"seq": 8, "whole": true, "hosts": hosts}).to_string();
-        let agent = StandIn::start(move |_, seen| match seen.path.as_str() {
-            "/v1/endpoints" => Act::Answer(answer(200, &[], list.clone())),
-            _ => Act::Silence,
-        })
-        .await;
+        let agent = discovery(&hosts).await;
         let mut place = Place::new("short", &agent, &hosts);
         let class = &mut place.settings["settings"]["services"][0];
         (class["aim"], class["deadline"]) = (json!(0.8 * DEADLINE), json!(DEADLINE));
@@ -295,12 +179,7 @@
     run(async {
         let (reader, writer) = (StandIn::start(|_, _| read()).await, StandIn::start(|_, _| stream()).await);
         let hosts = json!([host("r", "prompt-side", &reader), host("w", "answer-side", &writer)]);
-        let list = json!({"seq": 8, "whole": true, "hosts": hosts}).to_string();
-        let agent = StandIn::start(move |_, seen| match seen.path.as_str() {
-            "/v1/endpoints" => Act::Answer(answer(200, &[], list.clone())),
-            _ => Act::Silence,
-        })
-        .await;
+        let agent = discovery(&hosts).await;
         let place = Place::new("dies", &agent, &hosts);
         let first = place.start().await;
         let mut client = Client::new(place.listen);
