Release the id of a stream that arrives after its predecessor has ended

Cause: the end of the link for ids was read before the stream, which comes on another socket; an announced stream that had not arrived was counted as left behind by a killed process, and its arrival did not take that back.

Change: an announced stream keeps its own use of the id until it ends, or until the retention ends if it never arrives. A withdrawn claim is released at once, and claims have numbers: the model checker, now required to free every id between two processes that end in order, found that a claim withdrawn just before its process exits left its id behind too.

--- a/crates/request-lifecycle/src/request_ids/arbitration.rs
+++ b/crates/request-lifecycle/src/request_ids/arbitration.rs
@@ -2,11 +2,22 @@
 
 use std::mem::take;
 
-use super::{Arbiter, Claimant, Decision, Effect, Fault, LinkId, Message, RequestIdTable, User};
+use super::{
+    Arbiter, ClaimNumber, Claimant, Decision, Effect, Fault, LinkId, Message, RequestIdTable, User,
+    WaitingClaim,
+};
 
 impl<K: Ord + Clone> RequestIdTable<K> {
     /// Decides a claim at once if this process can, and else asks the arbiter.
     pub(super) fn claim(&mut self, id: K, claimant: Claimant, effects: &mut Vec<Effect<K>>) {
+        if self
+            .claims
+            .get(&id)
+            .is_some_and(|claim| claim.claimant == claimant && claimant != Claimant::Request)
+        {
+            // The message has arrived twice; the claim is answered once.
+            return;
+        }
         if self.is_in_use(&id) {
             return refuse(id, claimant, effects);
         }
@@ -16,43 +27,55 @@
                 self.grant(id, claimant, effects);
             }
             Arbiter::Link(arbiter) => {
-                effects.push(Effect::Send(arbiter, Message::Claim(id.clone())));
-                self.claims.insert(id, claimant);
+                let number = self.store_claim(id.clone(), claimant);
+                effects.push(Effect::Send(arbiter, Message::Claim(id, number)));
             }
             Arbiter::Unreachable => {
-                self.claims.insert(id, claimant);
+                self.store_claim(id, claimant);
             }
         }
     }
 
-    pub(super) fn withdraw(&mut self, id: &K) {
-        if self.arbiter == Arbiter::Unreachable {
-            // No arbiter has been asked, or the one that was asked has ended.
-            self.claims.remove(id);
-        } else if let Some(claimant) = self.claims.get_mut(id) {
-            *claimant = Claimant::Withdrawn;
+    fn store_claim(&mut self, id: K, claimant: Claimant) -> ClaimNumber {
+        self.last_claim.0 += 1;
+        let number = self.last_claim;
+        self.claims.insert(id, WaitingClaim { claimant, number });
+        number
+    }
+
+    /// Withdraws a claim. The arbiter, which may have granted it by now, is told that the id is not used.
+    pub(super) fn withdraw(&mut self, id: &K, effects: &mut Vec<Effect<K>>) {
+        if self.claims.remove(id).is_none() || self.has_fault(Fault::KeepsWithdrawnClaim) {
+            return;
+        }
+        if let Arbiter::Link(arbiter) = self.arbiter {
+            if !self.uses_apart_from(id, arbiter) {
+                effects.push(Effect::Send(arbiter, Message::Released(id.clone())));
+            }
+        }
+    }
+
+    /// The process behind this link does not use the id: its request has finished, or it has withdrawn its claim.
+    pub(super) fn release(&mut self, link: LinkId, id: &K, effects: &mut Vec<Effect<K>>) {
+        let claimant = self.claims.get(id).map(|claim| claim.claimant);
+        if matches!(claimant, Some(Claimant::Link(from, _)) if from == link) {
+            self.withdraw(id, effects);
+        } else if !self.has_fault(Fault::IgnoresRelease) {
+            self.remove_user(id, User::Link(link), effects);
         }
     }
 
     pub(super) fn apply_decision(
-        &mut self, link: LinkId, id: K, decision: Decision, effects: &mut Vec<Effect<K>>,
+        &mut self, link: LinkId, id: K, number: ClaimNumber, decision: Decision, effects: &mut Vec<Effect<K>>,
     ) {
-        let claimant = match self.arbiter == Arbiter::Link(link) {
-            true => self.claims.remove(&id),
-            false => None,
-        };
-        match (claimant, decision) {
-            (Some(claimant @ (Claimant::Request | Claimant::Link(_))), Decision::Granted) => {
-                self.grant(id, claimant, effects);
-            }
-            (Some(claimant), Decision::InUse) => refuse(id, claimant, effects),
-            (Some(Claimant::Withdrawn) | None, Decision::Granted) => {
-                let is_used = self.users.get(&id).is_some_and(|users| !users.contains(&User::Link(link)));
-                if !is_used && !self.has_fault(Fault::KeepsWithdrawnClaim) {
-                    effects.push(Effect::Send(link, Message::Released(id)));
-                }
-            }
-            (None, Decision::InUse) => {}
+        let is_awaited = self.claims.get(&id).is_some_and(|claim| claim.number == number);
+        if self.arbiter != Arbiter::Link(link) || !is_awaited {
+            return;
+        }
+        let Some(WaitingClaim { claimant, .. }) = self.claims.remove(&id) else { return };
+        match decision {
+            Decision::Granted => self.grant(id, claimant, effects),
+            Decision::InUse => refuse(id, claimant, effects),
         }
     }
 
@@ -62,11 +85,10 @@
                 self.add_user(id.clone(), User::Request, effects);
                 effects.push(Effect::Decided(id, Decision::Granted));
             }
-            Claimant::Link(link) => {
+            Claimant::Link(link, number) => {
                 self.add_user(id.clone(), User::Link(link), effects);
-                effects.push(Effect::Send(link, Message::Decided(id, Decision::Granted)));
+                effects.push(Effect::Send(link, Message::Decided(id, number, Decision::Granted)));
             }
-            Claimant::Withdrawn => {}
         }
     }
 
@@ -113,17 +135,19 @@
         }
         if self.predecessor == Some(link) {
             self.predecessor = None;
-            self.end_stream_announcements(effects);
+            self.end_stream_announcements(link, effects);
         }
         self.retain_ids_of(link, effects);
-        self.claims.values_mut().filter(|claimant| **claimant == Claimant::Link(link)).for_each(|claimant| {
-            *claimant = Claimant::Withdrawn;
-        });
+        let is_theirs = |(id, claim): (&K, &WaitingClaim)| {
+            matches!(claim.claimant, Claimant::Link(from, _) if from == link).then(|| id.clone())
+        };
+        for id in self.claims.iter().filter_map(is_theirs).collect::<Vec<_>>() {
+            self.withdraw(&id, effects);
+        }
         if self.arbiter != Arbiter::Link(link) {
             return;
         }
         self.arbiter = Arbiter::Unreachable;
-        self.claims.retain(|_, claimant| *claimant != Claimant::Withdrawn);
         if self.successor != Some(link) {
             self.replace_ended_arbiter(effects);
         }
@@ -160,10 +184,8 @@
     fn become_arbiter(&mut self, effects: &mut Vec<Effect<K>>) {
         self.arbiter = Arbiter::ThisProcess;
         self.notify_predecessor(Message::ArbitrationResumed, effects);
-        for (id, claimant) in take(&mut self.claims) {
-            if claimant != Claimant::Withdrawn {
-                self.claim(id, claimant, effects);
-            }
+        for (id, WaitingClaim { claimant, .. }) in take(&mut self.claims) {
+            self.claim(id, claimant, effects);
         }
     }
 }
@@ -171,7 +193,8 @@
 fn refuse<K>(id: K, claimant: Claimant, effects: &mut Vec<Effect<K>>) {
     match claimant {
         Claimant::Request => effects.push(Effect::Decided(id, Decision::InUse)),
-        Claimant::Link(link) => effects.push(Effect::Send(link, Message::Decided(id, Decision::InUse))),
-        Claimant::Withdrawn => {}
+        Claimant::Link(link, number) => {
+            effects.push(Effect::Send(link, Message::Decided(id, number, Decision::InUse)));
+        }
     }
 }
--- a/crates/request-lifecycle/src/request_ids/messages.rs
+++ b/crates/request-lifecycle/src/request_ids/messages.rs
@@ -10,6 +10,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct SocketCookie(pub u64);
 
+/// Number of a claim, unique among those of its sender, so that a late answer is not taken for that to a later claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ClaimNumber(pub u64);
+
 /// How the driver identifies a stream that it hands over.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum StreamKey<K> {
@@ -82,12 +86,12 @@
 pub enum Message<K> {
     /// The sender, or a process behind it, uses this id.
     InUse(K),
-    /// Neither the sender nor a process behind it uses this id any longer.
+    /// Neither the sender nor a process behind it uses or claims this id any longer.
     Released(K),
     /// The sender asks the arbiter for this id.
-    Claim(K),
-    /// The arbiter's answer to a claim.
-    Decided(K, Decision),
+    Claim(K, ClaimNumber),
+    /// The arbiter's answer to the claim with this number.
+    Decided(K, ClaimNumber, Decision),
     /// The receiver continues the stream of the request with this id, on this client's socket.
     ContinueStream(K, SocketCookie),
     /// The receiver is the arbiter from now on. All ids that the sender uses have been sent before.
--- a/crates/request-lifecycle/src/request_ids/mod.rs
+++ b/crates/request-lifecycle/src/request_ids/mod.rs
@@ -16,7 +16,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-pub use self::messages::{Decision, Effect, Input, LinkId, Message, SocketCookie, StreamKey};
+pub use self::messages::{ClaimNumber, Decision, Effect, Input, LinkId, Message, SocketCookie, StreamKey};
 #[cfg(not(feature = "mutants"))]
 use self::planted_faults::Fault;
 #[cfg(feature = "mutants")]
@@ -41,10 +41,16 @@
 enum Claimant {
     /// A request of this process.
     Request,
-    /// A process behind this link.
-    Link(LinkId),
-    /// Nobody any more; the id is released if it is granted.
-    Withdrawn,
+    /// A process behind this link, with the number of its claim.
+    Link(LinkId, ClaimNumber),
+}
+
+/// A claim that waits for the arbiter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct WaitingClaim {
+    claimant: Claimant,
+    /// Number under which the arbiter was asked.
+    number: ClaimNumber,
 }
 
 /// Which process grants ids.
@@ -63,7 +69,8 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct RequestIdTable<K: Ord> {
     users: BTreeMap<K, BTreeSet<User>>,
-    claims: BTreeMap<K, Claimant>,
+    claims: BTreeMap<K, WaitingClaim>,
+    last_claim: ClaimNumber,
     /// Streams that this process continues for its predecessor.
     streams: BTreeMap<SocketCookie, ContinuedStream<K>>,
     /// Whether this process shuts down and receives no more streams.
@@ -85,6 +92,7 @@
         RequestIdTable {
             users: BTreeMap::new(),
             claims: BTreeMap::new(),
+            last_claim: ClaimNumber(0),
             streams: BTreeMap::new(),
             refuses_streams: false,
             links: BTreeSet::new(),
@@ -104,7 +112,7 @@
     pub fn step(&mut self, input: Input<K>, effects: &mut Vec<Effect<K>>) {
         match input {
             Input::Claimed(id) => self.claim(id, Claimant::Request, effects),
-            Input::ClaimWithdrawn(id) => self.withdraw(&id),
+            Input::ClaimWithdrawn(id) => self.withdraw(&id, effects),
             Input::RequestFinished(id) => self.remove_user(&id, User::Request, effects),
             Input::StreamHandedOver { stream, socket } => self.hand_over_stream(stream, socket, effects),
             Input::StreamArrived(socket) => self.start_stream(socket, effects),
@@ -126,7 +134,7 @@
                 effects.push(Effect::StartRetention(link));
             }
             Input::RetentionElapsed(link) => {
-                self.drop_announced_streams(link);
+                self.drop_announced_streams(link, effects);
                 self.remove_user_everywhere(User::EndedProcess(link), effects);
             }
         }
@@ -158,15 +166,13 @@
         }
         match message {
             Message::InUse(id) => self.add_user(id, User::Link(link), effects),
-            Message::Released(id) => {
-                if !self.has_fault(Fault::IgnoresRelease) {
-                    self.remove_user(&id, User::Link(link), effects);
-                }
-            }
+            Message::Released(id) => self.release(link, &id, effects),
             // A claim that crossed the return of arbitration; its sender is the arbiter now and decides it.
-            Message::Claim(_) if self.arbiter == Arbiter::Link(link) => {}
-            Message::Claim(id) => self.claim(id, Claimant::Link(link), effects),
-            Message::Decided(id, decision) => self.apply_decision(link, id, decision, effects),
+            Message::Claim(..) if self.arbiter == Arbiter::Link(link) => {}
+            Message::Claim(id, number) => self.claim(id, Claimant::Link(link, number), effects),
+            Message::Decided(id, number, decision) => {
+                self.apply_decision(link, id, number, decision, effects);
+            }
             Message::ContinueStream(id, socket) => self.announce_stream(link, id, socket, effects),
             Message::Arbitrate => self.take_arbitration(link, effects),
             Message::ArbitrationPassedOn => self.arbitration_passed_on = true,
--- a/crates/request-lifecycle/src/request_ids/streams.rs
+++ b/crates/request-lifecycle/src/request_ids/streams.rs
@@ -114,15 +114,13 @@
         announced.collect()
     }
 
-    /// The predecessor has ended. Streams that have not arrived may still be on their way; their ids are kept like the
-    /// others that it has not released.
-    pub(super) fn end_stream_announcements(&mut self, effects: &mut Vec<Effect<K>>) {
+    /// The predecessor has ended. Streams that have not arrived may still be on their way, for the retention at most.
+    pub(super) fn end_stream_announcements(&mut self, link: LinkId, effects: &mut Vec<Effect<K>>) {
         self.streams.retain(|_, stream| {
             !matches!(stream, ContinuedStream::Ended | ContinuedStream::UnnamedElsewhere(_))
         });
-        for (socket, id, predecessor) in self.announced_streams() {
-            self.add_user(id.clone(), User::Link(predecessor), effects);
-            self.remove_user(&id, User::Stream(socket), effects);
+        if !self.announced_streams().is_empty() {
+            effects.push(Effect::StartRetention(link));
         }
     }
 
@@ -132,10 +130,12 @@
     }
 
     /// Streams of this predecessor that have not arrived will not arrive any more.
-    pub(super) fn drop_announced_streams(&mut self, link: LinkId) {
-        self.streams.retain(|_, stream| match stream {
-            ContinuedStream::Announced { predecessor, .. } => *predecessor != link,
-            _ => true,
-        });
+    pub(super) fn drop_announced_streams(&mut self, link: LinkId, effects: &mut Vec<Effect<K>>) {
+        for (socket, id, predecessor) in self.announced_streams() {
+            if predecessor == link {
+                self.streams.remove(&socket);
+                self.remove_user(&id, User::Stream(socket), effects);
+            }
+        }
     }
 }
--- a/crates/request-lifecycle/src/request_ids/tests.rs
+++ b/crates/request-lifecycle/src/request_ids/tests.rs
@@ -1,6 +1,6 @@
 //! Claims, releases and arbitration over one link, step by step. The model checker explores the orders.
 
-use super::{Decision, Effect, Input, LinkId, Message, RequestIdTable, SocketCookie, StreamKey};
+use super::{ClaimNumber, Decision, Effect, Input, LinkId, Message, RequestIdTable, SocketCookie, StreamKey};
 
 type Table = RequestIdTable<&'static str>;
 
@@ -40,14 +40,19 @@
 #[test]
 fn a_predecessor_asks_its_successor_for_each_id() {
     let mut table = predecessor();
-    assert_eq!(step(&mut table, Input::Claimed("b")), [Effect::Send(LINK, Message::Claim("b"))]);
-    let granted = Input::Received(LINK, Message::Decided("b", Decision::Granted));
+    assert_eq!(
+        step(&mut table, Input::Claimed("b")),
+        [Effect::Send(LINK, Message::Claim("b", ClaimNumber(1)))]
+    );
+    let granted = Input::Received(LINK, Message::Decided("b", ClaimNumber(1), Decision::Granted));
     let effects = step(&mut table, granted);
     assert_eq!(effects.last(), Some(&Effect::Decided("b", Decision::Granted)));
     step(&mut table, Input::Claimed("c"));
-    step(&mut table, Input::ClaimWithdrawn("c"));
-    let granted = Input::Received(LINK, Message::Decided("c", Decision::Granted));
-    assert_eq!(step(&mut table, granted), [Effect::Send(LINK, Message::Released("c"))]);
+    let withdrawn = step(&mut table, Input::ClaimWithdrawn("c"));
+    assert_eq!(withdrawn, [Effect::Send(LINK, Message::Released("c"))]);
+    let granted = Input::Received(LINK, Message::Decided("c", ClaimNumber(2), Decision::Granted));
+    assert_eq!(step(&mut table, granted), []);
+    assert!(!table.is_in_use(&"c"));
 }
 
 #[test]
@@ -66,6 +71,20 @@
     assert!(second.is_empty());
 }
 
+/// Guards an id against being kept after an upgrade: the predecessor ends in order before its stream is received.
+#[test]
+fn a_stream_that_arrives_after_the_end_of_its_predecessor_releases_its_id() {
+    let mut table = Table::default();
+    step(&mut table, Input::PredecessorConnected(LINK));
+    step(&mut table, Input::Received(LINK, Message::ContinueStream("a", STREAM)));
+    step(&mut table, Input::Disconnected(LINK));
+    assert_eq!(step(&mut table, Input::Claimed("a")), decided("a", Decision::InUse));
+    step(&mut table, Input::StreamArrived(STREAM));
+    assert_eq!(step(&mut table, Input::Claimed("a")), decided("a", Decision::InUse));
+    step(&mut table, Input::StreamEnded(STREAM));
+    assert!(table.is_empty());
+}
+
 #[test]
 fn ids_of_a_process_that_ended_without_releasing_them_are_kept_for_a_time() {
     let mut table = Table::default();
--- a/crates/request-lifecycle/src/request_ids/usage.rs
+++ b/crates/request-lifecycle/src/request_ids/usage.rs
@@ -10,6 +10,11 @@
 }
 
 impl<K: Ord + Clone> RequestIdTable<K> {
+    /// Whether a user other than the process behind this link uses the id.
+    pub(super) fn uses_apart_from(&self, id: &K, link: LinkId) -> bool {
+        self.users.get(id).is_some_and(|users| concerns(users, link))
+    }
+
     pub(super) fn add_user(&mut self, id: K, user: User, effects: &mut Vec<Effect<K>>) {
         let before = self.users.get(&id).cloned().unwrap_or_default();
         self.users.entry(id.clone()).or_default().insert(user);
--- a/gateway/src/request_ids/mod.rs
+++ b/gateway/src/request_ids/mod.rs
@@ -217,7 +217,7 @@
     }
 
     fn start_retention(&self, link: LinkId) {
-        log!("upgrade: a process has ended with requests open; their ids stay in use for {RETENTION:?}");
+        log!("upgrade: a process has ended with ids in use; they stay in use for {RETENTION:?} at most");
         let ids = self.clone();
         spawn_local(async move {
             sleep(RETENTION).await;
--- a/gateway/src/request_ids/tests.rs
+++ b/gateway/src/request_ids/tests.rs
@@ -3,6 +3,7 @@
 use std::future::Future;
 use std::time::Duration;
 
+use glenrail_request_lifecycle::request_ids::ClaimNumber;
 use tokio::task::LocalSet;
 use tokio::time::Instant;
 
@@ -24,12 +25,12 @@
 
 fn pending(ids: &RequestIds, link: &mut Link) -> PendingClaim {
     let Claim::Pending(claim) = ids.claim(ID) else { panic!("the successor decides") };
-    assert_eq!(link.outgoing.try_recv(), Ok(Message::Claim(ID.to_owned())));
+    assert_eq!(link.outgoing.try_recv(), Ok(Message::Claim(ID.to_owned(), ClaimNumber(1))));
     claim
 }
 
 fn granted(ids: &RequestIds, link: &Link) {
-    ids.receive(link.id, Message::Decided(ID.to_owned(), Decision::Granted));
+    ids.receive(link.id, Message::Decided(ID.to_owned(), ClaimNumber(1), Decision::Granted));
 }
 
 #[tokio::test(start_paused = true)]
@@ -40,9 +41,9 @@
         let decision = pending(&ids, &mut link).decided().await;
         assert_eq!(decision.map(drop), Err(ClaimError::Undecided));
         assert!(started.elapsed() < Duration::from_millis(300));
-        // A grant that comes too late is given back.
-        granted(&ids, &link);
+        // A grant that comes too late is void.
         assert_eq!(link.outgoing.try_recv(), Ok(Message::Released(ID.to_owned())));
+        granted(&ids, &link);
         assert!(!ids.is_in_use(ID));
     })
     .await;
@@ -115,9 +116,9 @@
     let messages = [
         Message::InUse(id()),
         Message::Released(id()),
-        Message::Claim(id()),
-        Message::Decided(id(), Decision::Granted),
-        Message::Decided(id(), Decision::InUse),
+        Message::Claim(id(), ClaimNumber(1)),
+        Message::Decided(id(), ClaimNumber(1), Decision::Granted),
+        Message::Decided(id(), ClaimNumber(1), Decision::InUse),
         Message::ContinueStream(id(), SocketCookie(7)),
         Message::Arbitrate,
         Message::ArbitrationPassedOn,
--- a/model-checker/src/request_ids.rs
+++ b/model-checker/src/request_ids.rs
@@ -146,6 +146,8 @@
     processes: Vec<Process>,
     links: Vec<Link>,
     next_serial: u8,
+    /// Whether a stream was lost on its way, whose id no process releases then.
+    has_lost_stream: bool,
     left: Setup,
     /// The first rule that was broken.
     pub violated: Option<Rule>,
@@ -175,6 +177,7 @@
             processes: (0..self.processes).map(process).collect(),
             links: vec![Link::default(); usize::from(self.processes - 1)],
             next_serial: 0,
+            has_lost_stream: false,
             left: *self,
             violated: None,
         }
@@ -224,6 +227,10 @@
         matches!(self.stage, Stage::Starting | Stage::Serving | Stage::ShuttingDown)
     }
 
+    fn was_killed(&self) -> bool {
+        self.stage == Stage::Ended { killed: true }
+    }
+
     fn serves(&self) -> bool {
         matches!(self.stage, Stage::Serving | Stage::ShuttingDown)
     }
@@ -281,7 +288,11 @@
         }
         // Operators end a process only while another one serves.
         let is_told_to_end = is_replaced || process.stage == Stage::ShuttingDown;
-        if is_told_to_end && !process.is_waiting && !process.has_open_request() {
+        if is_told_to_end
+            && !process.is_waiting
+            && !process.has_open_request()
+            && !self.has_unread_messages(index)
+        {
             actions.push(Action::Exit(index));
         }
         // Ids are retained for longer than an older process, which has been told to end, can wait for a decision or have
@@ -290,12 +301,22 @@
         let is_stream_in_transit = self.links.iter().any(|link| link.stream.is_some());
         let is_message_in_transit = self.links.iter().any(|link| !link.to_older.is_empty());
         let is_older_open = older.iter().any(|process| process.is_waiting || process.has_open_request());
-        if !is_older_open && !is_stream_in_transit && !is_message_in_transit {
+        // Between two processes that end in order, every id is released.
+        let is_orderly = self.processes.len() == 2
+            && !self.has_lost_stream
+            && !self.processes.iter().any(Process::was_killed);
+        if !is_older_open && !is_stream_in_transit && !is_message_in_transit && !is_orderly {
             let retained = process.retained.iter();
             actions.extend(retained.map(|link| Action::RetentionElapsed { at: index, link: *link }));
         }
     }
 
+    /// Whether a message has come that the process has not read; it reads them before it exits.
+    fn has_unread_messages(&self, index: u8) -> bool {
+        self.link(index).is_some_and(|link| !link.to_older.is_empty())
+            || index > 0 && self.link(index - 1).is_some_and(|link| !link.to_newer.is_empty())
+    }
+
     fn actions_on(&self, index: u8, actions: &mut Vec<Action>) {
         let link = &self.links[usize::from(index)];
         let (older, newer) = (self.process(index), self.process(index + 1));
@@ -375,7 +396,7 @@
                 self.left.shutdowns -= 1;
                 self.process_mut(at).stage = Stage::ShuttingDown;
                 // A stream on its way to a process that shuts down is lost with its connections.
-                self.links[usize::from(at - 1)].stream = None;
+                self.lose_stream(at - 1);
                 self.step(at, Input::ShutdownStarted);
             }
             Action::RetentionElapsed { at, link } => {
@@ -466,9 +487,16 @@
             if index + 1 == at {
                 link.to_newer.clear();
                 link.is_open_at_newer = false;
-                link.stream = None;
             }
         }
+        if at > 0 {
+            self.lose_stream(at - 1);
+        }
+    }
+
+    fn lose_stream(&mut self, link: u8) {
+        let stream = self.links[usize::from(link)].stream.take();
+        self.has_lost_stream |= stream.is_some();
     }
 
     /// A process that is starting does not wait for a predecessor that has ended.
