--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -331,7 +331,7 @@
 class Answer:
     def __init__(self, request, status=None, body=b"", whole=False, error=None, took=0.0):
         self.request, self.status, self.body, self.whole = request, status, body, whole
-        self.error, self.took = error, took
+        self.error, self.took, self.head_after = error, took, None
 
     def contents(self):
         found = []
@@ -395,6 +395,7 @@
         found = Answer(request)
         try:
             head = await reader.readuntil(b"\r\n\r\n")
+            found.head_after = time.monotonic() - begun
             lines = head.decode("latin1").split("\r\n")
             found.status = int(lines[0].split()[1])
             headers = {l.split(":", 1)[0].lower(): l.split(":", 1)[1].strip() for l in lines[1:] if ":" in l}
@@ -433,13 +434,13 @@
 class Gateway:
     """A gateway as a process of its own."""
 
-    def __init__(self, record, folder, name, config, temporary=None, front=None):
+    def __init__(self, record, folder, name, config, temporary=None, arguments=""):
         self.record, self.name, self.config = record, name, config
         self.folder = Path(folder)
         self.path = self.folder / f"{name}.json"
         self.temporary = Path(temporary or self.folder / f"tmp-{name}")
         self.temporary.mkdir(exist_ok=True)
-        self.front, self.process = front, None
+        self.arguments, self.process = arguments, None
 
     def write(self):
         fresh = self.path.with_suffix(".new")
@@ -450,7 +451,7 @@
         self.write()
         environment = {k: v for k, v in os.environ.items() if not k.startswith("EDGE_")}
         environment.update(EDGE_CONFIG=str(self.path), TMPDIR=str(self.temporary))
-        command = deploy_command() + (f" --front {self.front}" if self.front else "")
+        command = f"{deploy_command()} {self.arguments}"
         self.log = open(self.folder / f"{self.name}.log", "w")
         self.process = subprocess.Popen(["/bin/sh", "-c", command], cwd=ROOT, env=environment, stdin=subprocess.DEVNULL,
                                         stdout=self.log, stderr=self.log)
@@ -503,14 +504,14 @@
     async def engine(self, name, role, kind=Engine, **options):
         return await kind(self.world, name, role, **options).start()
 
-    def gateway(self, name, discovery, listen=None, ops=None, temporary=None, front=None, **changes):
+    def gateway(self, name, discovery, listen=None, ops=None, temporary=None, arguments="", **changes):
         config = {"name": name, "listen": listen or f"{HOST}:{free_port()}", "discovery": discovery.address,
                   "seed": os.urandom(8).hex(), "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
                   "known": discovery.whole(), "settings": settings(**changes)}
         if ops:
             config["ops"] = ops
         gateway = Gateway(self.record, self.folder, name + ("" if not temporary else f"-{len(self.gateways)}"), config,
-                          temporary, front)
+                          temporary, arguments)
         self.gateways.append(gateway)
         return gateway.start()
 
