Log and count why each response ended early, with its request's id

Change: the end of each forwarded response that is not complete has a typed reason, is logged with the request's id, in the process that continues the stream after an upgrade too, and is counted in responses_ended_early. Result: the library's tests and those of admin, upgrade and request ids pass; no behaviour of a stream changes.

--- a/crates/request-lifecycle/src/request_ids/streams.rs
+++ b/crates/request-lifecycle/src/request_ids/streams.rs
@@ -19,6 +19,14 @@
 }
 
 impl<K: Ord + Clone> RequestIdTable<K> {
+    /// Returns the id of a stream that this process continues, by the socket of its client; `None` if it is not known.
+    pub fn continued_stream_id(&self, socket: SocketCookie) -> Option<&K> {
+        match self.streams.get(&socket)? {
+            ContinuedStream::Announced { id, .. } | ContinuedStream::Running { id } => Some(id),
+            ContinuedStream::Unnamed | ContinuedStream::UnnamedElsewhere(_) | ContinuedStream::Ended => None,
+        }
+    }
+
     /// Tells the successor which id the stream has that it is about to receive.
     pub(super) fn hand_over_stream(
         &mut self, stream: StreamKey<K>, socket: SocketCookie, effects: &mut Vec<Effect<K>>,
--- a/gateway/src/admin.rs
+++ b/gateway/src/admin.rs
@@ -20,6 +20,7 @@
 use crate::metrics::{OutcomeCounts, RequestCounter, RequestMetrics};
 use crate::plugin::Plugin;
 use crate::pools::Pool;
+use crate::response_ends;
 use crate::shutdown::Shutdown;
 
 /// Maximum number of operators' connections; fewer are allowed if the process has few file descriptors. At the
@@ -145,6 +146,7 @@
         counters["invariants_broken"] =
             invariants::counts().map(|(name, count)| (name.to_string(), Value::from(count))).collect();
         counters["connections_closed"] = closed_connections::to_json();
+        counters["responses_ended_early"] = response_ends::to_json();
         if let Some(plugin) = &context.plugin {
             counters["hook_failures"] = plugin.failures();
         }
--- a/gateway/src/core/forwarding.rs
+++ b/gateway/src/core/forwarding.rs
@@ -10,8 +10,8 @@
 use tokio::time::timeout;
 
 use crate::exchange::{self, ClientSide, ResponsePart, StreamRemainder};
-use crate::log;
 use crate::request_ids::RequestIdHold;
+use crate::response_ends::{self, ResponseEnd};
 use crate::upstream::{CallError, Frame, Frames};
 
 /// Maximum time between two complete events of a stream. It is less than the 5 s within which the platform's
@@ -38,42 +38,75 @@
     }
 }
 
+impl From<ResponseEnd> for StreamEnd {
+    fn from(end: ResponseEnd) -> Self {
+        match end {
+            ResponseEnd::Reset => StreamEnd::Reset,
+            ResponseEnd::Malformed => StreamEnd::MalformedResponse,
+            ResponseEnd::EventOverdue => StreamEnd::IdleTimeout,
+            ResponseEnd::ClientDisconnected | ResponseEnd::ClientStalled => StreamEnd::ClientStalled,
+        }
+    }
+}
+
 /// Forwards the parts of a response that follow the head, up to its end. A remainder that is handed over keeps the id of
 /// the request in use.
 pub async fn forward_remaining(
-    client: &mpsc::Sender<ResponsePart>, mut frames: Frames, id_hold: Option<RequestIdHold>,
+    client: &mpsc::Sender<ResponsePart>, frames: Frames, id_hold: Option<RequestIdHold>,
 ) -> StreamSummary {
+    let request = id_hold.clone();
+    match forward(client, frames, id_hold).await {
+        Ok(summary) => summary,
+        Err(end) => {
+            // The predecessor's message with the id may arrive after the stream.
+            let request = request.as_ref().and_then(RequestIdHold::request_id);
+            response_ends::report(end, request.as_deref());
+            StreamEnd::from(end).into()
+        }
+    }
+}
+
+/// Forwards the parts of a response up to its end or its handover; an error is the reason of an earlier end.
+async fn forward(
+    client: &mpsc::Sender<ResponsePart>, mut frames: Frames, id_hold: Option<RequestIdHold>,
+) -> Result<StreamSummary, ResponseEnd> {
     loop {
         let frame = tokio::select! {
             biased;
             frame = timeout(EVENT_IDLE_TIMEOUT, frames.next()) => frame,
-            () = client.closed() => return StreamEnd::ClientStalled.into(),
+            () = client.closed() => return Err(ResponseEnd::ClientDisconnected),
         };
         match frame {
             Ok(Some(Ok(Frame::Data(bytes)))) => {
                 if !send_part(client, ResponsePart::Chunk(bytes)).await {
-                    return StreamEnd::ClientStalled.into();
+                    return Err(client_end(client));
                 }
             }
             Ok(Some(Ok(Frame::HandedOver(remainder)))) => {
                 let remainder = StreamRemainder { id_hold, ..remainder };
                 send_part(client, ResponsePart::HandedOver(remainder)).await;
-                return StreamEnd::HandedOver.into();
+                return Ok(StreamEnd::HandedOver.into());
             }
             Ok(Some(Ok(Frame::End { cached_tokens, report }))) => {
                 send_part(client, ResponsePart::End).await;
-                return StreamSummary { end: StreamEnd::Complete, cached_tokens, load: report };
-            }
-            Ok(Some(Err(CallError::MalformedResponse))) => return StreamEnd::MalformedResponse.into(),
-            Ok(Some(Err(_)) | None) => return StreamEnd::Reset.into(),
-            Err(_) => {
-                log!("a stream was idle for too long and is ended");
-                return StreamEnd::IdleTimeout.into();
+                return Ok(StreamSummary { end: StreamEnd::Complete, cached_tokens, load: report });
             }
+            Ok(Some(Err(CallError::MalformedResponse))) => return Err(ResponseEnd::Malformed),
+            Ok(Some(Err(_)) | None) => return Err(ResponseEnd::Reset),
+            Err(_) => return Err(ResponseEnd::EventOverdue),
         }
     }
 }
 
+/// Returns why a part could not be sent to the client.
+pub fn client_end(client: &mpsc::Sender<ResponsePart>) -> ResponseEnd {
+    if client.is_closed() {
+        ResponseEnd::ClientDisconnected
+    } else {
+        ResponseEnd::ClientStalled
+    }
+}
+
 /// Continues a response that the predecessor process started. It belongs to no request of this process's router.
 pub fn resume_stream(frames: Frames, id_hold: Option<RequestIdHold>) -> ClientSide {
     let (client, response) = exchange::response_channel();
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod plugin;
 pub mod pools;
 pub mod request_ids;
+pub mod response_ends;
 pub mod shutdown;
 pub mod upgrade;
 pub mod upstream;
--- a/gateway/src/request_ids/hold.rs
+++ b/gateway/src/request_ids/hold.rs
@@ -24,6 +24,11 @@
         RequestIdHold(Rc::new(Hold { ids, key, is_retained: Cell::new(false) }))
     }
 
+    /// Returns the id; `None` for a stream of another process whose id has not been received.
+    pub fn request_id(&self) -> Option<String> {
+        self.0.ids.name_of(&self.0.key)
+    }
+
     /// Keeps the id in use for some time after its use has ended, because the client has left and the request may have run.
     pub fn retain(&self) {
         self.0.is_retained.set(true);
--- a/gateway/src/request_ids/mod.rs
+++ b/gateway/src/request_ids/mod.rs
@@ -111,6 +111,14 @@
         claim
     }
 
+    /// Returns the request id of a stream, if this process knows it.
+    fn name_of(&self, stream: &StreamKey<String>) -> Option<String> {
+        match stream {
+            StreamKey::Request(id) => Some(id.clone()),
+            StreamKey::Continued(socket) => self.0.borrow().table.continued_stream_id(*socket).cloned(),
+        }
+    }
+
     /// Returns the hold on the id of a stream that this process continues, by the socket of its client. Its id is known
     /// to the table as soon as the predecessor's message has arrived.
     pub fn hold_continued_stream(&self, socket: SocketCookie) -> RequestIdHold {
--- /dev/null
+++ b/gateway/src/response_ends.rs
@@ -0,0 +1,78 @@
+//! Counts and logs each response of a server that ended, or was ended, before it was complete.
+//!
+//! A gateway runs on one thread, so the counters are thread-local.
+
+use std::cell::RefCell;
+
+use serde_json::Value;
+
+use crate::log;
+use crate::log::RateLimit;
+
+/// Why a response ended before it was complete.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ResponseEnd {
+    /// The server's connection was closed or reset.
+    Reset,
+    /// The response could not be parsed.
+    Malformed,
+    /// No event was completed within the time limit after the last one.
+    EventOverdue,
+    /// The client disconnected.
+    ClientDisconnected,
+    /// The client read nothing of its response for too long.
+    ClientStalled,
+}
+
+impl ResponseEnd {
+    /// All reasons, in the order of the operators' counters.
+    pub const ALL: [ResponseEnd; 5] = [
+        ResponseEnd::Reset,
+        ResponseEnd::Malformed,
+        ResponseEnd::EventOverdue,
+        ResponseEnd::ClientDisconnected,
+        ResponseEnd::ClientStalled,
+    ];
+
+    /// Returns the name of the reason in the log and in the operators' counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            ResponseEnd::Reset => "reset",
+            ResponseEnd::Malformed => "malformed",
+            ResponseEnd::EventOverdue => "event_overdue",
+            ResponseEnd::ClientDisconnected => "client_disconnected",
+            ResponseEnd::ClientStalled => "client_stalled",
+        }
+    }
+
+    fn index(self) -> usize {
+        ResponseEnd::ALL.iter().position(|reason| *reason == self).unwrap_or_default()
+    }
+}
+
+thread_local! {
+    static COUNTS: RefCell<[u64; ResponseEnd::ALL.len()]> = RefCell::default();
+    /// One limit for each reason, so that many lines of one reason do not suppress those of others.
+    static LIMITS: [RateLimit; ResponseEnd::ALL.len()] =
+        const { [const { RateLimit::new() }; ResponseEnd::ALL.len()] };
+}
+
+/// Counts and logs the end of a response; `request` is the id of its request, `None` if this process does not know it.
+pub fn report(reason: ResponseEnd, request: Option<&str>) {
+    let index = reason.index();
+    COUNTS.with_borrow_mut(|counts| counts[index] += 1);
+    let request = request.unwrap_or("of another process");
+    LIMITS.with(|limits| {
+        log::write_limited(
+            &limits[index],
+            format_args!("request {request}: response ended early: {}", reason.name()),
+        );
+    });
+}
+
+/// Returns the counts as JSON for the operators, by reason.
+pub fn to_json() -> Value {
+    let counts = COUNTS.with_borrow(|counts| *counts);
+    let reasons = ResponseEnd::ALL.iter().zip(counts);
+    reasons.map(|(reason, count)| (reason.name().to_string(), Value::from(count))).collect()
+}
