Add failing tests of slow answers, of streams without events and of their upgrades

Cause: not mended yet. Callers saw long answers cut while they were written, and waited over 5 s after a server's last event. Change: real processes on loopback; servers write heads, short answers and events in pieces, go on with comments, empty lines and fields without data, or stop before an upgrade. The second front's servers pause and write slowly.

--- a/gateway/tests/inference.rs
+++ b/gateway/tests/inference.rs
@@ -445,3 +445,48 @@
         assert!(beside >= 0.98 * alone, "{beside} beside batches, {alone} alone");
     });
 }
+
+/// Guards streams of public APIs, whose servers pause and write slowly: no limit of the platform applies to them.
+#[test]
+fn a_slow_stream_of_a_public_server_is_not_cut() {
+    let pause = Duration::from_millis(5_500);
+    let paused = ["data: a\n\n", "data: b\n\n", "data: [DONE]\n\n"];
+    let in_pieces = ["data: a\n\nda", "ta: b", "\n\ndata: [DONE]\n\n"];
+    run(async move {
+        let slow = async |parts: [&'static str; 3]| {
+            let talker = StandIn::start(move |_, _| Act::Slowly(parts.to_vec(), pause)).await;
+            let g = gateway(file(&[], &[("c", &talker, false)])).await;
+            let chat = r#"{"model":"c","messages":[{"role":"user","content":"hi"}],"stream":true}"#;
+            let answer = ask(g.address, post("/v1/chat/completions", &[], chat)).await;
+            assert_eq!(answer.status(), 200);
+            assert_eq!(answer.body().as_deref(), Some(parts.concat().as_bytes()));
+        };
+        tokio::join!(slow(paused), slow(in_pieces));
+    });
+}
+
+/// Guards requests to public servers with time left: a head that comes in pieces is no failure.
+#[test]
+fn a_slow_head_of_a_public_server_is_read() {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    let talker = scripted::Engine::start(move |_, _| {
+        scripted::Says::ByHand(Box::new(move |socket: &mut std::net::TcpStream| {
+            use std::io::Write;
+            for piece in head.as_bytes().chunks(10) {
+                socket.write_all(piece).expect("written");
+                std::thread::sleep(Duration::from_millis(250));
+            }
+            socket.write_all(b"9\r\ndata: a\n\n\r\n0\r\n\r\n").is_ok()
+        }))
+    });
+    run(async move {
+        let text = format!(
+            "listen = '127.0.0.1:0'\n[chat]\nconnect_ms = 5000\nservers = [{{ name = 'c', dial = '{}' }}]",
+            talker.address
+        );
+        let g = gateway(parse_front(&text).expect("a file")).await;
+        let chat = r#"{"model":"c","messages":[{"role":"user","content":"hi"}],"stream":true}"#;
+        let answer = ask(g.address, post("/v1/chat/completions", &[], chat)).await;
+        assert_eq!((answer.status().as_u16(), answer.body().as_deref()), (200, Some(&b"data: a\n\n"[..])));
+    });
+}
--- /dev/null
+++ b/gateway/tests/slow_responses.rs
@@ -0,0 +1,341 @@
+//! Servers that write slowly, stop, or go on with what is no event, before the built program: an answer that is still being
+//! written is forwarded whole, and no client waits for 5 s after a server's last event.
+
+mod common;
+
+use std::cell::RefCell;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use common::crossing::{Client, Program};
+use common::scripted::{reader, Engine, Says, EMPTY, EVENTS, READ};
+use common::upgrades::{discovery, host, Place};
+use common::{read, run, stream, Act, StandIn, AGES};
+use serde_json::json;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::sync::mpsc;
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+const LAST_CHUNK: &str = "0\r\n\r\n";
+/// Time after a running server's last event by which its client's connection has to end, as the protocol has it.
+const WAIT_LIMIT: Duration = Duration::from_secs(5);
+
+fn chunk(data: &str) -> String {
+    format!("{:x}\r\n{data}\r\n", data.len())
+}
+
+/// One step of a server's answer.
+#[derive(Clone)]
+enum Step {
+    Write(String),
+    /// Writes the bytes in so many pieces, with a pause after each.
+    Pieces(String, usize, Duration),
+    Pause(Duration),
+}
+
+use Step::{Pause, Pieces, Write as Whole};
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn play(steps: &[Step], socket: &mut TcpStream) -> bool {
+    socket.set_nodelay(true).expect("set");
+    for step in steps {
+        let written = match step {
+            Whole(bytes) => socket.write_all(bytes.as_bytes()),
+            Pieces(bytes, count, pause) => {
+                let length = bytes.len().div_ceil(*count);
+                bytes.as_bytes().chunks(length).try_for_each(|piece| {
+                    socket.write_all(piece)?;
+                    sleep(*pause);
+                    Ok(())
+                })
+            }
+            Pause(pause) => {
+                sleep(*pause);
+                Ok(())
+            }
+        };
+        if written.is_err() {
+            return false;
+        }
+    }
+    true
+}
+
+/// A server that answers each request by these steps.
+fn server(steps: Vec<Step>) -> Engine {
+    Engine::start(move |_, line| {
+        if line.starts_with("DELETE") {
+            return EMPTY.into();
+        }
+        let steps = steps.clone();
+        Says::ByHand(Box::new(move |socket: &mut TcpStream| play(&steps, socket)))
+    })
+}
+
+/// What a client received, and when.
+struct Received {
+    status: u16,
+    body: String,
+    /// When the connection ended or the last chunk came, since the request.
+    ended: Duration,
+    /// When the last `data:` line came, since the request.
+    last_event: Duration,
+}
+
+impl Received {
+    fn is_whole(&self) -> bool {
+        self.body.ends_with(LAST_CHUNK)
+    }
+}
+
+fn receive(client: Client) -> Received {
+    let (started, mut socket) = (Instant::now(), client.0);
+    socket.set_read_timeout(Some(AGES)).expect("a bound");
+    let (mut got, mut space, mut last_event) = (Vec::new(), vec![0; 64 << 10], Duration::ZERO);
+    loop {
+        match socket.read(&mut space) {
+            Ok(read @ 1..) => {
+                if space[..read].windows(5).any(|bytes| bytes == b"data:") {
+                    last_event = started.elapsed();
+                }
+                got.extend_from_slice(&space[..read]);
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => panic!("no end in time"),
+            _ => break,
+        }
+        let text = String::from_utf8_lossy(&got);
+        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
+        let length =
+            head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse::<usize>().ok());
+        if length.map_or(body.ends_with(LAST_CHUNK), |length| body.len() >= length) {
+            break;
+        }
+    }
+    let text = String::from_utf8(got).expect("text");
+    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
+    let status = head[9..12].parse().expect("a status");
+    Received { status, body: body.to_string(), ended: started.elapsed(), last_event }
+}
+
+fn ask(program: &Program, class: &str, id: &str) -> Received {
+    receive(Client::ask_as(class, program.front, id))
+}
+
+/// Runs one request at a decode server that answers by these steps.
+fn answer(name: &str, steps: Vec<Step>) -> Received {
+    let (reader, writer) = (reader(), server(steps));
+    let program = Program::start(name, &[reader.address], &[writer.address], true);
+    let received = ask(&program, "order", "a1");
+    assert_eq!(writer.count("POST"), 1, "{name}");
+    received
+}
+
+fn each<T: Send>(cases: Vec<(&'static str, Vec<Step>)>, check: impl Fn(&str, Received) -> T + Sync) {
+    std::thread::scope(|scope| {
+        for (name, steps) in cases {
+            let check = &check;
+            scope.spawn(move || check(name, answer(name, steps)));
+        }
+    });
+}
+
+/// Guards long answers from being cut while their server writes an event.
+#[test]
+fn an_event_that_is_still_being_written_is_not_cut() {
+    let first = || Whole(format!("{HEAD}{}", chunk("data: a\n\n")));
+    let end = || Whole(format!("{}{LAST_CHUNK}", chunk("data: [DONE]\n\n")));
+    let large = format!("data: {}\n\n", "x".repeat(200_000));
+    let event = "data: 0123456789012345678901234567890123456789\n\n";
+    let in_chunks: Vec<Step> = event
+        .as_bytes()
+        .chunks(5)
+        .map(|piece| Pieces(chunk(std::str::from_utf8(piece).expect("text")), 1, millis(800)))
+        .collect();
+    let endings = format!("{}{}", chunk("data: {\"usage\":1}\n\n"), chunk("data: [DONE]\n\n"));
+    each(
+        vec![
+            ("slow-one-chunk", vec![first(), Pieces(chunk(event), 10, millis(800)), end()]),
+            ("slow-chunks", [vec![first()], in_chunks, vec![end()]].concat()),
+            ("slow-large", vec![first(), Pieces(chunk(&large), 70, millis(100)), end()]),
+            ("slow-ending", vec![first(), Pieces(endings, 10, millis(700)), Whole(LAST_CHUNK.into())]),
+            ("slow-pauses", vec![first(), Pieces(chunk(event), 3, millis(3_500)), end()]),
+            // The size line of the chunk is a piece of its own.
+            (
+                "slow-size-line",
+                vec![
+                    first(),
+                    Pause(millis(3_500)),
+                    Whole(format!("{:x}", event.len())),
+                    Pause(millis(3_500)),
+                    Whole(format!("\r\n{event}\r\n")),
+                    end(),
+                ],
+            ),
+        ],
+        |name, received| {
+            assert_eq!((received.status, received.is_whole()), (200, true), "{name}: {:?}", received.ended);
+        },
+    );
+}
+
+/// Guards clients from waiting for 5 s after the last event of a server that goes on with what is no event.
+#[test]
+fn what_readers_ignore_does_not_extend_the_wait_after_the_last_event() {
+    let begun = || Whole(format!("{HEAD}{}", chunk("data: a\n\n").repeat(3)));
+    let goes_on = |ignored: &str| {
+        let mut steps = vec![begun()];
+        for _ in 0..20 {
+            steps.push(Whole(chunk(ignored)));
+            steps.push(Pause(millis(600)));
+        }
+        steps
+    };
+    let late_report = vec![
+        begun(),
+        Pause(millis(3_000)),
+        Whole(chunk(": Srv-Load: TEXT inflight=1, x0=0.1\n\n")),
+        Pause(millis(10_000)),
+    ];
+    let comment_in_pieces =
+        vec![begun(), Pieces(chunk(": a comment that comes slowly\n\n"), 30, millis(400))];
+    each(
+        vec![
+            ("ignored-comments", goes_on(": comment\n\n")),
+            ("ignored-empty-lines", goes_on("\n")),
+            ("ignored-fields", goes_on("x-trace: 7\n\n")),
+            ("ignored-without-data", goes_on("event: ping\n\n")),
+            ("ignored-late-report", late_report),
+            ("ignored-in-pieces", comment_in_pieces),
+        ],
+        |name, received| {
+            let waited = received.ended - received.last_event;
+            assert_eq!((received.status, received.is_whole()), (200, false), "{name}");
+            assert!(waited < WAIT_LIMIT, "{name}: {waited:?}");
+        },
+    );
+}
+
+/// Guards clients of a server that stops: between two events, or in an event of which half has come.
+#[test]
+fn a_stream_that_stops_ends_within_five_seconds() {
+    let begun = format!("{HEAD}{}", chunk("data: a\n\n"));
+    let half = format!("{begun}20\r\ndata: ha");
+    each(
+        vec![
+            ("stops-between", vec![Whole(begun), Pause(millis(9_000))]),
+            ("stops-within", vec![Whole(half), Pause(millis(9_000))]),
+        ],
+        |name, received| {
+            let waited = received.ended - received.last_event;
+            assert_eq!((received.status, received.is_whole()), (200, false), "{name}");
+            assert!(waited < WAIT_LIMIT, "{name}: {waited:?}");
+        },
+    );
+}
+
+/// Guards requests with time left from an answer that begins slowly: it is not malformed, and its server is not ejected.
+#[test]
+fn an_answer_that_begins_slowly_is_served_and_its_server_is_not_ejected() {
+    let rest = || Whole(format!("{}{LAST_CHUNK}", chunk("data: [DONE]\n\n")));
+    let slow_head = vec![Pieces(HEAD.into(), 10, millis(220)), Whole(chunk("data: a\n\n")), rest()];
+    let slow_event = vec![Whole(HEAD.into()), Pieces(chunk("data: 0123456789\n\n"), 10, millis(220)), rest()];
+    std::thread::scope(|scope| {
+        for (name, steps) in [("begins-head", slow_head), ("begins-event", slow_event)] {
+            scope.spawn(move || {
+                let (reader, writer) = (reader(), server(steps));
+                let program = Program::start(name, &[reader.address], &[writer.address], true);
+                for request in 0..4 {
+                    let received = ask(&program, "order", &format!("a{request}"));
+                    assert_eq!((received.status, received.is_whole()), (200, true), "{name} {request}");
+                }
+                assert_eq!(writer.count("POST"), 4, "{name}");
+            });
+        }
+    });
+}
+
+/// Guards requests whose prefill server writes its short answer slowly.
+#[test]
+fn a_prefill_answered_in_pieces_is_used() {
+    let (reader, writer) =
+        (server(vec![Pieces(READ.into(), 12, millis(180))]), server(vec![Whole(EVENTS.into())]));
+    let program = Program::start("slow-prefill", &[reader.address], &[writer.address], true);
+    let received = ask(&program, "order", "a1");
+    assert_eq!((received.status, received.is_whole()), (200, true));
+    assert_eq!((reader.count("POST"), writer.count("POST")), (1, 1));
+}
+
+/// Guards a request that may not run twice: a server that declines it has not run it, however slowly it says so.
+#[test]
+fn an_attempt_that_is_declined_in_pieces_is_sent_elsewhere() {
+    let declined = "HTTP/1.1 503 Full\r\nsrv-declined: 1\r\ncontent-length: 20\r\n\r\n01234567890123456789";
+    let halves = declined.split_at(declined.len() - 10);
+    for (name, steps) in [
+        ("declined-slowly", vec![Pieces(declined.into(), 10, millis(220))]),
+        ("declined-in-half", vec![Whole(halves.0.into()), Pause(millis(9_000))]),
+    ] {
+        let (reader, writers) = (reader(), [server(steps.clone()), server(vec![Whole(EVENTS.into())])]);
+        let addresses = writers.each_ref().map(|writer| writer.address);
+        let program = Program::start(name, &[reader.address], &addresses, true);
+        // Whichever of the two is asked first.
+        for request in 0..4 {
+            let received = ask(&program, "order", &format!("a{request}"));
+            assert_eq!(
+                (received.status, received.is_whole()),
+                (200, true),
+                "{name} {request}: {}",
+                received.body
+            );
+        }
+    }
+}
+
+/// Guards the wait of a client whose stream stops before it is handed over: an upgrade does not begin it anew.
+#[test]
+fn an_upgrade_does_not_extend_the_wait_after_the_last_event() {
+    run(async {
+        let (tell, told) = mpsc::unbounded_channel();
+        let told = Rc::new(RefCell::new(Some(told)));
+        let writer = StandIn::start(move |_, _| match told.borrow_mut().take() {
+            Some(told) => Act::Told(told),
+            None => stream(),
+        })
+        .await;
+        let reader = StandIn::start(|_, _| read()).await;
+        let hosts = json!([host("r", "prompt-side", &reader), host("w", "answer-side", &writer)]);
+        let agent = discovery(&hosts).await;
+        let place = Place::new("slow-upgrade", &agent, &hosts);
+        let mut first = place.start().await;
+        let mut client = connect_and_ask(place.listen).await;
+        tell.send("data: a\n\n".into()).expect("told");
+        let mut got = Vec::new();
+        while !got.ends_with(b"data: a\n\n\r\n") {
+            assert!(client.read_buf(&mut got).await.expect("no reset") > 0, "{got:?}");
+        }
+        let last_event = Instant::now();
+        let second = place.start().await;
+        first.signal("-TERM");
+        assert!(first.ended().await);
+        assert!(last_event.elapsed() < millis(4_000), "handed over late: {:?}", last_event.elapsed());
+        // What is no event does not extend it in the successor either.
+        tell.send(": comment\n\n".into()).expect("told");
+        while client.read_buf(&mut got).await.expect("no reset") > 0 {}
+        let waited = last_event.elapsed();
+        assert!(waited > millis(4_000) && waited < WAIT_LIMIT, "{waited:?}");
+        assert_eq!(second.counters().await["responses_ended_early"]["event_overdue"], 1);
+    });
+}
+
+async fn connect_and_ask(address: SocketAddr) -> tokio::net::TcpStream {
+    let mut client = tokio::net::TcpStream::connect(address).await.expect("a connection");
+    let request = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nreq-id: a1\r\nreq-kind: item-query\r\n\
+        content-length: 2\r\n\r\n{}";
+    client.write_all(request.as_bytes()).await.expect("sent");
+    client
+}
