Add a state machine of a response's time limits, its model and planted faults

Cause: the times of a response live in four places, each of which measures another thing: frames, complete events, bytes, or the time since a process took over. Callers see streams cut while they are written, and wait for what is no event. Change: response_timing owns these limits without I/O; it is fed with what was observed and states when a response has to end and why. Nothing uses it yet. The model checker explores it in ticks beside a world that judges by what the server wrote.

--- a/crates/request-lifecycle/src/lib.rs
+++ b/crates/request-lifecycle/src/lib.rs
@@ -1,5 +1,7 @@
 //! Sans-I/O state machines of a request and its attempts, of a client connection and of a server connection.
 //!
+//! [`response_timing`] is the machine of a response's time limits; its driver states the time of each input.
+//!
 //! The remaining modules are decision functions without I/O: [`evidence`] interprets what is observed on connections,
 //! [`reachability`] orders servers for a release, [`sentinel`] selects pooled connections, and [`discovery_polling`]
 //! schedules polls.
@@ -34,6 +36,7 @@
 pub mod reachability;
 pub mod request;
 pub mod request_ids;
+pub mod response_timing;
 pub mod sentinel;
 pub mod server;
 
--- a/model-checker/src/cases.rs
+++ b/model-checker/src/cases.rs
@@ -4,7 +4,7 @@
 
 use glenrail_request_lifecycle::request::RetrySafety;
 
-use crate::{budget, client, request, request_ids, server};
+use crate::{budget, client, request, request_ids, response_timing, server};
 
 /// One world with a name.
 pub struct Case<S> {
@@ -238,3 +238,20 @@
     }];
     reach.select(quick, long)
 }
+
+/// The bounds from which the worlds of a response's time limits are derived.
+pub(crate) const RESPONSE_TIMING_BASE: response_timing::Setup =
+    response_timing::Setup { ticks: 10, suspensions: 1, hand_overs: 1, fault: None };
+
+/// The worlds of a response's time limits.
+pub fn response_timing_cases(reach: Reach) -> Vec<Case<response_timing::Setup>> {
+    let quick = vec![Case {
+        name: "a response's time limits, ten ticks, one suspension, one upgrade",
+        setup: RESPONSE_TIMING_BASE,
+    }];
+    let long = vec![Case {
+        name: "a response's time limits, fourteen ticks, two suspensions, two upgrades",
+        setup: response_timing::Setup { ticks: 14, suspensions: 2, hand_overs: 2, ..RESPONSE_TIMING_BASE },
+    }];
+    reach.select(quick, long)
+}
--- a/model-checker/src/lib.rs
+++ b/model-checker/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod mutants;
 pub mod request;
 pub mod request_ids;
+pub mod response_timing;
 pub mod rules;
 pub mod scenario;
 pub mod server;
--- a/model-checker/src/main.rs
+++ b/model-checker/src/main.rs
@@ -72,6 +72,9 @@
     for case in cases::request_ids_cases(reach) {
         success &= check_case(&case, threads, traces)?;
     }
+    for case in cases::response_timing_cases(reach) {
+        success &= check_case(&case, threads, traces)?;
+    }
     for case in cases::request_cases(reach) {
         success &= check_case(&case, threads, traces)?;
     }
@@ -125,6 +128,10 @@
     for Mutant { fault, rule } in mutants::REQUEST_IDS_MUTANTS {
         success &= find_mutant(format!("{fault:?}"), *rule, &mutants::request_ids_setup(*fault), traces)?;
     }
+    for Mutant { fault, rule } in mutants::RESPONSE_TIMING_MUTANTS {
+        let setup = mutants::response_timing_setup(*fault);
+        success &= find_mutant(format!("{fault:?}"), *rule, &setup, traces)?;
+    }
     Ok(success)
 }
 
--- a/model-checker/src/mutants.rs
+++ b/model-checker/src/mutants.rs
@@ -3,12 +3,14 @@
 use glenrail_overload::budget as budget_machine;
 use glenrail_request_lifecycle::{
     client as client_machine, request as request_machine, request_ids as request_ids_machine,
-    server as server_machine,
+    response_timing as response_timing_machine, server as server_machine,
 };
 
-use crate::cases::{client_case, server_case, BUDGET_BASE, REQUEST_BASE, REQUEST_IDS_BASE};
+use crate::cases::{
+    client_case, server_case, BUDGET_BASE, REQUEST_BASE, REQUEST_IDS_BASE, RESPONSE_TIMING_BASE,
+};
 use crate::rules::Rule;
-use crate::{budget, client, request, request_ids, server};
+use crate::{budget, client, request, request_ids, response_timing, server};
 
 /// A planted fault, and the rule that it was planted to break.
 pub struct Mutant<F> {
@@ -104,6 +106,17 @@
     KeepsWithdrawnClaim => IdsAreFreeAgain,
 });
 
+mutants!(
+    /// Faults of the machine of a response's time limits.
+    RESPONSE_TIMING_MUTANTS: response_timing_machine::Fault {
+    IgnoresEventBytes => WrittenEventNotCut,
+    CountsIgnoredBytes => ClientReleasedInTime,
+    KeepsChunkOfComment => ClientReleasedInTime,
+    UnboundedEvent => SlowEventIsBounded,
+    CountsSuspension => WrittenEventNotCut,
+    CountsHeadFromItsBegin => SlowHeadNotCut,
+});
+
 /// The world in which a request's fault is searched for: small, with a slot only where the fault concerns slots.
 pub fn request_setup(fault: request_machine::Fault) -> request::Setup {
     let slot_requests = u8::from(fault == request_machine::Fault::ForgetsPlace);
@@ -139,3 +152,8 @@
     let processes = if fault == request_ids_machine::Fault::ForgetsPassedArbitration { 3 } else { 2 };
     request_ids::Setup { processes, claims: 2, repeats: 0, fault: Some(fault), ..REQUEST_IDS_BASE }
 }
+
+/// The world in which a fault of a response's time limits is searched for.
+pub fn response_timing_setup(fault: response_timing_machine::Fault) -> response_timing::Setup {
+    response_timing::Setup { fault: Some(fault), ..RESPONSE_TIMING_BASE }
+}
--- a/model-checker/src/rules.rs
+++ b/model-checker/src/rules.rs
@@ -71,4 +71,12 @@
     OneRequestAnId,
     /// Once its request has ended in all processes, an id is free in each of them.
     IdsAreFreeAgain,
+    /// No response is ended before its first event while its server goes on with it in time.
+    SlowHeadNotCut,
+    /// No stream is ended while its server writes an event, within the maximum duration of one.
+    WrittenEventNotCut,
+    /// A client does not wait longer than the limit after the last event, unless its server is writing another one.
+    ClientReleasedInTime,
+    /// An event that is never completed holds its stream for a bounded time.
+    SlowEventIsBounded,
 }
--- a/model-checker/src/scenario.rs
+++ b/model-checker/src/scenario.rs
@@ -9,7 +9,7 @@
 
 use crate::request::Log;
 use crate::rules::Rule;
-use crate::{budget, client, request, request_ids, server};
+use crate::{budget, client, request, request_ids, response_timing, server};
 
 /// A world with bounds, small enough to explore.
 pub trait Scenario: Clone + Send + Sync + 'static {
@@ -51,6 +51,8 @@
     Budget(budget::Setup),
     /// The request ids of the processes of an upgrade.
     RequestIds(request_ids::Setup),
+    /// The time limits of a response.
+    ResponseTiming(response_timing::Setup),
 }
 
 /// A scenario in the form that the checker explores.
--- a/model-checker/src/trace.rs
+++ b/model-checker/src/trace.rs
@@ -90,6 +90,7 @@
         AnyScenario::Server(setup) => replay_world(&setup, header, &steps, 0),
         AnyScenario::Budget(setup) => replay_world(&setup, header, &steps, 0),
         AnyScenario::RequestIds(setup) => replay_world(&setup, header, &steps, 0),
+        AnyScenario::ResponseTiming(setup) => replay_world(&setup, header, &steps, 0),
     }
 }
 
--- a/model-checker/tests/explore.rs
+++ b/model-checker/tests/explore.rs
@@ -68,6 +68,20 @@
     }
 }
 
+/// Guards slow answers and their clients: each limit of a response holds at every pace of its server, and each planted fault is
+/// found under the rule that it breaks.
+#[test]
+fn response_limits_hold_at_every_pace_and_their_planted_faults_are_found() {
+    let [case] = &cases::response_timing_cases(Reach::Quick)[..] else {
+        panic!("one world of a response's limits");
+    };
+    assert!(every_rule_holds(&case.setup));
+    for mutant in mutants::RESPONSE_TIMING_MUTANTS {
+        let broken = broken_rule(&mutants::response_timing_setup(mutant.fault));
+        assert_eq!(broken, Some(mutant.rule), "{:?}", mutant.fault);
+    }
+}
+
 /// Guards the corners that must be explored, and the counterexamples that were fixed: each is still a path of its
 /// world, the machine alone answers the same again, and no rule is broken.
 #[test]
--- a/model-checker/tests/stored_traces.rs
+++ b/model-checker/tests/stored_traces.rs
@@ -41,6 +41,7 @@
         AnyScenario::Server(setup) => rewrite_in(&setup, steps, description, path),
         AnyScenario::Budget(setup) => rewrite_in(&setup, steps, description, path),
         AnyScenario::RequestIds(setup) => rewrite_in(&setup, steps, description, path),
+        AnyScenario::ResponseTiming(setup) => rewrite_in(&setup, steps, description, path),
     }
 }
 
