--- a/gateway/src/chunk_position.rs
+++ b/gateway/src/chunk_position.rs
@@ -16,6 +16,8 @@
     Size(u64),
     /// After the digits of a chunk's size, in the remainder of the line; has the size.
     SizeLine(u64),
+    /// Before the first byte of a chunk's data; has the size.
+    DataStart(u64),
     /// In a chunk's data; has the number of remaining bytes.
     Data(u64),
     /// Between a chunk's data and the line end that follows it.
@@ -47,6 +49,11 @@
         self.0 == State::ChunkStart
     }
 
+    /// Whether a chunk has begun and none of its data has been read.
+    pub fn is_before_chunk_data(&self) -> bool {
+        matches!(self.0, State::Size(_) | State::SizeLine(_) | State::DataStart(_))
+    }
+
     /// Whether the body has ended.
     pub fn is_ended(&self) -> bool {
         self.0 == State::End
@@ -61,7 +68,7 @@
             if until == ReadUntil::EndOfChunk && self.is_between_chunks() {
                 break;
             }
-            if let State::Data(left) = self.0 {
+            if let State::DataStart(left) | State::Data(left) = self.0 {
                 let available = left.min((bytes.len() - read) as u64);
                 let end = read + available as usize;
                 data(&bytes[read..end]);
@@ -87,7 +94,7 @@
                 State::Size(size * 16 + digit)
             }
             (State::Size(0) | State::SizeLine(0), b'\n') => State::EmptyTrailer,
-            (State::Size(size) | State::SizeLine(size), b'\n') => State::Data(size),
+            (State::Size(size) | State::SizeLine(size), b'\n') => State::DataStart(size),
             (State::Size(size), b'\r' | b';' | b' ' | b'\t') | (State::SizeLine(size), _) => {
                 State::SizeLine(size)
             }
@@ -97,7 +104,7 @@
             (State::Trailer, b'\n') => State::EmptyTrailer,
             (State::EmptyTrailer | State::Trailer, b'\r') => self,
             (State::EmptyTrailer | State::Trailer, _) => State::Trailer,
-            (State::Size(_) | State::DataEnd | State::Data(_) | State::End, _) => {
+            (State::Size(_) | State::DataEnd | State::DataStart(_) | State::Data(_) | State::End, _) => {
                 return Err(MalformedFraming)
             }
         })
--- a/gateway/src/core/attempt.rs
+++ b/gateway/src/core/attempt.rs
@@ -2,6 +2,7 @@
 
 use futures_util::stream::StreamExt;
 use glenrail_request_lifecycle::request::{AttemptState, Input, Reply as MachineReply, StreamEnd};
+use glenrail_request_lifecycle::response_timing::{Expiry, Progress, ResponseTiming};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{timeout_at, Instant};
 use tower::ServiceExt;
@@ -11,6 +12,7 @@
 use super::{Core, DecisionPolicy, Upstream};
 use crate::exchange::{CancelToken, ResponseHead, ResponsePart};
 use crate::request_ids::RequestIdHold;
+use crate::response_ends::{self, ResponseEnd};
 use crate::upstream::{Call, CallError, Frame, Frames, Reply};
 
 impl<U: Upstream, R: DecisionPolicy> Core<U, R> {
@@ -44,9 +46,10 @@
         };
         match reply {
             Err(_) => self.step(id, Input::TimedOut { attempt }),
-            Ok(Ok(Reply::Response { head, frames })) => {
-                self.forward_response(id, attempt, head, frames).await;
+            Ok(Ok(Reply::Response { head, frames, timing })) => {
+                self.forward_response(id, attempt, head, frames, timing).await;
             }
+            Ok(Err(CallError::ResponseExpired(expiry))) => self.end_expired(id, attempt, expiry),
             Ok(reply) => {
                 let (mut reply, report) = machine_reply(reply);
                 if reply == MachineReply::Reset && self.has_prefill_ended(id, attempt, &cancel_token) {
@@ -58,19 +61,31 @@
         }
     }
 
+    /// Ends an attempt whose response began and did not go on.
+    fn end_expired(&self, id: u64, attempt: usize, expiry: Expiry) {
+        if let Some(request) = self.inner.borrow().requests.get(&id) {
+            response_ends::report(ResponseEnd::Expired(expiry), Some(&request.payload.request_id));
+        }
+        self.step(id, Input::TimedOut { attempt });
+    }
+
     /// Waits for the first event of a response and reports it to the state machine. Forwards the response to
     /// the client if the attempt is then in the state [`AttemptState::Streaming`], and drops it otherwise.
-    async fn forward_response(&self, id: u64, attempt: usize, head: ResponseHead, mut frames: Frames) {
+    async fn forward_response(
+        &self, id: u64, attempt: usize, head: ResponseHead, mut frames: Frames,
+        mut timing: ResponseTiming<Instant>,
+    ) {
         let Some(Ok(Frame::Data(first))) = frames.next().await else {
             return self.step(id, Input::Replied { attempt, reply: MachineReply::Reset });
         };
+        timing.observe(Progress::EventComplete, Instant::now());
         self.step(id, Input::Replied { attempt, reply: MachineReply::FirstEvent });
         let Some((client, id_hold)) = self.client_channel(id, attempt) else {
             drop(frames);
             return self.step(id, Input::CancelCompleted { attempt });
         };
         let summary = match send_part(&client, ResponsePart::Head(head, first)).await {
-            true => forward_remaining(&client, frames, Some(id_hold)).await,
+            true => forward_remaining(&client, frames, timing, Some(id_hold)).await,
             false => StreamEnd::ClientStalled.into(),
         };
         let StreamSummary { end, cached_tokens, load } = summary;
@@ -125,6 +140,8 @@
         Err(CallError::ConnectFailed) => (MachineReply::ConnectFailed, ServerReport::default()),
         Err(CallError::Reset) => (MachineReply::Reset, ServerReport::default()),
         Err(CallError::MalformedResponse) => (MachineReply::MalformedResponse, ServerReport::default()),
+        // Such a call ends as a time-out before this.
+        Err(CallError::ResponseExpired(_)) => (MachineReply::Error, ServerReport::default()),
         Err(CallError::NotSent) => (MachineReply::NotSent, ServerReport::default()),
     }
 }
--- a/gateway/src/core/effects.rs
+++ b/gateway/src/core/effects.rs
@@ -1,6 +1,7 @@
 //! Execution of the effects that a request's state machine emits, one function for each effect.
 
 use glenrail_request_lifecycle::request::{Effect, FinalResponse, Input, Stage, Status};
+use glenrail_request_lifecycle::response_timing::OnPause;
 use glenrail_router::{AttemptOutcome, AttemptStatus, Event, RequestId, ServerId};
 use tokio::sync::oneshot;
 use tokio::task::spawn_local;
@@ -52,6 +53,9 @@
             write_deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
         let connection_check =
             if lease_deadline.is_some() { ConnectionCheck::Answer } else { ConnectionCheck::None };
+        // A prefill may be repeated for any class.
+        let may_retry = request.is_idempotent || request.machine.attempts()[attempt].stage == Stage::Prefill;
+        let on_pause = if may_retry { OnPause::Retry } else { OnPause::Wait };
         let deadline = request.calls[attempt].deadline;
         let cancel_token =
             request.response.as_ref().map_or_else(CancelToken::default, CancelToken::for_response);
@@ -62,6 +66,7 @@
             deadline,
             connect_timeout,
             connection_check,
+            on_pause,
             cancel_token,
         };
         let core = self.clone();
--- a/gateway/src/core/forwarding.rs
+++ b/gateway/src/core/forwarding.rs
@@ -2,23 +2,22 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::stream::StreamExt;
 use glenrail_request_lifecycle::request::StreamEnd;
+use glenrail_request_lifecycle::response_timing::{Progress, ResponseTiming};
 use glenrail_router::LoadReport;
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::spawn_local;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use crate::exchange::{self, ClientSide, ResponsePart, StreamRemainder};
 use crate::request_ids::RequestIdHold;
+use crate::response_clock::expired;
 use crate::response_ends::{self, ResponseEnd};
 use crate::upstream::{CallError, Frame, Frames};
 
-/// Maximum time between two complete events of a stream. It is less than the 5 s within which the platform's
-/// rules require the client's connection to end. It is close to that limit because a decode server that has
-/// queued the request again may still continue the stream.
-const EVENT_IDLE_TIMEOUT: Duration = Duration::from_millis(4_600);
-
 /// Maximum time for which a client may read nothing of its stream before the stream is ended.
 const CLIENT_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -43,19 +42,20 @@
         match end {
             ResponseEnd::Reset => StreamEnd::Reset,
             ResponseEnd::Malformed => StreamEnd::MalformedResponse,
-            ResponseEnd::EventOverdue => StreamEnd::IdleTimeout,
+            ResponseEnd::Expired(_) => StreamEnd::IdleTimeout,
             ResponseEnd::ClientDisconnected | ResponseEnd::ClientStalled => StreamEnd::ClientStalled,
         }
     }
 }
 
-/// Forwards the parts of a response that follow the head, up to its end. A remainder that is handed over keeps the id of
-/// the request in use.
+/// Forwards the parts of a response that follow its first event, up to its end. A remainder that is handed over keeps the
+/// id of the request in use.
 pub async fn forward_remaining(
-    client: &mpsc::Sender<ResponsePart>, frames: Frames, id_hold: Option<RequestIdHold>,
+    client: &mpsc::Sender<ResponsePart>, frames: Frames, timing: ResponseTiming<Instant>,
+    id_hold: Option<RequestIdHold>,
 ) -> StreamSummary {
     let request = id_hold.clone();
-    match forward(client, frames, id_hold).await {
+    match forward(client, frames, timing, id_hold).await {
         Ok(summary) => summary,
         Err(end) => {
             // The predecessor's message with the id may arrive after the stream.
@@ -68,38 +68,59 @@
 
 /// Forwards the parts of a response up to its end or its handover; an error is the reason of an earlier end.
 async fn forward(
-    client: &mpsc::Sender<ResponsePart>, mut frames: Frames, id_hold: Option<RequestIdHold>,
+    client: &mpsc::Sender<ResponsePart>, mut frames: Frames, mut timing: ResponseTiming<Instant>,
+    id_hold: Option<RequestIdHold>,
 ) -> Result<StreamSummary, ResponseEnd> {
     loop {
         let frame = tokio::select! {
             biased;
-            frame = timeout(EVENT_IDLE_TIMEOUT, frames.next()) => frame,
+            frame = frames.next() => frame,
+            expiry = expired(timing.limit()) => return Err(ResponseEnd::Expired(expiry)),
             () = client.closed() => return Err(ResponseEnd::ClientDisconnected),
         };
         match frame {
-            Ok(Some(Ok(Frame::Data(bytes)))) => {
-                if !send_part(client, ResponsePart::Chunk(bytes)).await {
-                    return Err(client_end(client));
-                }
+            Some(Ok(Frame::Data(bytes))) => {
+                timing.observe(Progress::EventComplete, Instant::now());
+                send_chunk(client, bytes, &mut timing).await?;
+            }
+            Some(Ok(Frame::Ignored(bytes))) => {
+                timing.observe(Progress::IgnoredBytes, Instant::now());
+                send_chunk(client, bytes, &mut timing).await?;
             }
-            Ok(Some(Ok(Frame::HandedOver(remainder)))) => {
-                let remainder = StreamRemainder { id_hold, ..remainder };
+            Some(Ok(Frame::Progress(progress))) => timing.observe(progress, Instant::now()),
+            Some(Ok(Frame::HandedOver(remainder))) => {
+                let last_event = timing.last_event();
+                let remainder = StreamRemainder { id_hold, last_event, ..remainder };
                 send_part(client, ResponsePart::HandedOver(remainder)).await;
                 return Ok(StreamEnd::HandedOver.into());
             }
-            Ok(Some(Ok(Frame::End { cached_tokens, report }))) => {
+            Some(Ok(Frame::End { cached_tokens, report })) => {
                 send_part(client, ResponsePart::End).await;
                 return Ok(StreamSummary { end: StreamEnd::Complete, cached_tokens, load: report });
             }
-            Ok(Some(Err(CallError::MalformedResponse))) => return Err(ResponseEnd::Malformed),
-            Ok(Some(Err(_)) | None) => return Err(ResponseEnd::Reset),
-            Err(_) => return Err(ResponseEnd::EventOverdue),
+            Some(Err(CallError::MalformedResponse)) => return Err(ResponseEnd::Malformed),
+            Some(Err(_)) | None => return Err(ResponseEnd::Reset),
         }
     }
 }
 
+/// Sends a chunk. While the client's channel has no capacity nothing is read, which does not count as time of the server.
+async fn send_chunk(
+    client: &mpsc::Sender<ResponsePart>, bytes: Bytes, timing: &mut ResponseTiming<Instant>,
+) -> Result<(), ResponseEnd> {
+    let part = match client.try_send(ResponsePart::Chunk(bytes)) {
+        Ok(()) => return Ok(()),
+        Err(TrySendError::Closed(_)) => return Err(ResponseEnd::ClientDisconnected),
+        Err(TrySendError::Full(part)) => part,
+    };
+    timing.observe(Progress::ReadingSuspended, Instant::now());
+    let is_sent = send_part(client, part).await;
+    timing.observe(Progress::ReadingResumed, Instant::now());
+    is_sent.then_some(()).ok_or_else(|| client_end(client))
+}
+
 /// Returns why a part could not be sent to the client.
-pub fn client_end(client: &mpsc::Sender<ResponsePart>) -> ResponseEnd {
+fn client_end(client: &mpsc::Sender<ResponsePart>) -> ResponseEnd {
     if client.is_closed() {
         ResponseEnd::ClientDisconnected
     } else {
@@ -108,10 +129,12 @@
 }
 
 /// Continues a response that the predecessor process started. It belongs to no request of this process's router.
-pub fn resume_stream(frames: Frames, id_hold: Option<RequestIdHold>) -> ClientSide {
+pub fn resume_stream(
+    frames: Frames, timing: ResponseTiming<Instant>, id_hold: Option<RequestIdHold>,
+) -> ClientSide {
     let (client, response) = exchange::response_channel();
     spawn_local(async move {
-        forward_remaining(&response, frames, id_hold).await;
+        forward_remaining(&response, frames, timing, id_hold).await;
     });
     client
 }
--- a/gateway/src/core/probe.rs
+++ b/gateway/src/core/probe.rs
@@ -19,7 +19,9 @@
                 (AttemptStatus::ConnectFailed, None)
             }
             Err(CallError::Reset) => (AttemptStatus::Reset, None),
-            Err(CallError::MalformedResponse) => (AttemptStatus::MalformedResponse, None),
+            Err(CallError::MalformedResponse | CallError::ResponseExpired(_)) => {
+                (AttemptStatus::MalformedResponse, None)
+            }
         };
         let elapsed = millis(sent.elapsed());
         self.dispatch(Event::ProbeResult { server, status, elapsed, report });
--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -10,6 +10,7 @@
 mod requests;
 mod resets;
 mod stored;
+mod streams;
 
 use std::cell::Cell;
 
@@ -17,6 +18,7 @@
 use futures_util::stream::{self, StreamExt};
 use glenrail_request_lifecycle::evidence::Observation;
 use glenrail_request_lifecycle::request::{Effect, Stage};
+use glenrail_request_lifecycle::response_timing::{OnPause, ResponseLimits, ResponseTiming};
 use glenrail_router::{AttemptOutcome, AttemptStatus, RejectReason};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -68,6 +70,11 @@
     }
 }
 
+/// Returns the time limits of a response of the platform of which nothing has been received.
+fn platform_timing() -> ResponseTiming<Instant> {
+    ResponseTiming::new(ResponseLimits::platform(OnPause::Wait))
+}
+
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum CallKind {
     Attempt,
@@ -243,7 +250,7 @@
         }
     };
     let frames = frames.inspect(move |_| _ = &in_flight).boxed_local();
-    Ok(Reply::Response { head: ResponseHead::default(), frames })
+    Ok(Reply::Response { head: ResponseHead::default(), frames, timing: platform_timing() })
 }
 
 fn settings() -> Settings {
--- a/gateway/src/core/tests/replay.rs
+++ b/gateway/src/core/tests/replay.rs
@@ -212,7 +212,7 @@
         self.streams.insert(attempt, frames);
         let first = stream::iter([Ok(Frame::Data("data: x\n\n".into()))]);
         let frames = first.chain(stream::poll_fn(move |context| sent.poll_recv(context))).boxed_local();
-        Reply::Response { head: ResponseHead::default(), frames }
+        Reply::Response { head: ResponseHead::default(), frames, timing: platform_timing() }
     }
 
     async fn end_stream(&mut self, attempt: usize, end: StreamEnd) {
@@ -256,7 +256,7 @@
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("an address");
     let socket = std::net::TcpStream::connect(address).expect("a connection");
-    exchange::StreamRemainder { socket, read_ahead: Vec::new(), id_hold: None }
+    exchange::StreamRemainder { socket, read_ahead: Vec::new(), last_event: None, id_hold: None }
 }
 
 /// Replays a trace; returns false if it is not a trace of a request.
--- a/gateway/src/core/tests/replay/servers.rs
+++ b/gateway/src/core/tests/replay/servers.rs
@@ -82,9 +82,9 @@
         let in_flight = AttemptInFlight::new(self);
         let reply = replied.await.unwrap_or(Err(CallError::Reset))?;
         Ok(match reply {
-            Reply::Response { head, frames } => {
+            Reply::Response { head, frames, timing } => {
                 let frames = frames.inspect(move |_| _ = &in_flight).boxed_local();
-                Reply::Response { head, frames }
+                Reply::Response { head, frames, timing }
             }
             reply => reply,
         })
--- a/gateway/src/daemon/platform.rs
+++ b/gateway/src/daemon/platform.rs
@@ -21,7 +21,7 @@
 use crate::config;
 use crate::core::duration;
 use crate::discovery::{self, DiscoveryMetrics, EndpointList, SettingsNames};
-use crate::engine::{Engine, EngineLimits};
+use crate::engine::{Engine, EngineLimits, ServerApi};
 use crate::front::platform::{Platform, PlatformSettings};
 use crate::front::server::{self, FrontListener};
 use crate::log;
@@ -94,7 +94,7 @@
         connect_timeout: duration(platform.settings.limits.connect_timeout),
         probes: platform.settings.limits.probes,
         idle_timeout: platform.conn_idle.mul_f64(IDLE_TIMEOUT_SHARE),
-        public_api: false,
+        server_api: ServerApi::Platform,
     };
     let (slots, budget) = (context.slots.clone(), context.budget.clone());
     let pool = Pool::new(platform.seed, platform.settings.clone(), limits, slots, budget);
--- a/gateway/src/engine/attempt.rs
+++ b/gateway/src/engine/attempt.rs
@@ -1,16 +1,15 @@
 //! Attempts: sends a request once and streams or buffers its response.
 
 use std::future::Future;
-use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::{iter, once, try_unfold, StreamExt};
 use glenrail_request_lifecycle::evidence::Observation;
+use glenrail_request_lifecycle::response_timing::{Expiry, OnPause, Progress, ResponseLimits};
 use glenrail_router::{LoadReport, ServerId};
 use http::StatusCode;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use tokio::time::timeout;
 
 use super::connection::Connection;
 use super::event_stream::{broken_response, EventStream, StreamStep};
@@ -20,18 +19,12 @@
 use super::Engine;
 use crate::exchange::{Payload, ResponseHead};
 use crate::log;
+use crate::response_clock::ResponseClock;
 use crate::upstream::{CallError, Frame, Reply};
 
 /// Maximum size in bytes of a response that is buffered until it is complete.
 const MAX_BUFFERED_BODY_BYTES: usize = 16 << 20;
 
-/// Time limit on the platform from the head of a response to its first event, or to the end of a short response.
-///
-/// A platform server writes the head together with the first event or the short response, so one that arrives
-/// later is malformed. Without the limit, a response that never ends would use up the entire deadline of its
-/// request.
-const BODY_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// How the response of an attempt is forwarded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum ResponseMode {
@@ -48,6 +41,28 @@
             false => ResponseMode::Streamed,
         }
     }
+
+    /// Returns the limits of a response in this mode. A document may pause until the attempt's deadline.
+    pub fn limits(self, limits: ResponseLimits) -> ResponseLimits {
+        match self {
+            ResponseMode::Streamed => limits,
+            ResponseMode::Buffered => limits.without_pause_limit(),
+        }
+    }
+}
+
+/// Whether the head of a response decides the outcome of its attempt, whatever the body contains.
+fn is_decided_by_head(status: StatusCode) -> bool {
+    !matches!(status, StatusCode::OK | StatusCode::ACCEPTED)
+}
+
+/// Waits for data of a response within the limits of its clock.
+async fn within_limits<T>(clock: &ResponseClock, awaited: impl Future<Output = T>) -> Result<T, Expiry> {
+    tokio::select! {
+        biased;
+        result = awaited => Ok(result),
+        expiry = clock.expired() => Err(expiry),
+    }
 }
 
 impl Engine {
@@ -65,7 +80,7 @@
         if head.status == StatusCode::OK && mode == ResponseMode::Streamed {
             self.streamed_reply(server, head, body, connection).await
         } else {
-            self.buffered_reply(server, head, body, connection, mode).await
+            self.buffered_reply(server, head, body, connection).await
         }
     }
 
@@ -81,10 +96,17 @@
         // From here on the connection is dropped, and so closed, unless the stream is completed or handed over.
         let handing_over = self.0.handing_over.subscribe();
         let mut stream = EventStream::new(body, &head.headers, connection.body_state.clone(), handing_over);
-        let first = match self.within_body_timeout(ResponseMode::Streamed, stream.next()).await?? {
-            StreamStep::Events(first) => first,
-            StreamStep::End | StreamStep::Paused => return Err(CallError::Reset),
+        let clock = connection.clock.clone();
+        let first = loop {
+            let step = within_limits(&clock, stream.next()).await.map_err(CallError::ResponseExpired)?;
+            match step? {
+                StreamStep::Events(first) => break first,
+                StreamStep::Progress(progress) => clock.observe(progress),
+                StreamStep::Ignored(_) => clock.observe(Progress::IgnoredBytes),
+                StreamStep::End | StreamStep::Paused => return Err(CallError::Reset),
+            }
         };
+        clock.observe(Progress::EventComplete);
         connection.begin_stream();
         let open = OpenStream { engine: self.clone(), server, report, stream, connection };
         let following = try_unfold(Some(open), |open| async move {
@@ -94,16 +116,26 @@
             }
         });
         let frames = once(async { Ok(Frame::Data(first)) }).chain(following).boxed_local();
-        Ok(Reply::Response { head, frames })
+        Ok(Reply::Response { head, frames, timing: clock.timing() })
     }
 
     /// Reads the complete body of a response and returns the reply.
     async fn buffered_reply(
         &self, server: ServerId, head: ResponseHead, body: Incoming, connection: Connection,
-        mode: ResponseMode,
     ) -> Result<Reply, CallError> {
         let report = self.report_in_head(server, &head);
-        let Some(body) = self.within_body_timeout(mode, self.buffer(body)).await?? else {
+        let clock = connection.clock.clone();
+        if is_decided_by_head(head.status) {
+            clock.set_limits(self.0.limits.server_api.response_limits(OnPause::Retry));
+        }
+        let body = match within_limits(&clock, self.buffer(body, &clock)).await {
+            Ok(body) => body?,
+            Err(_) if is_decided_by_head(head.status) => {
+                return Ok(self.classify_response(head, Bytes::new(), report, &clock));
+            }
+            Err(expiry) => return Err(CallError::ResponseExpired(expiry)),
+        };
+        let Some(body) = body else {
             log!("response of server {:x} exceeds the size limit or the memory budget", server.0);
             return match head.status {
                 // The prefill has succeeded, so the server holds a state lease although the body was not read.
@@ -112,7 +144,7 @@
             };
         };
         self.recycle(server, connection);
-        Ok(self.classify_response(head, body, report))
+        Ok(self.classify_response(head, body, report, &clock))
     }
 
     /// Returns the load report in the head of a server's response, if there is one that can be read.
@@ -121,8 +153,10 @@
     }
 
     /// Classifies a complete response by its status.
-    fn classify_response(&self, head: ResponseHead, body: Bytes, report: Option<LoadReport>) -> Reply {
-        let public_api = self.0.limits.public_api;
+    fn classify_response(
+        &self, head: ResponseHead, body: Bytes, report: Option<LoadReport>, clock: &ResponseClock,
+    ) -> Reply {
+        let public_api = self.0.limits.server_api.is_public();
         let is_rejection = is_rejection(&head, public_api);
         match head.status.as_u16() {
             202 => Reply::Prefilled { cached_tokens: cached_tokens(&body), report },
@@ -131,29 +165,15 @@
             status if status == 200 || (public_api && (400..500).contains(&status)) => {
                 let end = Frame::End { cached_tokens: 0.0, report };
                 let frames = iter([Ok(Frame::Data(body)), Ok(end)]).boxed_local();
-                Reply::Response { head, frames }
+                Reply::Response { head, frames, timing: clock.timing() }
             }
             400..=499 => Reply::Unprocessable { report },
             _ => Reply::Error { report },
         }
     }
 
-    /// Waits for data that must follow the head of a response within [`BODY_TIMEOUT`]. Public APIs and
-    /// buffered responses have no such limit.
-    async fn within_body_timeout<T>(
-        &self, mode: ResponseMode, awaited: impl Future<Output = T>,
-    ) -> Result<T, CallError> {
-        if mode == ResponseMode::Buffered || self.0.limits.public_api {
-            return Ok(awaited.await);
-        }
-        timeout(BODY_TIMEOUT, awaited).await.map_err(|_| {
-            log!("response body not received in time after its head; treated as malformed");
-            CallError::MalformedResponse
-        })
-    }
-
-    /// Reads a complete body. Returns `None` if it exceeds [`MAX_BUFFERED_BODY_BYTES`] or the memory budget.
-    async fn buffer(&self, mut body: Incoming) -> Result<Option<Bytes>, CallError> {
+    /// Reads a complete body and reports its progress. Returns `None` if it exceeds [`MAX_BUFFERED_BODY_BYTES`] or the memory budget.
+    async fn buffer(&self, mut body: Incoming, clock: &ResponseClock) -> Result<Option<Bytes>, CallError> {
         let mut bytes = Vec::new();
         let mut claim = self.0.buffer_budget.claim(0).ok_or(CallError::Reset)?;
         while let Some(frame) = body.frame().await {
@@ -163,6 +183,7 @@
                 return Ok(None);
             }
             bytes.extend_from_slice(&data);
+            clock.observe(Progress::BodyBytes);
         }
         Ok(Some(claim.attach(bytes.into())))
     }
@@ -183,6 +204,8 @@
     async fn next_frame(mut self) -> Result<(Frame, Option<OpenStream>), CallError> {
         match self.stream.next().await? {
             StreamStep::Events(events) => Ok((Frame::Data(events), Some(self))),
+            StreamStep::Ignored(lines) => Ok((Frame::Ignored(lines), Some(self))),
+            StreamStep::Progress(progress) => Ok((Frame::Progress(progress), Some(self))),
             StreamStep::Paused => {
                 let remainder = self.connection.into_remainder().map_err(|_| CallError::Reset)?;
                 Ok((Frame::HandedOver(remainder), None))
--- a/gateway/src/engine/body_read_state.rs
+++ b/gateway/src/engine/body_read_state.rs
@@ -25,6 +25,8 @@
     reader_waker: RefCell<Option<Waker>>,
     /// Notified whenever reading pauses. The end of a chunk alone carries no data, so it would not wake the event stream.
     paused: Notify,
+    /// Notified when a read ends within the size line of a chunk, which carries no data either.
+    chunk_begun: Notify,
 }
 
 impl BodyReadState {
@@ -52,6 +54,21 @@
         self.paused.notified().await;
     }
 
+    /// Waits until the size line of a chunk has been received in part, or without any data behind it.
+    pub async fn wait_chunk_begun(&self) {
+        loop {
+            self.chunk_begun.notified().await;
+            // The data may have been read since.
+            if self.is_before_chunk_data() {
+                return;
+            }
+        }
+    }
+
+    fn is_before_chunk_data(&self) -> bool {
+        self.position.get().is_some_and(|position| position.is_before_chunk_data())
+    }
+
     /// Returns whether reading has paused. If so, the task of this context is woken when reading continues.
     pub fn poll_paused(&self, context: &mut Context<'_>) -> bool {
         if !self.pause_requested.get() || !self.is_between_chunks() {
@@ -82,6 +99,9 @@
         self.data_bytes.set(data);
         // hyper reports malformed framing itself. Here it only means that the stream can no longer be handed over.
         self.position.set(read.is_ok().then_some(position));
+        if self.is_before_chunk_data() {
+            self.chunk_begun.notify_one();
+        }
         match read {
             Ok(read) if !position.is_ended() => read,
             _ => bytes.len(),
--- a/gateway/src/engine/connection.rs
+++ b/gateway/src/engine/connection.rs
@@ -9,6 +9,7 @@
 
 use bytes::Bytes;
 use glenrail_request_lifecycle::evidence::Observation;
+use glenrail_request_lifecycle::response_timing::{Expiry, ResponseLimits};
 use glenrail_request_lifecycle::server::{self, Effect, Input, Stage};
 use http::{Request, Response};
 use http_body_util::Full;
@@ -28,6 +29,7 @@
 use crate::counted_socket::CountedSocket;
 use crate::exchange::{CancelToken, StreamRemainder};
 use crate::log;
+use crate::response_clock::ResponseClock;
 
 /// Maximum number of bytes that hyper reads at once; larger than the largest response head.
 ///
@@ -43,6 +45,8 @@
     Withheld,
     /// The request was written only in part, so the server never ran it.
     NeverRan,
+    /// The response began and did not go on within its time limit. The server may have run the request.
+    Expired(Expiry),
     /// The server may have run the request; the error is that of the response.
     MayHaveRun(hyper::Error),
 }
@@ -72,6 +76,8 @@
     awaiting_head: Rc<Cell<bool>>,
     /// Read state of the current response's body.
     pub body_state: Rc<BodyReadState>,
+    /// Time limits of the current response.
+    pub clock: ResponseClock,
     task: AbortHandle,
     slot: Option<OwnedSemaphorePermit>,
     /// Token of the attempt in progress; `None` once its stream has begun. Observations of this connection
@@ -92,8 +98,14 @@
         let awaiting_head = Rc::new(Cell::new(false));
         let gate = Rc::new(WriteGate::default());
         let body_state = Rc::new(BodyReadState::default());
-        let reader =
-            ResponseReader::new(socket.clone(), gate.clone(), awaiting_head.clone(), body_state.clone());
+        let clock = ResponseClock::new();
+        let reader = ResponseReader::new(
+            socket.clone(),
+            gate.clone(),
+            awaiting_head.clone(),
+            body_state.clone(),
+            clock.clone(),
+        );
         let handshake = Builder::new().max_buf_size(READ_BUFFER_BYTES).handshake(TokioIo::new(reader));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
         let task = spawn_local(async move {
@@ -114,6 +126,7 @@
             gate,
             awaiting_head,
             body_state,
+            clock,
             task,
             slot,
             attempt,
@@ -129,12 +142,18 @@
     /// Sends a request and waits for the head of its response. The request is withheld if `is_permitted` returns false
     /// when its first byte is about to be written, and fails if the server sends anything before that.
     pub async fn send(
-        &mut self, request: Request<Bytes>, is_permitted: impl Fn() -> bool + 'static,
+        &mut self, request: Request<Bytes>, limits: ResponseLimits, is_permitted: impl Fn() -> bool + 'static,
     ) -> Result<Response<Incoming>, SendFailure> {
         let (written_before, length) = (self.socket.written(), encoded_length(&request));
         self.gate.arm(is_permitted);
         self.awaiting_head.set(true);
-        let response = self.sender.send_request(request.map(Full::new)).await;
+        self.clock.begin(limits);
+        let response = tokio::select! {
+            biased;
+            response = self.sender.send_request(request.map(Full::new)) => response,
+            // The connection is dropped in the middle of its attempt, like one whose attempt is cancelled.
+            expiry = self.clock.expired() => return Err(SendFailure::Expired(expiry)),
+        };
         let written = self.socket.written() - written_before;
         if written > 0 {
             let input = if written < length { Input::BytesWritten } else { Input::LastByteWritten };
@@ -197,6 +216,7 @@
         Ok(StreamRemainder {
             socket: socket.into(),
             read_ahead: self.body_state.read_ahead.take(),
+            last_event: None,
             id_hold: None,
         })
     }
--- a/gateway/src/engine/event_stream.rs
+++ b/gateway/src/engine/event_stream.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
+use glenrail_request_lifecycle::response_timing::Progress;
 use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::HeaderMap;
 use http_body_util::BodyExt;
@@ -28,12 +29,18 @@
     /// Becomes true when the stream is to be handed over to the successor process.
     handing_over: watch::Receiver<bool>,
     body_end: BodyEnd,
+    /// Bytes of an event that arrived together with what the last step returned.
+    unreported: Option<Progress>,
 }
 
 /// Result of one step of reading a stream.
 pub(super) enum StreamStep {
     /// One or more complete events.
     Events(Bytes),
+    /// Complete lines that readers ignore, or an event without data.
+    Ignored(Bytes),
+    /// Bytes that complete no line to be forwarded.
+    Progress(Progress),
     /// The body has ended, and no event is incomplete.
     End,
     /// Reading has paused with all data returned, so the successor process can continue the stream.
@@ -48,11 +55,14 @@
     ) -> Self {
         let (events, tail) = (EventBuffer::default(), StreamTail::default());
         let body_end = body_end(headers);
-        EventStream { body, events, tail, data_read: 0, body_state, handing_over, body_end }
+        EventStream { body, events, tail, data_read: 0, body_state, handing_over, body_end, unreported: None }
     }
 
-    /// Reads until the next step is complete. A step other than events is the last one.
+    /// Reads until the next step is complete. The end and a pause are the last step.
     pub async fn next(&mut self) -> Result<StreamStep, CallError> {
+        if let Some(progress) = self.unreported.take() {
+            return Ok(StreamStep::Progress(progress));
+        }
         loop {
             // A stream is handed over between two chunks, and only where no event is incomplete.
             let pause_requested = *self.handing_over.borrow_and_update() && self.events.is_complete();
@@ -66,23 +76,33 @@
                 // The engine owns the sender, so this cannot fail while the engine exists.
                 _ = self.handing_over.changed() => continue,
                 () = self.body_state.wait_paused() => continue,
+                () = self.body_state.wait_chunk_begun() => return Ok(StreamStep::Progress(Progress::ChunkBegun)),
             };
             let Some(frame) = frame else { break };
             let frame = frame.map_err(|error| broken_response(&error))?;
             let Ok(data) = frame.into_data() else { continue };
             self.data_read += data.len() as u64;
-            let events = self.events.push(&data)?;
-            if let Some(events) = events {
-                return Ok(self.forward(events));
-            }
+            let complete = self.events.push(&data)?;
+            return Ok(self.step_after(complete));
         }
-        let rest = self.events.finish(self.body_end)?;
-        Ok(rest.map_or(StreamStep::End, |rest| self.forward(rest)))
+        let Some(rest) = self.events.finish(self.body_end)? else { return Ok(StreamStep::End) };
+        self.tail.push(&rest);
+        Ok(StreamStep::Ignored(rest))
     }
 
-    fn forward(&mut self, events: Bytes) -> StreamStep {
-        self.tail.push(&events);
-        StreamStep::Events(events)
+    /// Returns the step after the buffer has returned these complete events and lines.
+    fn step_after(&mut self, complete: Option<Bytes>) -> StreamStep {
+        let progress = self.events.received().incomplete_progress();
+        let Some(complete) = complete else {
+            return StreamStep::Progress(progress.unwrap_or(Progress::OtherBytes));
+        };
+        self.unreported = progress;
+        self.tail.push(&complete);
+        if self.events.received().completes_event {
+            StreamStep::Events(complete)
+        } else {
+            StreamStep::Ignored(complete)
+        }
     }
 }
 
--- a/gateway/src/engine/events/line.rs
+++ b/gateway/src/engine/events/line.rs
@@ -81,6 +81,14 @@
     Ok(validated + text_length)
 }
 
+/// Returns whether the beginning of a line can belong to an event: the name of its field is known, or may become so.
+pub fn may_belong_to_event(line: &[u8]) -> bool {
+    match colon(line) {
+        Some(end) => is_known(&line[..end]),
+        None => KNOWN_FIELDS.iter().any(|name| name.starts_with(line.strip_suffix(b"\r").unwrap_or(line))),
+    }
+}
+
 /// Returns whether a line is a comment.
 pub fn is_comment(line: &[u8]) -> bool {
     line.first() == Some(&b':')
--- a/gateway/src/engine/events/mod.rs
+++ b/gateway/src/engine/events/mod.rs
@@ -4,6 +4,7 @@
 mod line;
 
 use bytes::{Bytes, BytesMut};
+use glenrail_request_lifecycle::response_timing::Progress;
 
 use self::line::LineKind;
 pub use self::line::MalformedEvent;
@@ -33,8 +34,21 @@
     has_field: bool,
     /// Whether the incomplete event has a data line.
     has_data: bool,
+    /// Number of bytes of the complete lines of the incomplete event, without lines that readers ignore.
+    event_line_bytes: usize,
     /// Whether the stream's first bytes were compared with the byte order mark.
     is_past_start: bool,
+    /// What the last bytes contained.
+    received: Received,
+}
+
+/// What the bytes of one call of [`EventBuffer::push`] contained.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Received {
+    /// Whether an event with data was completed.
+    pub completes_event: bool,
+    /// Whether the bytes contained a part of an event that is incomplete after them.
+    pub writes_event: bool,
 }
 
 /// Whether the end of a body was marked by its framing.
@@ -46,6 +60,13 @@
     Unmarked,
 }
 
+impl Received {
+    /// Returns the progress of an event that is incomplete; `None` if the bytes contained no part of one.
+    pub fn incomplete_progress(self) -> Option<Progress> {
+        self.writes_event.then_some(Progress::EventBytes)
+    }
+}
+
 impl EventBuffer {
     /// Creates the buffer of a resumed stream, whose first events were forwarded by the predecessor process.
     pub fn resumed() -> Self {
@@ -55,6 +76,8 @@
     /// Appends bytes and returns the events that are now complete, if any; none before the first event with
     /// data.
     pub fn push(&mut self, bytes: &Bytes) -> Result<Option<Bytes>, MalformedEvent> {
+        let incomplete_before = self.incomplete_event_bytes();
+        self.received = Received::default();
         self.bytes.extend_from_slice(bytes);
         if !self.is_past_start && !self.skip_byte_order_mark() {
             return Ok(None);
@@ -64,6 +87,8 @@
         }
         self.validated_text = line::check_partial(&self.bytes[self.line_start..], self.validated_text)?;
         self.examined = self.bytes.len();
+        let continued_from = if self.received.completes_event { 0 } else { incomplete_before };
+        self.received.writes_event = self.incomplete_event_bytes() > continued_from;
         let incomplete = self.bytes.len() - self.events_end;
         if incomplete > MAX_EVENT_BYTES || !self.has_begun && self.bytes.len() > MAX_EVENT_BYTES {
             return Err(MalformedEvent);
@@ -94,6 +119,9 @@
     /// An ignored line between two events is complete by itself.
     fn end_line(&mut self, end: usize) -> Result<(), MalformedEvent> {
         let kind = line::check_complete(&self.bytes[self.line_start..end], self.validated_text)?;
+        if matches!(kind, LineKind::Data | LineKind::OtherField) {
+            self.event_line_bytes += end - self.line_start;
+        }
         self.examined = end + 1;
         self.line_start = self.examined;
         self.validated_text = 0;
@@ -101,7 +129,10 @@
             LineKind::Empty => {
                 self.events_end = self.examined;
                 self.has_field = false;
-                self.has_begun |= std::mem::take(&mut self.has_data);
+                self.event_line_bytes = 0;
+                let has_data = std::mem::take(&mut self.has_data);
+                self.has_begun |= has_data;
+                self.received.completes_event |= has_data;
             }
             LineKind::Ignored if !self.has_field => self.events_end = self.examined,
             LineKind::Ignored => {}
@@ -114,6 +145,18 @@
         Ok(())
     }
 
+    /// Returns what the last bytes contained.
+    pub fn received(&self) -> Received {
+        self.received
+    }
+
+    /// Returns the number of bytes received of the event that is incomplete.
+    fn incomplete_event_bytes(&self) -> usize {
+        let partial_line = &self.bytes[self.line_start..];
+        let partial_bytes = if line::may_belong_to_event(partial_line) { partial_line.len() } else { 0 };
+        self.event_line_bytes + partial_bytes
+    }
+
     /// Returns whether the stream may end here: an event with data was forwarded and no bytes are pending.
     pub fn is_complete(&self) -> bool {
         self.has_begun && self.bytes.is_empty()
--- a/gateway/src/engine/liveness.rs
+++ b/gateway/src/engine/liveness.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use glenrail_request_lifecycle::reachability::Reachability;
+use glenrail_request_lifecycle::response_timing::{OnPause, ResponseLimits};
 use glenrail_router::ServerId;
 use http::{Method, Request};
 use http_body_util::{BodyExt, Limited};
@@ -84,7 +85,7 @@
         if !connection.may_write(self.may_receive(server, &connection.peer, kind)) {
             return Err(VerificationError::Withheld);
         }
-        let response = match connection.send(check, || true).await {
+        let response = match connection.send(check, ResponseLimits::platform(OnPause::Retry), || true).await {
             Ok(response) => response,
             Err(SendFailure::Withheld) => return Err(VerificationError::Withheld),
             Err(_) => return Err(VerificationError::Broken),
--- a/gateway/src/engine/mod.rs
+++ b/gateway/src/engine/mod.rs
@@ -39,6 +39,7 @@
 use futures_util::future::LocalBoxFuture;
 use glenrail_access_log::counts::Counts;
 use glenrail_request_lifecycle::reachability::{Millis, Reachability};
+use glenrail_request_lifecycle::response_timing::{OnPause, ResponseLimits, ResponseTiming};
 use glenrail_router::ServerId;
 use tokio::sync::{watch, Semaphore};
 use tokio::time::Instant;
@@ -65,10 +66,44 @@
     pub probes: bool,
     /// Idle time after which a connection is closed; must be well below the idle timeout of the servers.
     pub idle_timeout: Duration,
-    /// Whether the servers are a public API. For a public API, status 429, or 503 with a Retry-After header, means that
-    /// the request was rejected, and any other 4xx status is the client's error and is forwarded. On the platform,
-    /// only a response with the rejection header means a rejection.
-    pub public_api: bool,
+    /// The API of the servers.
+    pub server_api: ServerApi,
+}
+
+/// API of the servers of a pool.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ServerApi {
+    /// The platform's. Only a response with the rejection header means that the request was rejected.
+    Platform,
+    /// A public API: status 429, or 503 with a Retry-After header, means that the request was rejected, and any other 4xx
+    /// status is the client's error and is forwarded.
+    Public {
+        /// Time without any bytes after which a stream is ended.
+        max_silence: Duration,
+    },
+}
+
+impl ServerApi {
+    /// Whether the servers are a public API.
+    pub fn is_public(self) -> bool {
+        matches!(self, ServerApi::Public { .. })
+    }
+
+    /// Returns the time limits of a response.
+    fn response_limits(self, on_pause: OnPause) -> ResponseLimits {
+        match self {
+            ServerApi::Platform => ResponseLimits::platform(on_pause),
+            ServerApi::Public { max_silence } => ResponseLimits::public_api(max_silence),
+        }
+    }
+}
+
+/// A stream that the predecessor process handed over.
+pub struct ResumedResponse {
+    /// The rest of its body.
+    pub frames: Frames,
+    /// Its time limits, with the time since its last event.
+    pub timing: ResponseTiming<Instant>,
 }
 
 /// State of one engine, shared by its tasks.
@@ -133,9 +168,13 @@
     }
 
     /// Continues a stream that the predecessor process has handed over.
-    pub fn resume(&self, remainder: StreamRemainder) -> Frames {
+    pub fn resume(&self, remainder: StreamRemainder) -> ResumedResponse {
         let slot = self.0.connection_slots.clone().try_acquire_owned().ok();
-        resumed_stream::resume(remainder, slot, self.0.handing_over.subscribe())
+        // A predecessor of an earlier build does not state the time of the last event.
+        let last_event = remainder.last_event.unwrap_or_else(Instant::now);
+        let limits = self.0.limits.server_api.response_limits(OnPause::Wait);
+        let frames = resumed_stream::resume(remainder, slot, self.0.handing_over.subscribe());
+        ResumedResponse { frames, timing: ResponseTiming::resumed(limits, last_event) }
     }
 
     /// Returns the number of attempts whose last byte was handed to the kernel.
@@ -167,16 +206,27 @@
 
     async fn handle_call(self, call: Call) -> Result<Reply, CallError> {
         match call {
-            Call::Attempt { server, payload, deadline, connect_timeout, connection_check, cancel_token } => {
+            Call::Attempt {
+                server,
+                payload,
+                deadline,
+                connect_timeout,
+                connection_check,
+                on_pause,
+                cancel_token,
+            } => {
+                let mode = ResponseMode::for_payload(&payload);
+                let limits = self.0.limits.server_api.response_limits(on_pause);
                 let request = ServerRequest {
                     kind: RequestKind::Attempt,
                     request: attempt_request(&payload),
                     connect_deadline: connect_timeout.map(|timeout| Instant::now() + timeout),
                     connection_check,
                     deadline: Some(deadline),
+                    limits: mode.limits(limits),
                     cancel_token,
                 };
-                self.attempt(server, &request, ResponseMode::for_payload(&payload)).await
+                self.attempt(server, &request, mode).await
             }
             Call::Release { payload } => self.release(&payload).await,
             Call::ReserveSlot { server, payload } => self.reserve_slot(server, &payload).await,
--- a/gateway/src/engine/response_fields.rs
+++ b/gateway/src/engine/response_fields.rs
@@ -17,7 +17,7 @@
 const TAIL_BYTES: usize = 2048;
 
 /// Returns whether the response states that the server did not run the request; `public_api` as in
-/// [`EngineLimits`](super::EngineLimits::public_api).
+/// [`ServerApi`](super::ServerApi).
 pub fn is_rejection(head: &ResponseHead, public_api: bool) -> bool {
     if head.headers.get(REJECTION_HEADER).is_some_and(|mark| mark == "1") {
         return true;
--- a/gateway/src/engine/response_reader.rs
+++ b/gateway/src/engine/response_reader.rs
@@ -1,20 +1,20 @@
 //! Reader between a connection's socket and hyper. It passes the head of a response to hyper once it is complete, and
-//! drops the interim responses (1xx) before it: hyper would treat a 101 as an upgrade, and has no time limit for a head.
+//! drops the interim responses (1xx) before it: hyper would treat a 101 as an upgrade. It reports the bytes of a head that
+//! is not complete, since hyper has no time limit for one.
 
 use std::cell::Cell;
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
 
+use glenrail_request_lifecycle::response_timing::Progress;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::{sleep, Sleep};
 
 use super::body_read_state::BodyReadState;
 use super::write_gate::WriteGate;
 use crate::counted_socket::CountedSocket;
+use crate::response_clock::ResponseClock;
 
 /// Maximum size in bytes of a response head together with all interim responses before it.
 const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -22,10 +22,6 @@
 /// Maximum number of headers in a response head.
 const MAX_HEADERS: usize = 100;
 
-/// Time limit from the first bytes of a response, including interim responses, to the end of its final head.
-/// It is enforced only while a head has been received in part.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// The socket of a connection as hyper reads and writes it.
 pub struct ResponseReader {
     socket: CountedSocket,
@@ -38,9 +34,8 @@
     deliverable: usize,
     /// Number of bytes of interim responses received before the current head.
     interim_bytes: usize,
-    /// Timer of a head that has been received in part.
-    head_timeout: Option<Pin<Box<Sleep>>>,
     body_state: Rc<BodyReadState>,
+    clock: ResponseClock,
 }
 
 fn malformed(detail: &'static str) -> io::Error {
@@ -58,18 +53,17 @@
     /// Creates the reader of a new connection.
     pub fn new(
         socket: CountedSocket, gate: Rc<WriteGate>, awaiting_head: Rc<Cell<bool>>,
-        body_state: Rc<BodyReadState>,
+        body_state: Rc<BodyReadState>, clock: ResponseClock,
     ) -> Self {
-        let (buffered, head_timeout) = (Vec::new(), None);
         ResponseReader {
             socket,
             gate,
             awaiting_head,
-            buffered,
+            buffered: Vec::new(),
             deliverable: 0,
             interim_bytes: 0,
-            head_timeout,
             body_state,
+            clock,
         }
     }
 
@@ -82,13 +76,14 @@
                 Ok(httparse::Status::Complete(size)) if matches!(response.code, Some(100..=199)) => {
                     self.buffered.drain(..size);
                     self.interim_bytes += size;
+                    self.clock.observe(Progress::InterimHead);
                 }
                 Ok(httparse::Status::Complete(size)) => {
                     self.body_state.begin_body(is_chunked(&response));
                     self.body_state.advance(&self.buffered[size..]);
                     self.deliverable = self.buffered.len();
                     self.interim_bytes = 0;
-                    self.head_timeout = None;
+                    self.clock.observe(Progress::HeadComplete);
                     self.awaiting_head.set(false);
                     return Ok(true);
                 }
@@ -106,22 +101,15 @@
     /// Reads until a final head is complete. Returns false if the server closes its direction before.
     fn poll_head(&mut self, context: &mut Context<'_>) -> Poll<io::Result<bool>> {
         loop {
-            let Poll::Ready(read) = self.socket.poll_read_into(context, &mut self.buffered)? else {
-                let has_begun = !self.buffered.is_empty();
-                let Some(timeout) = self.head_timeout.as_mut().filter(|_| has_begun) else {
-                    return Poll::Pending;
-                };
-                ready!(timeout.as_mut().poll(context));
-                return Poll::Ready(Err(malformed("response head not complete within the time limit")));
-            };
+            let read = ready!(self.socket.poll_read_into(context, &mut self.buffered))?;
             if read == 0 {
                 return Poll::Ready(Ok(false));
             }
             if self.find_head()? {
                 return Poll::Ready(Ok(true));
             }
-            if self.head_timeout.is_none() {
-                self.head_timeout = Some(Box::pin(sleep(HEAD_TIMEOUT)));
+            if !self.buffered.is_empty() {
+                self.clock.observe(Progress::HeadBytes);
             }
         }
     }
--- a/gateway/src/engine/resumed_stream.rs
+++ b/gateway/src/engine/resumed_stream.rs
@@ -3,8 +3,9 @@
 
 use std::net::Shutdown;
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use futures_util::stream::{self, StreamExt};
+use glenrail_request_lifecycle::response_timing::Progress;
 use socket2::SockRef;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
@@ -27,6 +28,8 @@
     events: EventBuffer,
     /// Becomes true when the stream is to be handed over to the next successor process.
     handing_over: watch::Receiver<bool>,
+    /// Bytes of an event that arrived together with what the last frame contained.
+    unreported: Option<Progress>,
     _slot: Option<OwnedSemaphorePermit>,
 }
 
@@ -41,8 +44,11 @@
 }
 
 impl ResumedStream {
-    /// Returns the next frame. A frame other than data is the last one.
+    /// Returns the next frame.
     async fn next(&mut self) -> Result<Frame, CallError> {
+        if let Some(progress) = self.unreported.take() {
+            return Ok(Frame::Progress(progress));
+        }
         loop {
             if let Some(frame) = self.parse()? {
                 return Ok(frame);
@@ -64,7 +70,7 @@
         }
     }
 
-    /// Parses the bytes read so far into a frame; `None` if more bytes are needed.
+    /// Parses the bytes read so far into a frame; `None` if nothing was read.
     fn parse(&mut self) -> Result<Option<Frame>, CallError> {
         let mut data = BytesMut::new();
         let read = self
@@ -72,21 +78,49 @@
             .read(&self.read_ahead, ReadUntil::EndOfBody, |part| data.extend_from_slice(part))
             .map_err(|_| CallError::MalformedResponse)?;
         let _ = self.read_ahead.split_to(read);
-        let events = self.events.push(&data.freeze())?;
-        if let Some(events) = events {
-            return Ok(Some(Frame::Data(events)));
+        let data = data.freeze();
+        let complete = self.events.push(&data)?;
+        if let Some(complete) = complete {
+            return Ok(Some(self.frame_of(complete)));
+        }
+        if self.position.is_ended() {
+            let rest = self.events.finish(BodyEnd::Marked)?;
+            return Ok(Some(rest.map_or(Frame::End { cached_tokens: 0.0, report: None }, Frame::Ignored)));
         }
-        if !self.position.is_ended() {
-            return Ok(None);
+        Ok(self.progress_after(read, &data).map(Frame::Progress))
+    }
+
+    /// Returns the frame of these complete events and lines.
+    fn frame_of(&mut self, complete: Bytes) -> Frame {
+        let received = self.events.received();
+        self.unreported = received.incomplete_progress();
+        if received.completes_event {
+            Frame::Data(complete)
+        } else {
+            Frame::Ignored(complete)
+        }
+    }
+
+    /// Returns the progress shown by `read` bytes that contained this incomplete data; `None` if it is none.
+    fn progress_after(&self, read: usize, data: &Bytes) -> Option<Progress> {
+        let in_data = self.events.received().incomplete_progress();
+        match in_data {
+            Some(progress) => Some(progress),
+            None if !data.is_empty() => Some(Progress::OtherBytes),
+            None if read > 0 && self.position.is_before_chunk_data() => Some(Progress::ChunkBegun),
+            None => None,
         }
-        let rest = self.events.finish(BodyEnd::Marked)?;
-        Ok(Some(rest.map_or(Frame::End { cached_tokens: 0.0, report: None }, Frame::Data)))
     }
 
     fn hand_over(&mut self) -> Result<Frame, CallError> {
         let socket = self.socket.take().ok_or(CallError::Reset)?;
         let socket = socket.into_std().map_err(|_| CallError::Reset)?;
-        Ok(Frame::HandedOver(StreamRemainder { socket, read_ahead: Vec::new(), id_hold: None }))
+        Ok(Frame::HandedOver(StreamRemainder {
+            socket,
+            read_ahead: Vec::new(),
+            last_event: None,
+            id_hold: None,
+        }))
     }
 }
 
@@ -104,12 +138,13 @@
         position: ChunkPosition::default(),
         events: EventBuffer::resumed(),
         handing_over,
+        unreported: None,
         _slot: slot,
     };
     stream::try_unfold(Some(resumed), |resumed| async move {
         let Some(mut resumed) = resumed else { return Ok(None) };
         let frame = resumed.next().await?;
-        let following = matches!(frame, Frame::Data(_)).then_some(resumed);
+        let following = frame.is_followed().then_some(resumed);
         Ok(Some((frame, following)))
     })
     .boxed_local()
--- a/gateway/src/engine/send.rs
+++ b/gateway/src/engine/send.rs
@@ -66,6 +66,7 @@
                 SendFailure::Replace => request.cancel_token.set_written(false),
                 SendFailure::Withheld => return Err(CallError::NotSent),
                 SendFailure::NeverRan => return Err(CallError::ConnectFailed),
+                SendFailure::Expired(expiry) => return Err(CallError::ResponseExpired(expiry)),
                 SendFailure::MayHaveRun(error) => return Err(broken_response(&error)),
             }
         }
@@ -98,7 +99,7 @@
             connection.set_attempt(&request.cancel_token);
             connection.count_when_written(&to_write, self.0.attempts_written.clone());
         }
-        connection.send(to_write, move || condition.check()).await
+        connection.send(to_write, request.limits, move || condition.check()).await
     }
 }
 
--- a/gateway/src/engine/server_request.rs
+++ b/gateway/src/engine/server_request.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use glenrail_request_lifecycle::response_timing::{OnPause, ResponseLimits};
 use http::Request;
 use tokio::time::Instant;
 
@@ -44,6 +45,8 @@
     pub connection_check: ConnectionCheck,
     /// Time by which the response must begin; `None` for requests other than attempts.
     pub deadline: Option<Instant>,
+    /// Time limits of the response.
+    pub limits: ResponseLimits,
     pub cancel_token: CancelToken,
 }
 
@@ -56,6 +59,7 @@
             connect_deadline: None,
             connection_check: ConnectionCheck::None,
             deadline: None,
+            limits: ResponseLimits::platform(OnPause::Retry),
             cancel_token: CancelToken::default(),
         }
     }
--- a/gateway/src/exchange.rs
+++ b/gateway/src/exchange.rs
@@ -193,6 +193,8 @@
     pub socket: TcpStream,
     /// Bytes that were read but not forwarded.
     pub read_ahead: Vec<u8>,
+    /// When the last event was received; `None` before the core has added it, or if the predecessor did not state it.
+    pub last_event: Option<Instant>,
     /// Keeps the id of the request in use while its stream continues; `None` before the core has added it.
     pub id_hold: Option<RequestIdHold>,
 }
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -26,6 +26,7 @@
 use super::{accept_queue, closed_connections, Front, HttpService};
 use crate::core;
 use crate::counted_socket::{has_unread, unread_bytes};
+use crate::engine::ResumedResponse;
 use crate::log;
 use crate::metrics::{RequestMetrics, RequestOutcome};
 use crate::pools::Pool;
@@ -63,10 +64,10 @@
         let counter = class.as_ref().and_then(|class| metrics.counter(class));
         // Held here too until the client has the end of the stream.
         let id_hold = remainder.id_hold.clone();
-        let frames = pool.engine.resume(remainder);
+        let ResumedResponse { frames, timing } = pool.engine.resume(remainder);
         let open_stream = pool.resumed.open();
         Box::pin(async move {
-            let response = core::resume_stream(frames, id_hold.clone());
+            let response = core::resume_stream(frames, timing, id_hold.clone());
             let result = write_remainder(socket, response).await;
             if let (StreamResult::ClientDisconnected, Some(id_hold)) = (&result, &id_hold) {
                 id_hold.retain();
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod plugin;
 pub mod pools;
 pub mod request_ids;
+mod response_clock;
 pub mod response_ends;
 pub mod shutdown;
 pub mod upgrade;
--- a/gateway/src/pools/inference.rs
+++ b/gateway/src/pools/inference.rs
@@ -13,7 +13,7 @@
 use super::Pool;
 use crate::budget::Budget;
 use crate::config;
-use crate::engine::{EngineLimits, ServerAddress};
+use crate::engine::{EngineLimits, ServerAddress, ServerApi};
 use crate::front::inference::{Inference, Target};
 use crate::metrics::RequestMetrics;
 use crate::plugin::Plugin;
@@ -104,7 +104,7 @@
             connect_timeout: Duration::from_millis(section.connect_ms),
             probes: false,
             idle_timeout: Duration::from_millis(section.idle_ms),
-            public_api: true,
+            server_api: ServerApi::Public { max_silence: Duration::from_millis(max_deadline_ms) },
         };
         // The file has no seed, and gateways must not all make the same random choices.
         let seed = RandomState::new().hash_one("router");
--- a/gateway/src/response_ends.rs
+++ b/gateway/src/response_ends.rs
@@ -4,6 +4,7 @@
 
 use std::cell::RefCell;
 
+use glenrail_request_lifecycle::response_timing::Expiry;
 use serde_json::Value;
 
 use crate::log;
@@ -16,8 +17,8 @@
     Reset,
     /// The response could not be parsed.
     Malformed,
-    /// No event was completed within the time limit after the last one.
-    EventOverdue,
+    /// A time limit of the response has passed.
+    Expired(Expiry),
     /// The client disconnected.
     ClientDisconnected,
     /// The client read nothing of its response for too long.
@@ -26,10 +27,14 @@
 
 impl ResponseEnd {
     /// All reasons, in the order of the operators' counters.
-    pub const ALL: [ResponseEnd; 5] = [
+    pub const ALL: [ResponseEnd; 9] = [
         ResponseEnd::Reset,
         ResponseEnd::Malformed,
-        ResponseEnd::EventOverdue,
+        ResponseEnd::Expired(Expiry::HeadStalled),
+        ResponseEnd::Expired(Expiry::BodyStalled),
+        ResponseEnd::Expired(Expiry::EventOverdue),
+        ResponseEnd::Expired(Expiry::EventStalled),
+        ResponseEnd::Expired(Expiry::EventTooLong),
         ResponseEnd::ClientDisconnected,
         ResponseEnd::ClientStalled,
     ];
@@ -39,7 +44,11 @@
         match self {
             ResponseEnd::Reset => "reset",
             ResponseEnd::Malformed => "malformed",
-            ResponseEnd::EventOverdue => "event_overdue",
+            ResponseEnd::Expired(Expiry::HeadStalled) => "head_stalled",
+            ResponseEnd::Expired(Expiry::BodyStalled) => "body_stalled",
+            ResponseEnd::Expired(Expiry::EventOverdue) => "event_overdue",
+            ResponseEnd::Expired(Expiry::EventStalled) => "event_stalled",
+            ResponseEnd::Expired(Expiry::EventTooLong) => "event_too_long",
             ResponseEnd::ClientDisconnected => "client_disconnected",
             ResponseEnd::ClientStalled => "client_stalled",
         }
--- a/gateway/src/upgrade/protocol.rs
+++ b/gateway/src/upgrade/protocol.rs
@@ -32,6 +32,11 @@
 /// is none.
 pub(super) const STREAM: u8 = 0x30;
 
+/// Sent by the predecessor before [`STREAM`], plus the number of a front: how long ago the last event of that stream was
+/// received. Two blocks follow: the time in milliseconds, as decimal text, and an empty one. Earlier builds take it for a
+/// stream without its sockets, which they log and ignore.
+pub(super) const STREAM_AGE: u8 = 0x40;
+
 /// Maximum size of a received block, in bytes.
 const MAX_BLOCK_BYTES: usize = 1 << 20;
 /// Size of the length prefix of a block, in bytes.
@@ -71,6 +76,11 @@
         let Some(stream) = &connection.stream else {
             return self.send(CONNECTION + connection.front, &[client]).await;
         };
+        if let Some(last_event) = stream.remainder.last_event {
+            self.send(STREAM_AGE + connection.front, &[]).await?;
+            self.send_block(last_event.elapsed().as_millis().to_string().as_bytes()).await?;
+            self.send_block(&[]).await?;
+        }
         let server = stream.remainder.socket.as_fd();
         self.send(STREAM + connection.front, &[client, server]).await?;
         self.send_block(&stream.remainder.read_ahead).await?;
--- a/gateway/src/upgrade/successor.rs
+++ b/gateway/src/upgrade/successor.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use tokio::net::UnixStream;
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use super::protocol::{
-    Frame, UpgradeLink, ALL_LISTENERS_SENT, CONNECTION, LISTENER, ROUTING_STATE, SERVING, STREAM,
+    Frame, UpgradeLink, ALL_LISTENERS_SENT, CONNECTION, LISTENER, ROUTING_STATE, SERVING, STREAM, STREAM_AGE,
 };
 use super::socket_path::{socket_path, SOCKET_NAME};
 use super::transferred::{socket_cookie, TransferredStream};
@@ -95,19 +95,29 @@
     request_ids: &RequestIds,
 ) -> io::Result<()> {
     link.send(SERVING, &[]).await?;
+    // When the last event was received of the stream that comes next.
+    let mut last_event = None;
     while let Some(frame) = link.receive().await? {
-        if frame.tag == ROUTING_STATE {
-            (routing_state.import)(&link.receive_block().await?);
-        } else {
-            receive_connection(link, frame, inboxes, request_ids).await?;
+        match frame.tag {
+            ROUTING_STATE => (routing_state.import)(&link.receive_block().await?),
+            STREAM_AGE.. => last_event = receive_last_event(link).await?,
+            _ => receive_connection(link, frame, last_event.take(), inboxes, request_ids).await?,
         }
     }
     Ok(())
 }
 
+/// Receives the blocks of [`STREAM_AGE`]; `None` if they hold no time that can be represented.
+async fn receive_last_event(link: &UpgradeLink) -> io::Result<Option<Instant>> {
+    let (age, _) = (link.receive_block().await?, link.receive_block().await?);
+    let age_ms = std::str::from_utf8(&age).ok().and_then(|text| text.parse().ok());
+    Ok(age_ms.and_then(|age_ms| Instant::now().checked_sub(Duration::from_millis(age_ms))))
+}
+
 /// Receives the connection of this message, with the blocks of its stream if it has one, and delivers it to its front.
 async fn receive_connection(
-    link: &UpgradeLink, frame: Frame, inboxes: &TransferInboxes, request_ids: &RequestIds,
+    link: &UpgradeLink, frame: Frame, last_event: Option<Instant>, inboxes: &TransferInboxes,
+    request_ids: &RequestIds,
 ) -> io::Result<()> {
     let Frame { tag, descriptors } = frame;
     let blocks = match tag {
@@ -120,7 +130,7 @@
         (Some(client), Some(server), Some((read_ahead, class))) => {
             let class = String::from_utf8(class).ok().filter(|name| !name.is_empty());
             let id_hold = socket_cookie(&client).ok().map(|cookie| request_ids.hold_continued_stream(cookie));
-            let remainder = StreamRemainder { socket: server, read_ahead, id_hold };
+            let remainder = StreamRemainder { socket: server, read_ahead, last_event, id_hold };
             inboxes.deliver(tag.wrapping_sub(STREAM), client, Some(TransferredStream { remainder, class }));
         }
         _ => log!("upgrade: a transfer came without its sockets; descriptors may be exhausted"),
--- a/gateway/src/upgrade/tests/wire_format.rs
+++ b/gateway/src/upgrade/tests/wire_format.rs
@@ -193,7 +193,12 @@
     let successor = successor.expect("a successor");
     for ((_, front, stream), [client, server]) in CONNECTIONS.into_iter().zip(sockets) {
         let transferred = |(read_ahead, class): StreamData| TransferredStream {
-            remainder: StreamRemainder { socket: server, read_ahead: read_ahead.to_vec(), id_hold: None },
+            remainder: StreamRemainder {
+                socket: server,
+                read_ahead: read_ahead.to_vec(),
+                last_event: None,
+                id_hold: None,
+            },
             class: class.map(String::from),
         };
         let connection = TransferredConnection {
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
 use glenrail_request_lifecycle::evidence::Observation;
+use glenrail_request_lifecycle::response_timing::{Expiry, OnPause, Progress, ResponseTiming};
 use glenrail_router::{LoadReport, ServerId};
 use tokio::time::Instant;
 
@@ -32,6 +33,8 @@
         connect_timeout: Option<Duration>,
         /// The check of the connection immediately before the attempt is written.
         connection_check: ConnectionCheck,
+        /// What can be done about a response that pauses before its first event.
+        on_pause: OnPause,
         /// Must be active when the first byte is written; otherwise the attempt is not sent.
         cancel_token: CancelToken,
     },
@@ -117,6 +120,8 @@
         head: ResponseHead,
         /// The body, from its first frame on.
         frames: Frames,
+        /// The time limits of the response, for what follows its first frame.
+        timing: ResponseTiming<Instant>,
     },
     /// The server rejected the attempt, so the attempt never ran.
     Rejected {
@@ -157,6 +162,10 @@
 pub enum Frame {
     /// Complete events of a stream, or a part of a document.
     Data(Bytes),
+    /// Complete lines of a stream that its readers ignore.
+    Ignored(Bytes),
+    /// Nothing to forward: bytes were received that complete no line.
+    Progress(Progress),
     /// The successor process continues from here.
     HandedOver(StreamRemainder),
     /// The response is complete.
@@ -168,6 +177,13 @@
     },
 }
 
+impl Frame {
+    /// Whether further frames of the response follow.
+    pub fn is_followed(&self) -> bool {
+        matches!(self, Frame::Data(_) | Frame::Ignored(_) | Frame::Progress(_))
+    }
+}
+
 /// Why a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -177,6 +193,8 @@
     Reset,
     /// The response could not be parsed; the call may have run.
     MalformedResponse,
+    /// The response began and did not go on within its time limit; the call may have run.
+    ResponseExpired(Expiry),
     /// The call was not sent: the server accepts no new calls, the call is no longer needed, or its deadline has passed.
     NotSent,
 }
--- a/gateway/tests/common/attempts.rs
+++ b/gateway/tests/common/attempts.rs
@@ -6,9 +6,10 @@
 
 use futures_util::StreamExt;
 use glenrail::budget::Budget;
-use glenrail::engine::{Engine, EngineLimits, ServerAddress};
+use glenrail::engine::{Engine, EngineLimits, ServerAddress, ServerApi};
 use glenrail::exchange::{CancelToken, Payload};
 use glenrail::upstream::{Call, CallError, ConnectionCheck, Frame, Reply};
+use glenrail_request_lifecycle::response_timing::OnPause;
 use glenrail_router::ServerId;
 use http::{HeaderMap, HeaderValue, Method};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -34,7 +35,7 @@
         connect_timeout: Duration::from_secs(5),
         probes,
         idle_timeout: idle,
-        public_api: false,
+        server_api: ServerApi::Platform,
     };
     Engine::new(limits, Arc::new(Semaphore::new(slots)), Budget::new(1 << 20))
 }
@@ -67,6 +68,7 @@
         deadline: Instant::now() + PATIENCE,
         connect_timeout: None,
         connection_check: ConnectionCheck::None,
+        on_pause: OnPause::Retry,
         cancel_token: CancelToken::default(),
     };
     engine.clone().oneshot(call).await
@@ -120,6 +122,8 @@
     while let Some(frame) = frames.next().await {
         match frame {
             Ok(Frame::Data(data)) => bytes.extend_from_slice(&data),
+            Ok(Frame::Ignored(data)) => bytes.extend_from_slice(&data),
+            Ok(Frame::Progress(_)) => {}
             Ok(Frame::End { .. }) => return Ok((bytes, None)),
             Ok(Frame::HandedOver(_)) => panic!("nothing asked for a move"),
             Err(how) => return Ok((bytes, Some(how))),
--- a/gateway/tests/common/gateway.rs
+++ b/gateway/tests/common/gateway.rs
@@ -7,7 +7,7 @@
 
 use glenrail::budget::Budget;
 use glenrail::discovery::{self, EndpointList, SettingsNames};
-use glenrail::engine::EngineLimits;
+use glenrail::engine::{EngineLimits, ServerApi};
 use glenrail::front::{platform, server};
 use glenrail::metrics::RequestMetrics;
 use glenrail::plugin::Plugin;
@@ -57,7 +57,7 @@
         connect_timeout: Duration::from_secs(5),
         probes: false,
         idle_timeout: AGES,
-        public_api: false,
+        server_api: ServerApi::Platform,
     };
     let budget = Budget::new(64 << 20);
     let pool = Pool::new(3, settings, limits, Arc::new(Semaphore::new(100)), budget.clone());
--- a/gateway/tests/common/instant.rs
+++ b/gateway/tests/common/instant.rs
@@ -8,6 +8,7 @@
 use glenrail::core::{Clock, Core, Upstream};
 use glenrail::exchange::{Payload, Request, ResponseHead};
 use glenrail::upstream::{Call, CallError, Frame, Reply};
+use glenrail_request_lifecycle::response_timing::{OnPause, ResponseLimits, ResponseTiming};
 use glenrail_router::{ListUpdate, Millis, ServerEntry, ServerId};
 use serde_json::json;
 use tokio::time::Instant;
@@ -25,7 +26,12 @@
         Call::Attempt { .. } => {
             let end = Frame::End { cached_tokens: 0.0, report: None };
             let frames = [Ok(Frame::Data(Bytes::from_static(b"data: x\n\n"))), Ok(end)];
-            Ok(Reply::Response { head: ResponseHead::default(), frames: stream::iter(frames).boxed_local() })
+            let timing = ResponseTiming::new(ResponseLimits::platform(OnPause::Wait));
+            Ok(Reply::Response {
+                head: ResponseHead::default(),
+                frames: stream::iter(frames).boxed_local(),
+                timing,
+            })
         }
         _ => Ok(Reply::Done),
     }
--- a/gateway/tests/connection_verification.rs
+++ b/gateway/tests/connection_verification.rs
@@ -11,6 +11,7 @@
 use glenrail::engine::Engine;
 use glenrail::exchange::CancelToken;
 use glenrail::upstream::{Call, CallError, ConnectionCheck, Reply};
+use glenrail_request_lifecycle::response_timing::OnPause;
 use tokio::time::Instant;
 use tower::ServiceExt;
 
@@ -23,6 +24,7 @@
         deadline: Instant::now() + PATIENCE,
         connect_timeout: Some(connect),
         connection_check: ConnectionCheck::Answer,
+        on_pause: OnPause::Retry,
         cancel_token: wanted.clone(),
     };
     (engine.clone().oneshot(call).await, wanted)
--- a/gateway/tests/delivery_confirmation.rs
+++ b/gateway/tests/delivery_confirmation.rs
@@ -12,6 +12,7 @@
 use glenrail::exchange::CancelToken;
 use glenrail::upstream::{Call, CallError, ConnectionCheck, Reply};
 use glenrail_request_lifecycle::evidence::Observation;
+use glenrail_request_lifecycle::response_timing::OnPause;
 use tokio::task::{spawn_local, JoinHandle};
 use tokio::time::{sleep, Instant};
 use tower::ServiceExt;
@@ -61,6 +62,7 @@
         deadline: Instant::now() + PATIENCE,
         connect_timeout: Some(CONNECT_TIMEOUT),
         connection_check: ConnectionCheck::Answer,
+        on_pause: OnPause::Retry,
         cancel_token,
     };
     engine.clone().oneshot(call).await
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -11,6 +11,7 @@
 use glenrail::engine::ServerAddress;
 use glenrail::exchange::{CancelToken, Payload};
 use glenrail::upstream::{Call, CallError, ConnectionCheck, Frame, Reply};
+use glenrail_request_lifecycle::response_timing::OnPause;
 use glenrail_router::ServerId;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -35,6 +36,7 @@
                 deadline: Instant::now() + AGES,
                 connect_timeout: None,
                 connection_check: ConnectionCheck::None,
+                on_pause: OnPause::Retry,
                 cancel_token: CancelToken::default(),
             })
         };
@@ -62,7 +64,8 @@
         let (mut bytes, mut last) = (Vec::new(), None);
         while let Some(frame) = frames.next().await {
             match frame.expect("a frame") {
-                Frame::Data(data) => bytes.extend_from_slice(&data),
+                Frame::Data(data) | Frame::Ignored(data) => bytes.extend_from_slice(&data),
+                Frame::Progress(_) => {}
                 end => last = Some(end),
             }
         }
@@ -289,6 +292,7 @@
             connect_timeout: None,
             deadline: Instant::now() + AGES,
             connection_check: ConnectionCheck::None,
+            on_pause: OnPause::Retry,
             cancel_token: CancelToken::default(),
         };
         let both = async { tokio::join!(engine.clone().oneshot(other()), engine.clone().oneshot(other())) };
@@ -504,8 +508,10 @@
                     Frame::HandedOver(rest) => {
                         // Another process has an engine of its own.
                         at = self::engine(AGES, 8);
-                        frames = at.resume(rest);
+                        frames = at.resume(rest).frames;
                     }
+                    Frame::Ignored(data) => passed.extend_from_slice(&data),
+                    Frame::Progress(_) => {}
                     Frame::End { .. } => break,
                 }
             }
--- a/gateway/tests/first_byte.rs
+++ b/gateway/tests/first_byte.rs
@@ -12,6 +12,7 @@
 use glenrail::engine::{Engine, ServerAddress};
 use glenrail::exchange::{response_channel as ends, CancelToken};
 use glenrail::upstream::{Call, CallError, ConnectionCheck, Reply};
+use glenrail_request_lifecycle::response_timing::OnPause;
 use tokio::task::spawn_local;
 use tokio::time::Instant;
 use tower::ServiceExt;
@@ -161,6 +162,7 @@
                 deadline: Instant::now() + AGES,
                 connect_timeout: None,
                 connection_check: ConnectionCheck::None,
+                on_pause: OnPause::Retry,
                 cancel_token: CancelToken::for_response(&pieces),
             };
             let sending = server.engine.clone().oneshot(call());
@@ -190,6 +192,7 @@
             deadline: Instant::now() + AGES,
             connect_timeout: Some(Duration::ZERO),
             connection_check: ConnectionCheck::None,
+            on_pause: OnPause::Retry,
             cancel_token: CancelToken::default(),
         };
         assert!(matches!(server.engine.clone().oneshot(call).await, Err(CallError::NotSent)));
--- a/gateway/tests/idle_connections.rs
+++ b/gateway/tests/idle_connections.rs
@@ -10,9 +10,10 @@
 use cap::Cap;
 use common::*;
 use glenrail::budget::Budget;
-use glenrail::engine::{Engine, EngineLimits, ServerAddress};
+use glenrail::engine::{Engine, EngineLimits, ServerAddress, ServerApi};
 use glenrail::exchange::{CancelToken, Payload};
 use glenrail::upstream::{Call, ConnectionCheck, Reply};
+use glenrail_request_lifecycle::response_timing::OnPause;
 use glenrail_router::ServerId;
 use tokio::sync::Semaphore;
 use tokio::task::yield_now;
@@ -29,8 +30,12 @@
     run(async {
         let server = StandIn::start(|_, _| Act::Answer(answer(202, &[], r#"{"cached_tokens":4}"#))).await;
         let idle = Duration::from_secs(3_600);
-        let limits =
-            EngineLimits { connect_timeout: AGES, probes: true, idle_timeout: idle, public_api: false };
+        let limits = EngineLimits {
+            connect_timeout: AGES,
+            probes: true,
+            idle_timeout: idle,
+            server_api: ServerApi::Platform,
+        };
         let engine = Engine::new(limits, Arc::new(Semaphore::new(4)), Budget::new(1 << 20));
         let address = ServerAddress {
             server: ServerId(1),
@@ -49,6 +54,7 @@
                     connect_timeout: None,
                     deadline: Instant::now() + AGES,
                     connection_check: ConnectionCheck::None,
+                    on_pause: OnPause::Retry,
                     cancel_token: CancelToken::default(),
                 };
                 assert!(matches!(engine.clone().oneshot(call).await, Ok(Reply::Prefilled { .. })));
--- a/gateway/tests/inference.rs
+++ b/gateway/tests/inference.rs
@@ -11,7 +11,7 @@
 use common::*;
 use glenrail::budget::Budget;
 use glenrail::config::{parse_front, InferenceFrontConfig};
-use glenrail::engine::{EngineLimits, ServerAddress};
+use glenrail::engine::{EngineLimits, ServerAddress, ServerApi};
 use glenrail::front::server;
 use glenrail::metrics::RequestMetrics;
 use glenrail::pools::{InferencePools, PlatformChat, Pool};
@@ -306,7 +306,7 @@
             connect_timeout: Duration::from_secs(5),
             probes: false,
             idle_timeout: AGES,
-            public_api: false,
+            server_api: ServerApi::Platform,
         };
         let classes = settings.classes.clone();
         let pool = Pool::new(1, settings, limits, slots.clone(), budget.clone());
--- a/gateway/tests/leases.rs
+++ b/gateway/tests/leases.rs
@@ -8,9 +8,10 @@
 
 use common::*;
 use glenrail::budget::Budget;
-use glenrail::engine::{Engine, EngineLimits, ServerAddress};
+use glenrail::engine::{Engine, EngineLimits, ServerAddress, ServerApi};
 use glenrail::exchange::{CancelToken, Payload};
 use glenrail::upstream::{Call, CallError, ConnectionCheck, Reply};
+use glenrail_request_lifecycle::response_timing::OnPause;
 use glenrail_router::ServerId;
 use tokio::sync::Semaphore;
 use tokio::time::Instant;
@@ -19,7 +20,12 @@
 const WAIT: Duration = Duration::from_secs(20);
 
 fn engine(bodies: usize) -> Engine {
-    let limits = EngineLimits { connect_timeout: WAIT, probes: true, idle_timeout: WAIT, public_api: false };
+    let limits = EngineLimits {
+        connect_timeout: WAIT,
+        probes: true,
+        idle_timeout: WAIT,
+        server_api: ServerApi::Platform,
+    };
     Engine::new(limits, Arc::new(Semaphore::new(8)), Budget::new(bodies))
 }
 
@@ -72,6 +78,7 @@
             deadline: Instant::now() + WAIT,
             connect_timeout: None,
             connection_check: ConnectionCheck::None,
+            on_pause: OnPause::Retry,
             cancel_token: CancelToken::default(),
         };
         assert!(matches!(engine.oneshot(call).await, Err(CallError::MalformedResponse)));
--- a/gateway/tests/rejections.rs
+++ b/gateway/tests/rejections.rs
@@ -16,6 +16,7 @@
 use glenrail::engine::{Engine, ServerAddress};
 use glenrail::exchange::{response_channel, CancelToken};
 use glenrail::upstream::{Call, CallError, ConnectionCheck, Reply};
+use glenrail_request_lifecycle::response_timing::OnPause;
 use socket2::SockRef;
 use tokio::time::Instant;
 use tower::ServiceExt;
@@ -90,6 +91,7 @@
             deadline: Instant::now() + AGES,
             connect_timeout: None,
             connection_check: ConnectionCheck::None,
+            on_pause: OnPause::Retry,
             cancel_token: token,
         };
         let serves = async {
--- a/gateway/tests/slow_responses.rs
+++ b/gateway/tests/slow_responses.rs
@@ -239,6 +239,25 @@
     );
 }
 
+/// Guards a stream whose next event came in time while the gateway stood still past its limit.
+#[test]
+fn bytes_that_came_while_the_gateway_stood_still_precede_the_limit() {
+    let steps = vec![
+        Whole(format!("{HEAD}{}", chunk("data: a\n\n"))),
+        Pause(millis(4_000)),
+        Whole(format!("{}{LAST_CHUNK}", chunk("data: [DONE]\n\n"))),
+    ];
+    let (reader, writer) = (reader(), server(steps));
+    let program = Program::start("stood-still", &[reader.address], &[writer.address], true);
+    let client = Client::ask_as("order", program.front, "a1");
+    sleep(millis(1_500));
+    program.stop();
+    sleep(millis(4_500));
+    program.go_on();
+    let received = receive(client);
+    assert_eq!((received.status, received.is_whole()), (200, true));
+}
+
 /// Guards requests with time left from an answer that begins slowly: it is not malformed, and its server is not ejected.
 #[test]
 fn an_answer_that_begins_slowly_is_served_and_its_server_is_not_ejected() {
