Add a soak of answers at random paces, judged by what servers have written

Change: glenrail-fault-tests slow-answers: servers draw a pace for each answer (pieces across the framing, pauses up to 10 s, comments only, a late report, no last chunk, slow heads, declines, large bodies read slowly), alone or beside restarts with a series of signals, upgrades, changes of the list and a crowd; clients keep their connections until the kill. A judge outside the gateway has seven rules, and a test plants a fault for each.

--- a/fault-tests/src/lib.rs
+++ b/fault-tests/src/lib.rs
@@ -6,6 +6,7 @@
 //! - [`soak`] injects random, overlapping [`faults`] into a deployment under load.
 //! - [`single_shot`] provokes the cancellation of prefills of non-repeatable requests right before their responses.
 //! - [`crowd`] fills a gateway's connection table with idle clients.
+//! - [`slow_answers`] has servers write at random paces, beside restarts, upgrades and other disruptions.
 //! - [`sessions`] runs clients with persistent connections behind a [`front`]; [`restarts`] stops and starts gateways.
 //! - [`lateness`] measures scheduling delays of a run; [`report`] holds and prints the results of a run.
 //! - [`record`] defines the events of engines, links and clients; [`invariants`] finds the invariants that they break.
@@ -34,5 +35,6 @@
 pub mod restarts;
 pub mod sessions;
 pub mod single_shot;
+pub mod slow_answers;
 pub mod soak;
 pub mod unread;
--- a/fault-tests/src/main.rs
+++ b/fault-tests/src/main.rs
@@ -6,7 +6,7 @@
 
 use clap::{Parser, Subcommand};
 use glenrail_fault_tests::deployment::DeploymentError;
-use glenrail_fault_tests::{crowd, engine, single_shot, soak};
+use glenrail_fault_tests::{crowd, engine, single_shot, slow_answers, soak};
 
 #[derive(Parser)]
 #[command(about)]
@@ -23,6 +23,8 @@
     Crowd(crowd::Options),
     /// Runs seeds of non-repeatable requests, and fails if a response permits a retry that is not safe.
     SingleShot(single_shot::Options),
+    /// Runs seeds of answers at random paces, and fails if a rule on answers is broken in any of them.
+    SlowAnswers(slow_answers::Options),
     /// Runs seeds of random, overlapping faults, and fails if an invariant is broken in any of them.
     Soak(soak::Options),
 }
@@ -69,6 +71,20 @@
     }
 }
 
+fn slow_answers(options: &slow_answers::Options) -> Result<(), Failure> {
+    let runtime = runtime()?;
+    let mut broken = 0;
+    for seed in options.seed..options.seed + options.seeds {
+        let report = runtime.block_on(slow_answers::run(options, seed))?;
+        print!("{report}");
+        broken += usize::from(!report.passed());
+    }
+    match broken {
+        0 => Ok(()),
+        broken => Err(Failure::Broken(broken)),
+    }
+}
+
 fn single_shot(options: &single_shot::Options) -> Result<(), Failure> {
     let program = std::env::current_exe()?;
     let runtime = runtime()?;
@@ -92,6 +108,7 @@
         }
         Command::Crowd(options) => crowd(&options),
         Command::SingleShot(options) => single_shot(&options),
+        Command::SlowAnswers(options) => slow_answers(&options),
         Command::Soak(options) => soak(&options),
     }
 }
--- a/fault-tests/src/persistent_connection.rs
+++ b/fault-tests/src/persistent_connection.rs
@@ -16,6 +16,8 @@
 
 const READ_BYTES: usize = 16 << 10;
 const MAX_HEADERS: usize = 64;
+/// Text with which each event of a stream begins.
+const EVENT_MARK: &[u8] = b"data:";
 
 /// Response as received by its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -71,6 +73,10 @@
     connected_at: Micros,
     /// Bytes that were received and not yet consumed as part of a response.
     buffer: Vec<u8>,
+    /// When each event of the current response was received.
+    events: Vec<Micros>,
+    /// The last bytes received, which may be the beginning of an event's mark.
+    unsearched: Vec<u8>,
 }
 
 impl PersistentConnection {
@@ -78,7 +84,15 @@
         let socket = TcpStream::connect(address).await?;
         socket.set_nodelay(true)?;
         let (connected_at, client_address) = (clock::now(), socket.local_addr()?);
-        Ok(PersistentConnection { socket, address, client_address, connected_at, buffer: Vec::new() })
+        Ok(PersistentConnection {
+            socket,
+            address,
+            client_address,
+            connected_at,
+            buffer: Vec::new(),
+            events: Vec::new(),
+            unsearched: Vec::new(),
+        })
     }
 
     /// Returns the client's own address, by which the gateway's log identifies the connection.
@@ -151,6 +165,20 @@
         Ok(ClientResponse { status, complete, closes_connection: closes_connection || !complete })
     }
 
+    /// Returns when each event of the response that was read last was received, and forgets them.
+    pub fn take_event_times(&mut self) -> Vec<Micros> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Notes the events that begin in these bytes.
+    fn note_events(&mut self, bytes: &[u8]) {
+        self.unsearched.extend_from_slice(bytes);
+        let marks = self.unsearched.windows(EVENT_MARK.len()).filter(|bytes| *bytes == EVENT_MARK).count();
+        self.events.extend(std::iter::repeat_n(clock::now(), marks));
+        let searched = self.unsearched.len().saturating_sub(EVENT_MARK.len() - 1);
+        self.unsearched.drain(..searched);
+    }
+
     /// Returns how the connection ended for a request without a response.
     fn classify_end(&self, reset: bool, written: usize) -> ConnectionEnd {
         if reset {
@@ -173,6 +201,7 @@
             Err(_) => Err(true),
             Ok(read) => {
                 self.buffer.extend_from_slice(&bytes[..read]);
+                self.note_events(&bytes[..read]);
                 Ok(())
             }
         }
