--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -70,6 +70,14 @@
     }
 }
 
+/// Script in which prefills succeed and decodes get this reply, both after 5 ms.
+fn prefilled_then(decode: ScriptedReply) -> ScriptedServers {
+    ScriptedServers::new(move |_, server| match PREFILL_SERVERS.contains(&server.0) {
+        true => (5, ScriptedReply::Prefilled),
+        false => (5, decode.clone()),
+    })
+}
+
 /// Returns the time limits of a response of the platform of which nothing has been received.
 fn platform_timing() -> ResponseTiming<Instant> {
     ResponseTiming::new(ResponseLimits::platform(OnPause::Wait))
--- a/gateway/src/core/tests/requests.rs
+++ b/gateway/src/core/tests/requests.rs
@@ -4,14 +4,6 @@
 
 const ALL_SERVERS: [u64; 4] = [PREFILL_SERVERS[0], PREFILL_SERVERS[1], DECODE_SERVERS[0], DECODE_SERVERS[1]];
 
-/// Script in which prefills succeed and decodes get this reply, both after 5 ms.
-fn prefilled_then(decode: ScriptedReply) -> ScriptedServers {
-    ScriptedServers::new(move |_, server| match PREFILL_SERVERS.contains(&server.0) {
-        true => (5, ScriptedReply::Prefilled),
-        false => (5, decode.clone()),
-    })
-}
-
 /// Guards against the wire's 64-bit request ids in the router, which shifts ids and would lose bits.
 #[test]
 fn a_request_is_prefilled_then_decoded_and_served() {
--- a/gateway/src/upgrade/tests/wire_format.rs
+++ b/gateway/src/upgrade/tests/wire_format.rs
@@ -343,3 +343,36 @@
     }
     assert!(inbox.iter_mut().all(|inbox| inbox.try_recv().is_err()), "no further connection was received");
 }
+
+/// Guards the wait of a client over an upgrade: the time of a stream's last event goes with that stream and with no other.
+#[tokio::test]
+async fn the_time_of_the_last_event_goes_with_its_stream() {
+    let (ours, theirs) = UnixStream::pair().expect("a pair");
+    let (predecessor, shutdown) = (UpgradeLink::new(theirs), Shutdown::default());
+    let age = Duration::from_millis(1_500);
+    let guards = shutdown.clone();
+    let sending = async move {
+        predecessor.receive().await.expect("the successor serves");
+        for last_event in [tokio::time::Instant::now().checked_sub(age), None] {
+            let [[client, _client_end], [server, _server_end]] = [connection(), connection()];
+            let remainder =
+                StreamRemainder { socket: server, read_ahead: Vec::new(), last_event, id_hold: None };
+            let stream = Some(TransferredStream { remainder, class: None });
+            let guard = guards.guard();
+            let transferred = TransferredConnection { front: PLATFORM, socket: client, stream, guard };
+            predecessor.send_connection(&transferred).await.expect("sent");
+        }
+    };
+    let (inboxes, mut inbox) = TransferInboxes::new();
+    let routing_state = RoutingStateTransfer { export: Rc::new(Vec::new), import: Rc::new(|_| {}) };
+    let (link, half) = (UpgradeLink::new(ours), limits().reserve_half());
+    let receiving = serve_as_successor(link, inboxes, routing_state, RequestIds::default(), shutdown, half);
+    tokio::join!(sending, receiving);
+    let mut received_age = || {
+        let (_, stream) = inbox[usize::from(PLATFORM)].try_recv().expect("a connection");
+        stream.expect("a stream").remainder.last_event.map(|last_event| last_event.elapsed())
+    };
+    let received = received_age().expect("a time");
+    assert!(received >= age && received < age * 2, "{received:?}");
+    assert_eq!(received_age(), None);
+}
