Report an event's further bytes apart only behind ignored lines

Change: behind a complete event the bytes of the next one extend no limit, so they are not reported apart.

--- a/gateway/src/engine/event_stream.rs
+++ b/gateway/src/engine/event_stream.rs
@@ -29,7 +29,7 @@
     /// Becomes true when the stream is to be handed over to the successor process.
     handing_over: watch::Receiver<bool>,
     body_end: BodyEnd,
-    /// Bytes of an event that arrived together with what the last step returned.
+    /// Bytes of an event that arrived together with ignored lines. After an event they extend no limit.
     unreported: Option<Progress>,
 }
 
@@ -96,13 +96,12 @@
         let Some(complete) = complete else {
             return StreamStep::Progress(progress.unwrap_or(Progress::OtherBytes));
         };
-        self.unreported = progress;
         self.tail.push(&complete);
         if self.events.received().completes_event {
-            StreamStep::Events(complete)
-        } else {
-            StreamStep::Ignored(complete)
+            return StreamStep::Events(complete);
         }
+        self.unreported = progress;
+        StreamStep::Ignored(complete)
     }
 }
 
--- a/gateway/src/engine/resumed_stream.rs
+++ b/gateway/src/engine/resumed_stream.rs
@@ -28,7 +28,7 @@
     events: EventBuffer,
     /// Becomes true when the stream is to be handed over to the next successor process.
     handing_over: watch::Receiver<bool>,
-    /// Bytes of an event that arrived together with what the last frame contained.
+    /// Bytes of an event that arrived together with ignored lines. After an event they extend no limit.
     unreported: Option<Progress>,
     _slot: Option<OwnedSemaphorePermit>,
 }
@@ -93,12 +93,11 @@
     /// Returns the frame of these complete events and lines.
     fn frame_of(&mut self, complete: Bytes) -> Frame {
         let received = self.events.received();
-        self.unreported = received.incomplete_progress();
         if received.completes_event {
-            Frame::Data(complete)
-        } else {
-            Frame::Ignored(complete)
+            return Frame::Data(complete);
         }
+        self.unreported = received.incomplete_progress();
+        Frame::Ignored(complete)
     }
 
     /// Returns the progress shown by `read` bytes that contained this incomplete data; `None` if it is none.
