--- a/fault-tests/src/crowd.rs
+++ b/fault-tests/src/crowd.rs
@@ -93,8 +93,25 @@
     Ok(Report { statuses, log })
 }
 
+/// File descriptor limit of a gateway whose connection table a crowd is to fill.
+pub const CROWD_MAX_DESCRIPTORS: usize = 256;
+/// Number of idle clients of one gateway, and the delay with which evicted ones reconnect.
+const CLIENTS_PER_GATEWAY: usize = 150;
+const RECONNECT_DELAY: Duration = Duration::from_millis(200);
+
+/// Starts a crowd of idle clients at each of these gateways. Its clients leave when it is dropped.
+pub fn start(gateways: impl IntoIterator<Item = SocketAddr>) -> JoinSet<()> {
+    let mut crowd = JoinSet::new();
+    for address in gateways {
+        for _ in 0..CLIENTS_PER_GATEWAY {
+            crowd.spawn(run_idle_client(address, RECONNECT_DELAY));
+        }
+    }
+    crowd
+}
+
 /// Connects without sending, and reconnects `reconnect_delay` after each end of the connection.
-pub async fn run_idle_client(address: SocketAddr, reconnect_delay: Duration) {
+async fn run_idle_client(address: SocketAddr, reconnect_delay: Duration) {
     loop {
         if let Ok(mut socket) = TcpStream::connect(address).await {
             // Returns when the gateway closes or resets the connection.
--- a/fault-tests/src/slow_answers/gateways.rs
+++ b/fault-tests/src/slow_answers/gateways.rs
@@ -31,7 +31,7 @@
 /// Time around a kill within which it explains the end of a response.
 const KILL_SLACK: Micros = 200 * MILLISECOND;
 
-/// When the processes of one gateway were told to end, and were killed.
+/// When the processes of one gateway were sent SIGTERM, and were killed.
 #[derive(Clone, Debug, Default)]
 struct ProcessEvents {
     terminated: Vec<Micros>,
--- a/fault-tests/src/slow_answers/mod.rs
+++ b/fault-tests/src/slow_answers/mod.rs
@@ -49,11 +49,8 @@
 const SERIES_SIGNALS: [Signal; 3] = [Signal::TERM, Signal::INT, Signal::HUP];
 const MAX_SERIES_SIGNALS: usize = 3;
 const SERIES_SIGNAL_DELAY_MS: std::ops::Range<u64> = 0..2_000;
-/// File descriptors of a gateway, also beside a crowd, and the crowd's size and reconnect delay.
+/// File descriptors of a gateway without a crowd.
 const MAX_DESCRIPTORS: usize = 1_024;
-const CROWD_MAX_DESCRIPTORS: usize = 256;
-const CROWD_CLIENTS: usize = 150;
-const CROWD_RECONNECT_DELAY: Duration = Duration::from_millis(200);
 /// Number of streams for each one that may have an event held back.
 const STREAMS_PER_HELD_BACK_EVENT: usize = 20;
 
@@ -166,12 +163,8 @@
     }
     let until = Instant::now() + Duration::from_secs(options.seconds);
     let run = Arc::new(Run { seed, until, servers, agent, gateways, answers });
-    let mut crowd = JoinSet::new();
-    if options.disruption == Disruption::Crowd {
-        for gateway in run.gateways.iter().cycle().take(CROWD_CLIENTS * GATEWAYS) {
-            crowd.spawn(crowd::run_idle_client(gateway.address, CROWD_RECONNECT_DELAY));
-        }
-    }
+    let addresses = run.gateways.iter().map(|gateway| gateway.address);
+    let crowd = (options.disruption == Disruption::Crowd).then(|| crowd::start(addresses));
     let load = tokio::spawn(generate_load(run.clone()));
     let processes = disrupt(&run, options.disruption, processes).await?;
     let received = load.await.unwrap_or_default();
@@ -210,7 +203,7 @@
 ) -> Result<Vec<Gateway>, DeploymentError> {
     let spec = DeploymentSpec::new(GATEWAYS, PREFILL_SERVERS, DECODE_SERVERS);
     let max_descriptors =
-        if disruption == Disruption::Crowd { CROWD_MAX_DESCRIPTORS } else { MAX_DESCRIPTORS };
+        if disruption == Disruption::Crowd { crowd::CROWD_MAX_DESCRIPTORS } else { MAX_DESCRIPTORS };
     let create = |_| Gateway::new(program, agent, list, &spec.settings(), max_descriptors);
     (0..GATEWAYS).map(create).collect()
 }
--- a/fault-tests/src/slow_answers/server.rs
+++ b/fault-tests/src/slow_answers/server.rs
@@ -26,19 +26,26 @@
 const NO_CONTENT: &str = "HTTP/1.1 204 No Content\r\n\r\n";
 const LOAD: &str = "HTTP/1.1 200 OK\r\ncontent-length: 24\r\n\r\nTEXT inflight=1, x0=0.10";
 
+/// A piece that a server has written, with the times before and after the write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WrittenPiece {
+    pub part: Part,
+    pub before: Micros,
+    pub after: Micros,
+}
+
 /// What a decode server has written of one attempt's answer.
 #[derive(Clone, Debug)]
 pub struct WrittenAnswer {
     pub pace: Pace,
-    /// Each piece, and when it had been written.
-    pub pieces: Vec<(Micros, Part)>,
+    pub pieces: Vec<WrittenPiece>,
 }
 
 impl WrittenAnswer {
-    /// Returns when the last piece of this part was written by `until`.
-    pub fn last(&self, until: Micros, is_part: impl Fn(Part) -> bool) -> Option<Micros> {
+    /// Returns the last piece of these parts that was written by `until`.
+    pub fn last(&self, until: Micros, parts: &[Part]) -> Option<WrittenPiece> {
         let pieces = self.pieces.iter().rev();
-        pieces.copied().find(|(at, part)| *at <= until && is_part(*part)).map(|(at, _)| at)
+        pieces.copied().find(|piece| piece.after <= until && parts.contains(&piece.part))
     }
 }
 
@@ -58,9 +65,9 @@
         attempts.len() - 1
     }
 
-    fn add(&self, request: &str, attempt: usize, part: Part) {
+    fn add(&self, request: &str, attempt: usize, piece: WrittenPiece) {
         if let Some(answer) = self.lock().get_mut(request).and_then(|attempts| attempts.get_mut(attempt)) {
-            answer.pieces.push((clock::now(), part));
+            answer.pieces.push(piece);
         }
     }
 
@@ -170,18 +177,19 @@
         let pace = pace::draw(&mut random);
         let steps = Writer::new(&mut random).decode(pace);
         let attempt = self.answers.begin(id, pace);
-        play(socket, steps, |part| self.answers.add(id, attempt, part)).await
+        play(socket, steps, |piece| self.answers.add(id, attempt, piece)).await
     }
 }
 
 /// Performs the steps of an answer, and reports each piece that was written.
-async fn play(socket: &mut TcpStream, steps: Vec<Step>, written: impl Fn(Part)) -> io::Result<()> {
+async fn play(socket: &mut TcpStream, steps: Vec<Step>, written: impl Fn(WrittenPiece)) -> io::Result<()> {
     for step in steps {
         match step {
             Step::Pause(pause) => sleep(pause).await,
             Step::Write(bytes, part) => {
+                let before = clock::now();
                 socket.write_all(&bytes).await?;
-                written(part);
+                written(WrittenPiece { part, before, after: clock::now() });
             }
         }
     }
--- a/fault-tests/src/soak.rs
+++ b/fault-tests/src/soak.rs
@@ -34,12 +34,6 @@
 /// Maximum time until such a client disconnects.
 const MAX_DISCONNECT_DELAY_MS: u64 = 600;
 
-/// File descriptor limit of each gateway in runs with `--crowd`, idle clients per gateway, and the delay with which evicted
-/// idle clients reconnect.
-const CROWD_MAX_DESCRIPTORS: usize = 256;
-const CROWD_CLIENTS_PER_GATEWAY: usize = 150;
-const CROWD_RECONNECT_DELAY: Duration = Duration::from_millis(200);
-
 /// Options of the `soak` command.
 #[derive(Clone, Debug, Args)]
 pub struct Options {
@@ -81,7 +75,7 @@
     spec.deadline = MAX_DEADLINE;
     spec.probes = !options.no_probes;
     if options.crowd {
-        spec.max_descriptors = CROWD_MAX_DESCRIPTORS;
+        spec.max_descriptors = crowd::CROWD_MAX_DESCRIPTORS;
     }
     let lease_limit = spec.lease_limit;
     let deployment = Deployment::start(spec, program, &options.gateway).await?;
@@ -90,12 +84,7 @@
     let deployment = Arc::new(RwLock::new(deployment));
     let until = Instant::now() + Duration::from_secs(options.seconds);
     let front = Arc::new(Front::new(gateways.clone()));
-    let mut crowd = JoinSet::new();
-    if options.crowd {
-        for (_, address) in gateways.iter().cycle().take(CROWD_CLIENTS_PER_GATEWAY * gateways.len()) {
-            crowd.spawn(crowd::run_idle_client(*address, CROWD_RECONNECT_DELAY));
-        }
-    }
+    let crowd = options.crowd.then(|| crowd::start(gateways.iter().map(|(_, address)| *address)));
     let load = tokio::spawn(generate_load(front.clone(), records.clone(), options.rate, seed, until));
     let sessions_result = sessions_and_restarts(options, &deployment, &front, &records, seed, until);
     let (drawn_faults, sessions_result) =
--- a/gateway/tests/common/upgrades.rs
+++ b/gateway/tests/common/upgrades.rs
@@ -1,17 +1,20 @@
 //! Processes that take over from one another at one address, before stand-in servers.
 
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use serde_json::{json, Value};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::sync::mpsc;
 use tokio::time::sleep;
 
-use super::{answer, memory_kb, until, Act, StandIn};
+use super::{answer, memory_kb, stream, until, Act, Seen, StandIn};
 
 /// The pieces in which a server sends a stream; one event is cut in two.
 pub const PARTS: [&str; 9] = [
@@ -159,6 +162,23 @@
     }
 }
 
+/// Starts a writer whose first stream consists of what the test sends to the returned channel.
+pub async fn told_writer() -> (StandIn, mpsc::UnboundedSender<Bytes>) {
+    let (tell, told) = mpsc::unbounded_channel();
+    let told = RefCell::new(Some(told));
+    let script = move |_, _: &Seen| told.borrow_mut().take().map_or_else(stream, Act::Told);
+    (StandIn::start(script).await, tell)
+}
+
+/// Sends a request on a connection of its own, and returns the connection.
+pub async fn connect_and_ask(address: SocketAddr) -> TcpStream {
+    let mut client = TcpStream::connect(address).await.expect("a connection");
+    let request = "POST /v1/chat/completions HTTP/1.1\r\nhost: a\r\nreq-id: a1\r\nreq-kind: item-query\r\n\
+        content-length: 2\r\n\r\n{}";
+    client.write_all(request.as_bytes()).await.expect("sent");
+    client
+}
+
 pub fn host(name: &str, kind: &str, at: &StandIn) -> Value {
     json!({"host": name, "dial": at.address.to_string(), "site": "dc", "class": kind, "block": 0,
         "health": "SERVING", "share": 1.0, "born_ms": 0})
--- a/model-checker/src/rules.rs
+++ b/model-checker/src/rules.rs
@@ -71,7 +71,7 @@
     OneRequestAnId,
     /// Once its request has ended in all processes, an id is free in each of them.
     IdsAreFreeAgain,
-    /// No response is ended before its first event while its server goes on with it in time.
+    /// No response is ended before its first event while the pauses of its server are within the limit.
     SlowHeadNotCut,
     /// No stream is ended while its server writes an event, within the maximum duration of one.
     WrittenEventNotCut,
