Log the server and the age of the last event where a response ends early

Change: each line of an early end has the server and the time since the last event, and a malformed response is also reported before its first event (it was counted only behind one).

--- a/gateway/src/core/attempt.rs
+++ b/gateway/src/core/attempt.rs
@@ -2,7 +2,8 @@
 
 use futures_util::stream::StreamExt;
 use glenrail_request_lifecycle::request::{AttemptState, Input, Reply as MachineReply, StreamEnd};
-use glenrail_request_lifecycle::response_timing::{Expiry, Progress, ResponseTiming};
+use glenrail_request_lifecycle::response_timing::{Progress, ResponseTiming};
+use glenrail_router::ServerId;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{timeout_at, Instant};
 use tower::ServiceExt;
@@ -12,7 +13,7 @@
 use super::{Core, DecisionPolicy, Upstream};
 use crate::exchange::{CancelToken, ResponseHead, ResponsePart};
 use crate::request_ids::RequestIdHold;
-use crate::response_ends::{self, ResponseEnd};
+use crate::response_ends::{self, EndedResponse, ResponseEnd};
 use crate::upstream::{Call, CallError, Frame, Frames, Reply};
 
 impl<U: Upstream, R: DecisionPolicy> Core<U, R> {
@@ -47,10 +48,16 @@
         match reply {
             Err(_) => self.step(id, Input::TimedOut { attempt }),
             Ok(Ok(Reply::Response { head, frames, timing })) => {
-                self.forward_response(id, attempt, head, frames, timing).await;
+                self.forward_response(id, attempt, server, head, frames, timing).await;
+            }
+            Ok(Err(CallError::ResponseExpired(expiry))) => {
+                self.report_early_end(id, server, ResponseEnd::Expired(expiry));
+                self.step(id, Input::TimedOut { attempt });
             }
-            Ok(Err(CallError::ResponseExpired(expiry))) => self.end_expired(id, attempt, expiry),
             Ok(reply) => {
+                if matches!(reply, Err(CallError::MalformedResponse)) {
+                    self.report_early_end(id, server, ResponseEnd::Malformed);
+                }
                 let (mut reply, report) = machine_reply(reply);
                 if reply == MachineReply::Reset && self.has_prefill_ended(id, attempt, &cancel_token) {
                     reply = MachineReply::ResetAndEnded;
@@ -61,18 +68,18 @@
         }
     }
 
-    /// Ends an attempt whose response began and did not go on.
-    fn end_expired(&self, id: u64, attempt: usize, expiry: Expiry) {
-        if let Some(request) = self.inner.borrow().requests.get(&id) {
-            response_ends::report(ResponseEnd::Expired(expiry), Some(&request.payload.request_id));
-        }
-        self.step(id, Input::TimedOut { attempt });
+    /// Reports a response that ended before its first event.
+    fn report_early_end(&self, id: u64, server: ServerId, reason: ResponseEnd) {
+        let inner = self.inner.borrow();
+        let request = inner.requests.get(&id).map(|request| request.payload.request_id.as_str());
+        let response = EndedResponse { request, server: Some(server), since_last_event: None };
+        response_ends::report(reason, response);
     }
 
     /// Waits for the first event of a response and reports it to the state machine. Forwards the response to
     /// the client if the attempt is then in the state [`AttemptState::Streaming`], and drops it otherwise.
     async fn forward_response(
-        &self, id: u64, attempt: usize, head: ResponseHead, mut frames: Frames,
+        &self, id: u64, attempt: usize, server: ServerId, head: ResponseHead, mut frames: Frames,
         mut timing: ResponseTiming<Instant>,
     ) {
         let Some(Ok(Frame::Data(first))) = frames.next().await else {
@@ -85,7 +92,7 @@
             return self.step(id, Input::CancelCompleted { attempt });
         };
         let summary = match send_part(&client, ResponsePart::Head(head, first)).await {
-            true => forward_remaining(&client, frames, timing, Some(id_hold)).await,
+            true => forward_remaining(&client, frames, timing, Some(server), Some(id_hold)).await,
             false => StreamEnd::ClientStalled.into(),
         };
         let StreamSummary { end, cached_tokens, load } = summary;
--- a/gateway/src/core/forwarding.rs
+++ b/gateway/src/core/forwarding.rs
@@ -6,7 +6,7 @@
 use futures_util::stream::StreamExt;
 use glenrail_request_lifecycle::request::StreamEnd;
 use glenrail_request_lifecycle::response_timing::{Progress, ResponseTiming};
-use glenrail_router::LoadReport;
+use glenrail_router::{LoadReport, ServerId};
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::task::spawn_local;
@@ -15,7 +15,7 @@
 use crate::exchange::{self, ClientSide, ResponsePart, StreamRemainder};
 use crate::request_ids::RequestIdHold;
 use crate::response_clock::expired;
-use crate::response_ends::{self, ResponseEnd};
+use crate::response_ends::{self, EndedResponse, ResponseEnd};
 use crate::upstream::{CallError, Frame, Frames};
 
 /// Maximum time for which a client may read nothing of its stream before the stream is ended.
@@ -49,18 +49,20 @@
 }
 
 /// Forwards the parts of a response that follow its first event, up to its end. A remainder that is handed over keeps the
-/// id of the request in use.
+/// id of the request in use. `server` is `None` for a stream that another process began.
 pub async fn forward_remaining(
-    client: &mpsc::Sender<ResponsePart>, frames: Frames, timing: ResponseTiming<Instant>,
-    id_hold: Option<RequestIdHold>,
+    client: &mpsc::Sender<ResponsePart>, frames: Frames, mut timing: ResponseTiming<Instant>,
+    server: Option<ServerId>, id_hold: Option<RequestIdHold>,
 ) -> StreamSummary {
     let request = id_hold.clone();
-    match forward(client, frames, timing, id_hold).await {
+    match forward(client, frames, &mut timing, id_hold).await {
         Ok(summary) => summary,
         Err(end) => {
             // The predecessor's message with the id may arrive after the stream.
             let request = request.as_ref().and_then(RequestIdHold::request_id);
-            response_ends::report(end, request.as_deref());
+            let since_last_event = timing.last_event().map(|at| at.elapsed());
+            let response = EndedResponse { request: request.as_deref(), server, since_last_event };
+            response_ends::report(end, response);
             StreamEnd::from(end).into()
         }
     }
@@ -68,7 +70,7 @@
 
 /// Forwards the parts of a response up to its end or its handover; an error is the reason of an earlier end.
 async fn forward(
-    client: &mpsc::Sender<ResponsePart>, mut frames: Frames, mut timing: ResponseTiming<Instant>,
+    client: &mpsc::Sender<ResponsePart>, mut frames: Frames, timing: &mut ResponseTiming<Instant>,
     id_hold: Option<RequestIdHold>,
 ) -> Result<StreamSummary, ResponseEnd> {
     loop {
@@ -81,11 +83,11 @@
         match frame {
             Some(Ok(Frame::Data(bytes))) => {
                 timing.observe(Progress::EventComplete, Instant::now());
-                send_chunk(client, bytes, &mut timing).await?;
+                send_chunk(client, bytes, timing).await?;
             }
             Some(Ok(Frame::Ignored(bytes))) => {
                 timing.observe(Progress::IgnoredBytes, Instant::now());
-                send_chunk(client, bytes, &mut timing).await?;
+                send_chunk(client, bytes, timing).await?;
             }
             Some(Ok(Frame::Progress(progress))) => timing.observe(progress, Instant::now()),
             Some(Ok(Frame::HandedOver(remainder))) => {
@@ -134,7 +136,7 @@
 ) -> ClientSide {
     let (client, response) = exchange::response_channel();
     spawn_local(async move {
-        forward_remaining(&response, frames, timing, id_hold).await;
+        forward_remaining(&response, frames, timing, None, id_hold).await;
     });
     client
 }
--- a/gateway/src/response_ends.rs
+++ b/gateway/src/response_ends.rs
@@ -3,8 +3,11 @@
 //! A gateway runs on one thread, so the counters are thread-local.
 
 use std::cell::RefCell;
+use std::fmt;
+use std::time::Duration;
 
 use glenrail_request_lifecycle::response_timing::Expiry;
+use glenrail_router::ServerId;
 use serde_json::Value;
 
 use crate::log;
@@ -66,15 +69,38 @@
         const { [const { RateLimit::new() }; ResponseEnd::ALL.len()] };
 }
 
-/// Counts and logs the end of a response; `request` is the id of its request, `None` if this process does not know it.
-pub fn report(reason: ResponseEnd, request: Option<&str>) {
+/// The response that ended early. What another process knows of it is `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct EndedResponse<'a> {
+    /// The id of its request.
+    pub request: Option<&'a str>,
+    /// The server that wrote it.
+    pub server: Option<ServerId>,
+    /// Time since its last event; `None` before the first one.
+    pub since_last_event: Option<Duration>,
+}
+
+impl fmt::Display for EndedResponse<'_> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(server) = self.server {
+            write!(f, ", server {:x}", server.0)?;
+        }
+        match self.since_last_event {
+            Some(since) => write!(f, ", last event {} ms before", since.as_millis()),
+            None => write!(f, ", before its first event"),
+        }
+    }
+}
+
+/// Counts and logs the end of a response.
+pub fn report(reason: ResponseEnd, response: EndedResponse) {
     let index = reason.index();
     COUNTS.with_borrow_mut(|counts| counts[index] += 1);
-    let request = request.unwrap_or("of another process");
+    let request = response.request.unwrap_or("of another process");
     LIMITS.with(|limits| {
         log::write_limited(
             &limits[index],
-            format_args!("request {request}: response ended early: {}", reason.name()),
+            format_args!("request {request}: response ended early: {}{response}", reason.name()),
         );
     });
 }
