Add failing tests of chunks of gigabytes, endless size lines and sound framing

Cause: a server's chunk that states gigabytes, or a size line that does not end, keeps its client's stream open for as long as the server goes on; a client's chunk of 3 GB gets its error after 10 s.

The steps of a server that slow_responses.rs plays are shared.

One finds what was not suspected: hyper counts chunk extensions over a whole body, so a sound stream with over 16 KiB of them is cut.

--- a/gateway/tests/common/mod.rs
+++ b/gateway/tests/common/mod.rs
@@ -12,6 +12,7 @@
 pub mod raw;
 pub mod scripted;
 pub mod signals;
+pub mod stepwise;
 pub mod upgrades;
 
 use std::cell::{Cell, RefCell};
--- a/gateway/tests/inference.rs
+++ b/gateway/tests/inference.rs
@@ -490,3 +490,46 @@
         assert_eq!((answer.status().as_u16(), answer.body().as_deref()), (200, Some(&b"data: a\n\n"[..])));
     });
 }
+
+/// Returns a public server that begins a stream with one event, and then writes these bytes, one piece each `pause`.
+fn spoiling_talker(then: &'static str, piece: &'static str, pause: Duration) -> scripted::Engine {
+    let head = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
+    scripted::Engine::start(move |_, _| {
+        scripted::Says::ByHand(Box::new(move |socket: &mut std::net::TcpStream| {
+            use std::io::Write;
+            write!(socket, "{head}9\r\ndata: a\n\n\r\n{then}").expect("written");
+            let until = std::time::Instant::now() + Duration::from_millis(9_000);
+            while std::time::Instant::now() < until && socket.write_all(piece.as_bytes()).is_ok() {
+                std::thread::sleep(pause);
+            }
+            false
+        }))
+    })
+}
+
+/// Guards clients of public servers from being left waiting in a chunk or a size line that does not end, whatever comes in it.
+#[test]
+fn a_stream_of_a_public_server_ends_in_time_behind_malformed_framing() {
+    let pause = Duration::from_millis(300);
+    run(async move {
+        let ends = async |then: &'static str, piece: &'static str| {
+            let talker = spoiling_talker(then, piece, pause);
+            let text = format!(
+                "listen = '127.0.0.1:0'\n[chat]\nconnect_ms = 5000\nservers = [{{ name = 'c', dial = '{}' }}]",
+                talker.address
+            );
+            let g = gateway(parse_front(&text).expect("a file")).await;
+            let chat = r#"{"model":"c","messages":[{"role":"user","content":"hi"}],"stream":true}"#;
+            let asked = Instant::now();
+            let answer = ask(g.address, post("/v1/chat/completions", &[], chat)).await;
+            assert_eq!((answer.status().as_u16(), answer.body()), (200, &None), "{then:?}");
+            assert!(asked.elapsed() < Duration::from_secs(5), "{then:?}: {:?}", asked.elapsed());
+        };
+        tokio::join!(
+            ends("c0000000\r\n", "data: b\n\n"),
+            ends("7fffffffffffffff\r\n", ": comment\n\n"),
+            ends("0", "0"),
+            ends("9;a=", "b"),
+        );
+    });
+}
--- a/gateway/tests/slow_responses.rs
+++ b/gateway/tests/slow_responses.rs
@@ -3,145 +3,18 @@
 
 mod common;
 
-use std::io::{Read, Write as _};
-use std::net::TcpStream;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use common::crossing::{Client, Program};
-use common::scripted::{reader, Engine, Says, EMPTY, EVENTS, READ};
+use common::scripted::{reader, EVENTS, READ};
+use common::stepwise::Step::{self, Pause, Pieces, Write};
+use common::stepwise::{ask, chunk, each, millis, receive, server, HEAD, LAST_CHUNK, WAIT_LIMIT};
 use common::upgrades::{connect_and_ask, discovery, host, told_writer, Place};
-use common::{read, run, StandIn, AGES};
+use common::{read, run, StandIn};
 use serde_json::json;
 use tokio::io::AsyncReadExt;
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n";
-const LAST_CHUNK: &str = "0\r\n\r\n";
-/// Time after a running server's last event by which its client's connection has to end, as the protocol has it.
-const WAIT_LIMIT: Duration = Duration::from_secs(5);
-
-fn chunk(data: &str) -> String {
-    format!("{:x}\r\n{data}\r\n", data.len())
-}
-
-/// One step of a server's answer.
-#[derive(Clone)]
-enum Step {
-    Write(String),
-    /// Writes the bytes in so many pieces, with a pause after each.
-    Pieces(String, usize, Duration),
-    Pause(Duration),
-}
-
-use Step::{Pause, Pieces, Write};
-
-fn millis(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
-fn play(steps: &[Step], socket: &mut TcpStream) -> bool {
-    socket.set_nodelay(true).expect("set");
-    for step in steps {
-        let written = match step {
-            Write(bytes) => socket.write_all(bytes.as_bytes()),
-            Pieces(bytes, count, pause) => {
-                let length = bytes.len().div_ceil(*count);
-                bytes.as_bytes().chunks(length).try_for_each(|piece| {
-                    socket.write_all(piece)?;
-                    sleep(*pause);
-                    Ok(())
-                })
-            }
-            Pause(pause) => {
-                sleep(*pause);
-                Ok(())
-            }
-        };
-        if written.is_err() {
-            return false;
-        }
-    }
-    true
-}
-
-/// A server that answers each request by these steps.
-fn server(steps: Vec<Step>) -> Engine {
-    Engine::start(move |_, line| {
-        if line.starts_with("DELETE") {
-            return EMPTY.into();
-        }
-        let steps = steps.clone();
-        Says::ByHand(Box::new(move |socket: &mut TcpStream| play(&steps, socket)))
-    })
-}
-
-/// What a client received, and when.
-struct Received {
-    status: u16,
-    body: String,
-    /// When the connection ended or the last chunk came, since the request.
-    ended: Duration,
-    /// When the last `data:` line came, since the request.
-    last_event: Duration,
-}
-
-impl Received {
-    fn is_whole(&self) -> bool {
-        self.body.ends_with(LAST_CHUNK)
-    }
-}
-
-fn receive(client: Client) -> Received {
-    let (started, mut socket) = (Instant::now(), client.0);
-    socket.set_read_timeout(Some(AGES)).expect("a bound");
-    let (mut got, mut space, mut last_event) = (Vec::new(), vec![0; 64 << 10], Duration::ZERO);
-    loop {
-        match socket.read(&mut space) {
-            Ok(read @ 1..) => {
-                if space[..read].windows(5).any(|bytes| bytes == b"data:") {
-                    last_event = started.elapsed();
-                }
-                got.extend_from_slice(&space[..read]);
-            }
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => panic!("no end in time"),
-            _ => break,
-        }
-        let text = String::from_utf8_lossy(&got);
-        let Some((head, body)) = text.split_once("\r\n\r\n") else { continue };
-        let length =
-            head.lines().find_map(|line| line.strip_prefix("content-length: ")?.parse::<usize>().ok());
-        if length.map_or(body.ends_with(LAST_CHUNK), |length| body.len() >= length) {
-            break;
-        }
-    }
-    let text = String::from_utf8(got).expect("text");
-    let (head, body) = text.split_once("\r\n\r\n").expect("a head");
-    let status = head[9..12].parse().expect("a status");
-    Received { status, body: body.to_string(), ended: started.elapsed(), last_event }
-}
-
-fn ask(program: &Program, class: &str, id: &str) -> Received {
-    receive(Client::ask_as(class, program.front, id))
-}
-
-/// Runs one request at a decode server that answers by these steps.
-fn answer(name: &str, steps: Vec<Step>) -> Received {
-    let (reader, writer) = (reader(), server(steps));
-    let program = Program::start(name, &[reader.address], &[writer.address], true);
-    let received = ask(&program, "order", "a1");
-    assert_eq!(writer.count("POST"), 1, "{name}");
-    received
-}
-
-fn each<T: Send>(cases: Vec<(&'static str, Vec<Step>)>, check: impl Fn(&str, Received) -> T + Sync) {
-    std::thread::scope(|scope| {
-        for (name, steps) in cases {
-            let check = &check;
-            scope.spawn(move || check(name, answer(name, steps)));
-        }
-    });
-}
-
 /// Guards long answers from being cut while their server writes an event.
 #[test]
 fn an_event_that_is_still_being_written_is_not_cut() {
