--- a/crates/request-lifecycle/src/lib.rs
+++ b/crates/request-lifecycle/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod client;
 pub mod discovery_polling;
 pub mod evidence;
+pub mod framing;
 mod planting;
 pub mod reachability;
 pub mod request;
--- a/gateway/src/engine/body_read_state.rs
+++ b/gateway/src/engine/body_read_state.rs
@@ -7,7 +7,7 @@
 
 use tokio::sync::Notify;
 
-use crate::chunk_position::{ChunkPosition, ReadUntil};
+use glenrail_request_lifecycle::framing::{ChunkPosition, ReadUntil};
 
 /// Tracks the chunk framing of a response body as it is read, and pauses reading on request.
 #[derive(Default)]
--- a/gateway/src/engine/resumed_stream.rs
+++ b/gateway/src/engine/resumed_stream.rs
@@ -12,9 +12,9 @@
 use tokio::sync::{watch, OwnedSemaphorePermit};
 
 use super::events::{BodyEnd, EventBuffer};
-use crate::chunk_position::{ChunkPosition, ReadUntil};
 use crate::exchange::StreamRemainder;
 use crate::upstream::{CallError, Frame, Frames};
+use glenrail_request_lifecycle::framing::{ChunkPosition, ReadUntil};
 
 /// Number of bytes read from the socket at once.
 const READ_SIZE_BYTES: usize = 16 << 10;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,7 +7,6 @@
 
 pub mod admin;
 pub mod budget;
-mod chunk_position;
 pub mod config;
 pub mod core;
 mod counted_socket;
