--- a/crates/request-lifecycle/src/response_timing/limits.rs
+++ b/crates/request-lifecycle/src/response_timing/limits.rs
@@ -15,6 +15,10 @@
 /// Maximum time for which one event may be written; no client of the platform waits longer for a whole response to begin.
 const PLATFORM_EVENT_DURATION: Duration = Duration::from_secs(60);
 
+/// Maximum time from the first to the last byte of a size line, a line end or a trailer section. It is less than the 5 s
+/// within which the connection of a client has to end if that byte never comes.
+const FRAMING_DURATION: Duration = Duration::from_secs(4);
+
 /// What extends the wait of a client between two events.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Activity {
@@ -43,6 +47,8 @@
     pub event_interval: Duration,
     /// Maximum time from the first to the last byte of one event.
     pub event_duration: Duration,
+    /// Maximum time from the first to the last byte of what frames the data: a size line, a line end or a trailer section.
+    pub framing_duration: Duration,
     /// What extends the time between two events.
     pub activity: Activity,
 }
@@ -54,6 +60,7 @@
             pause: (on_pause == OnPause::Retry).then_some(RETRY_PAUSE),
             event_interval: PLATFORM_EVENT_INTERVAL,
             event_duration: PLATFORM_EVENT_DURATION,
+            framing_duration: FRAMING_DURATION,
             activity: Activity::Events,
         }
     }
@@ -64,6 +71,7 @@
             pause: None,
             event_interval: max_silence,
             event_duration: max_silence,
+            framing_duration: FRAMING_DURATION,
             activity: Activity::AnyBytes,
         }
     }
--- a/crates/request-lifecycle/src/response_timing/mod.rs
+++ b/crates/request-lifecycle/src/response_timing/mod.rs
@@ -7,6 +7,8 @@
 //! - Before the first event only a pause ends a response. How long it may take in total is the deadline of its attempt, which
 //!   the core owns.
 //! - Between two events a client waits a limited time. Bytes that readers of a stream ignore do not extend it.
+//! - What frames the data is no part of an event: a size line, a line end or a trailer section has a time of its own, which
+//!   its bytes do not extend.
 //! - A server that is writing an event has not written its last one, so each byte of the event extends the wait, up to the
 //!   maximum duration of one event.
 //! - The time during which the gateway does not read, because the client is slow, counts for none of these.
@@ -33,7 +35,7 @@
 
 impl<T: Copy + Ord + Debug + Add<Duration, Output = T> + Sub<Output = Duration>> Timestamp for T {}
 
-/// Something that is being written: an event, or a chunk of which only the size line has been received.
+/// Something that is being written: an event, or a chunk of which only the complete size line has been received.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 struct Writing<T> {
     began: T,
@@ -42,8 +44,8 @@
 
 impl<T: Timestamp> Writing<T> {
     /// Returns the state after one more byte at `now`.
-    fn extended(writing: Option<Self>, now: T) -> Option<Self> {
-        Some(Writing { began: writing.map_or(now, |writing| writing.began), last_byte: now })
+    fn extended(writing: Option<Self>, now: T) -> Self {
+        Writing { began: writing.map_or(now, |writing| writing.began), last_byte: now }
     }
 
     fn shifted(self, by: Duration) -> Self {
@@ -61,6 +63,34 @@
     }
 }
 
+/// What has been received behind the last data of a body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+enum Framing<T> {
+    /// Nothing, or a line end.
+    Complete,
+    /// A part of a size line, a line end or a trailer section; has the time of its first byte.
+    Incomplete { began: T },
+    /// A complete size line, so that it is not known whether the data that follows belongs to an event.
+    ChunkBegun(Writing<T>),
+}
+
+impl<T: Timestamp> Framing<T> {
+    fn shifted(self, by: Duration) -> Self {
+        match self {
+            Framing::Complete => Framing::Complete,
+            Framing::Incomplete { began } => Framing::Incomplete { began: began + by },
+            Framing::ChunkBegun(chunk) => Framing::ChunkBegun(chunk.shifted(by)),
+        }
+    }
+
+    fn chunk(self) -> Option<Writing<T>> {
+        match self {
+            Framing::ChunkBegun(chunk) => Some(chunk),
+            Framing::Complete | Framing::Incomplete { .. } => None,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 enum Stage<T> {
     /// No byte of a final head has been received.
@@ -74,8 +104,7 @@
         last_event: T,
         /// Event of which a part has been received.
         event: Option<Writing<T>>,
-        /// Chunk whose data has not begun, so that it is not known whether the data belongs to an event.
-        chunk: Option<Writing<T>>,
+        framing: Framing<T>,
     },
 }
 
@@ -98,7 +127,7 @@
 
     /// Creates the machine of a stream that another process has read so far, which received its last event at `last_event`.
     pub fn resumed(limits: ResponseLimits, last_event: T) -> Self {
-        Self::at(Stage::Events { last_event, event: None, chunk: None }, limits)
+        Self::at(Stage::Events { last_event, event: None, framing: Framing::Complete }, limits)
     }
 
     fn at(stage: Stage<T>, limits: ResponseLimits) -> Self {
@@ -137,11 +166,14 @@
             Stage::AwaitingHead => None,
             Stage::Head { last_byte } => paused(last_byte, Expiry::HeadStalled),
             Stage::Body { last_byte } => paused(last_byte, Expiry::BodyStalled),
-            Stage::Events { last_event, event, chunk } => {
+            Stage::Events { framing: Framing::Incomplete { began }, .. } => {
+                Some(Limit { at: began + self.limits.framing_duration, reason: Expiry::FramingOverdue })
+            }
+            Stage::Events { last_event, event, framing } => {
                 let overdue =
                     Limit { at: last_event + self.limits.event_interval, reason: Expiry::EventOverdue };
                 let is_bounded = !self.has_fault(Fault::UnboundedEvent);
-                let writing = [event, chunk].into_iter().flatten();
+                let writing = [event, framing.chunk()].into_iter().flatten();
                 let limits = writing.map(|writing| writing.limit(&self.limits, is_bounded));
                 limits.chain([overdue]).max_by_key(|limit| limit.at)
             }
@@ -159,7 +191,7 @@
             Progress::ReadingSuspended => self.suspended_at = Some(now),
             Progress::ReadingResumed => self.resume_reading(now),
             Progress::EventComplete => {
-                self.stage = Stage::Events { last_event: now, event: None, chunk: None };
+                self.stage = Stage::Events { last_event: now, event: None, framing: Framing::Complete };
             }
             _ => self.stage = self.stage_after(progress, now),
         }
@@ -175,11 +207,11 @@
             (Stage::AwaitingHead | Stage::Head { .. }, _) | (Stage::Body { .. }, _) => {
                 Stage::Body { last_byte: now }
             }
-            (Stage::Events { last_event, event, chunk }, _) => {
+            (Stage::Events { last_event, event, framing }, _) => {
                 let is_ignored = matches!(progress, Progress::IgnoredBytes | Progress::OtherBytes);
                 let is_activity = is_ignored && self.limits.activity == Activity::AnyBytes;
                 let last_event = if is_activity { now } else { last_event };
-                self.events_after(progress, last_event, event, chunk, now)
+                self.events_after(progress, last_event, event, framing, now)
             }
         }
     }
@@ -192,25 +224,39 @@
     }
 
     fn events_after(
-        &self, progress: Progress, last_event: T, event: Option<Writing<T>>, chunk: Option<Writing<T>>,
-        now: T,
+        &self, progress: Progress, last_event: T, event: Option<Writing<T>>, framing: Framing<T>, now: T,
     ) -> Stage<T> {
+        let behind_data = |event| Stage::Events { last_event, event, framing: Framing::Complete };
         match progress {
             Progress::EventBytes if self.has_fault(Fault::IgnoresEventBytes) => self.stage,
             Progress::EventBytes => {
                 // The chunk's size line belongs to the event that it turned out to carry.
-                let event = Writing::extended(event.or(chunk), now);
-                Stage::Events { last_event, event, chunk: None }
+                behind_data(Some(Writing::extended(event.or(framing.chunk()), now)))
+            }
+            Progress::FramingBytes => {
+                let framing = Framing::Incomplete { began: self.framing_began(framing, now) };
+                Stage::Events { last_event, event, framing }
             }
+            Progress::FramingComplete if self.has_fault(Fault::KeepsFraming) => self.stage,
+            Progress::FramingComplete => behind_data(event),
             Progress::ChunkBegun => {
-                Stage::Events { last_event, event, chunk: Writing::extended(chunk.or(event), now) }
+                let chunk = Writing::extended(framing.chunk().or(event), now);
+                Stage::Events { last_event, event, framing: Framing::ChunkBegun(chunk) }
             }
             Progress::IgnoredBytes if self.has_fault(Fault::CountsIgnoredBytes) => {
-                Stage::Events { last_event: now, event: None, chunk: None }
+                Stage::Events { last_event: now, event: None, framing: Framing::Complete }
             }
-            Progress::IgnoredBytes => Stage::Events { last_event, event: None, chunk: None },
+            Progress::IgnoredBytes => behind_data(None),
             _ if self.has_fault(Fault::KeepsChunkOfComment) => self.stage,
-            _ => Stage::Events { last_event, event, chunk: None },
+            _ => behind_data(event),
+        }
+    }
+
+    /// Returns when the framing began of which bytes were received at `now`.
+    fn framing_began(&self, framing: Framing<T>, now: T) -> T {
+        match framing {
+            Framing::Incomplete { began } if !self.has_fault(Fault::ExtendsFraming) => began,
+            _ => now,
         }
     }
 
@@ -225,10 +271,10 @@
             Stage::AwaitingHead => Stage::AwaitingHead,
             Stage::Head { last_byte } => Stage::Head { last_byte: last_byte + by },
             Stage::Body { last_byte } => Stage::Body { last_byte: last_byte + by },
-            Stage::Events { last_event, event, chunk } => Stage::Events {
+            Stage::Events { last_event, event, framing } => Stage::Events {
                 last_event: last_event + by,
                 event: event.map(|event| event.shifted(by)),
-                chunk: chunk.map(|chunk| chunk.shifted(by)),
+                framing: framing.shifted(by),
             },
         };
     }
--- a/crates/request-lifecycle/src/response_timing/planted_faults.rs
+++ b/crates/request-lifecycle/src/response_timing/planted_faults.rs
@@ -15,6 +15,10 @@
     IgnoresEventBytes,
     /// Bytes that readers ignore extend the wait like an event.
     CountsIgnoredBytes,
+    /// Each byte of a size line extends the wait.
+    ExtendsFraming,
+    /// A line end still limits the wait after it is complete.
+    KeepsFraming,
     /// The size line of a chunk still extends the wait after its data turned out to be no event.
     KeepsChunkOfComment,
     /// An event may be written for ever.
--- a/crates/request-lifecycle/src/response_timing/progress.rs
+++ b/crates/request-lifecycle/src/response_timing/progress.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::framing::ChunkStage;
+
 /// What was observed of a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Progress {
@@ -13,7 +15,11 @@
     HeadComplete,
     /// Bytes of a body that is not a stream.
     BodyBytes,
-    /// Bytes of the size line of a chunk; its data has not begun.
+    /// Bytes of a size line, of a line end behind a chunk's data or of a trailer section, which is not complete.
+    FramingBytes,
+    /// The line end behind a chunk's data, complete; the next size line has not begun.
+    FramingComplete,
+    /// The size line of a chunk, complete; the chunk's data has not begun.
     ChunkBegun,
     /// Bytes of an event that is not complete.
     EventBytes,
@@ -29,6 +35,18 @@
     ReadingResumed,
 }
 
+impl Progress {
+    /// Returns the progress of a body that was read up to this stage; `None` if its data tells.
+    pub fn of_framing(stage: ChunkStage) -> Option<Progress> {
+        match stage {
+            ChunkStage::Framing => Some(Progress::FramingBytes),
+            ChunkStage::BetweenChunks => Some(Progress::FramingComplete),
+            ChunkStage::DataStart => Some(Progress::ChunkBegun),
+            ChunkStage::Data | ChunkStage::End | ChunkStage::Malformed(_) => None,
+        }
+    }
+}
+
 /// Why a response has to be ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Expiry {
@@ -42,6 +60,8 @@
     EventStalled,
     /// An event was begun and not completed in time, though its bytes came.
     EventTooLong,
+    /// A size line, a line end or a trailer section was begun and not completed in time, though its bytes came.
+    FramingOverdue,
 }
 
 /// When a response has to be ended, and why.
--- a/crates/request-lifecycle/src/response_timing/tests.rs
+++ b/crates/request-lifecycle/src/response_timing/tests.rs
@@ -8,6 +8,7 @@
     pause: Some(Duration::from_millis(20)),
     event_interval: Duration::from_millis(46),
     event_duration: Duration::from_millis(600),
+    framing_duration: Duration::from_millis(40),
     activity: super::Activity::Events,
 };
 
@@ -47,6 +48,25 @@
     assert_eq!(after(&[(EventBytes, 145), (EventComplete, 150)]), Some((196, Expiry::EventOverdue)));
 }
 
+#[test]
+fn a_size_line_has_a_time_of_its_own_that_its_bytes_do_not_extend() {
+    use Progress::{ChunkBegun, EventBytes, EventComplete, FramingBytes, FramingComplete};
+    let dripping: Vec<_> = (0..12).map(|byte| (FramingBytes, 105 + 3 * byte)).collect();
+    let observed = [&[(EventComplete, 100)], &dripping[..]].concat();
+    for limits in [LIMITS, ResponseLimits { framing_duration: at(40), ..ResponseLimits::public_api(at(900)) }]
+    {
+        assert_eq!(limit(limits, &observed), Some((145, Expiry::FramingOverdue)));
+    }
+    let after = |observed: &[(Progress, u64)]| limit(LIMITS, &[&[(EventComplete, 100)], observed].concat());
+    assert_eq!(after(&[(FramingBytes, 110), (ChunkBegun, 145)]), Some((191, Expiry::EventStalled)));
+    assert_eq!(after(&[(FramingBytes, 110), (FramingComplete, 120)]), Some((146, Expiry::EventOverdue)));
+    // The line end of one chunk and the size line of the next are not one line.
+    let two_lines = [(FramingBytes, 110), (FramingComplete, 120), (FramingBytes, 130)];
+    assert_eq!(after(&two_lines), Some((170, Expiry::FramingOverdue)));
+    let between_halves = [(EventBytes, 110), (FramingBytes, 120), (ChunkBegun, 130), (EventBytes, 140)];
+    assert_eq!(after(&between_halves), Some((186, Expiry::EventStalled)));
+}
+
 #[test]
 fn an_event_that_never_ends_is_bounded() {
     let mut observed = vec![(Progress::EventComplete, 0)];
--- a/gateway/src/core/attempt.rs
+++ b/gateway/src/core/attempt.rs
@@ -48,15 +48,15 @@
         match reply {
             Err(_) => self.step(id, Input::TimedOut { attempt }),
             Ok(Ok(Reply::Response { head, frames, timing })) => {
-                self.forward_response(id, attempt, server, head, frames, timing).await;
+                self.forward_response(id, attempt, server, head, frames, *timing).await;
             }
             Ok(Err(CallError::ResponseExpired(expiry))) => {
                 self.report_early_end(id, server, ResponseEnd::Expired(expiry));
                 self.step(id, Input::TimedOut { attempt });
             }
             Ok(reply) => {
-                if matches!(reply, Err(CallError::MalformedResponse)) {
-                    self.report_early_end(id, server, ResponseEnd::Malformed);
+                if let Err(CallError::MalformedResponse(malformation)) = &reply {
+                    self.report_early_end(id, server, ResponseEnd::Malformed(*malformation));
                 }
                 let (mut reply, report) = machine_reply(reply);
                 if reply == MachineReply::Reset && self.has_prefill_ended(id, attempt, &cancel_token) {
@@ -146,7 +146,7 @@
         Ok(_) => (MachineReply::Error, ServerReport::default()),
         Err(CallError::ConnectFailed) => (MachineReply::ConnectFailed, ServerReport::default()),
         Err(CallError::Reset) => (MachineReply::Reset, ServerReport::default()),
-        Err(CallError::MalformedResponse) => (MachineReply::MalformedResponse, ServerReport::default()),
+        Err(CallError::MalformedResponse(_)) => (MachineReply::MalformedResponse, ServerReport::default()),
         // Such a call ends as a time-out before this.
         Err(CallError::ResponseExpired(_)) => (MachineReply::Error, ServerReport::default()),
         Err(CallError::NotSent) => (MachineReply::NotSent, ServerReport::default()),
--- a/gateway/src/core/forwarding.rs
+++ b/gateway/src/core/forwarding.rs
@@ -41,7 +41,7 @@
     fn from(end: ResponseEnd) -> Self {
         match end {
             ResponseEnd::Reset => StreamEnd::Reset,
-            ResponseEnd::Malformed => StreamEnd::MalformedResponse,
+            ResponseEnd::Malformed(_) => StreamEnd::MalformedResponse,
             ResponseEnd::Expired(_) => StreamEnd::IdleTimeout,
             ResponseEnd::ClientDisconnected | ResponseEnd::ClientStalled => StreamEnd::ClientStalled,
         }
@@ -100,7 +100,9 @@
                 send_part(client, ResponsePart::End).await;
                 return Ok(StreamSummary { end: StreamEnd::Complete, cached_tokens, load: report });
             }
-            Some(Err(CallError::MalformedResponse)) => return Err(ResponseEnd::Malformed),
+            Some(Err(CallError::MalformedResponse(malformation))) => {
+                return Err(ResponseEnd::Malformed(malformation));
+            }
             Some(Err(_)) | None => return Err(ResponseEnd::Reset),
         }
     }
--- a/gateway/src/core/probe.rs
+++ b/gateway/src/core/probe.rs
@@ -19,7 +19,7 @@
                 (AttemptStatus::ConnectFailed, None)
             }
             Err(CallError::Reset) => (AttemptStatus::Reset, None),
-            Err(CallError::MalformedResponse | CallError::ResponseExpired(_)) => {
+            Err(CallError::MalformedResponse(_) | CallError::ResponseExpired(_)) => {
                 (AttemptStatus::MalformedResponse, None)
             }
         };
--- a/gateway/src/core/tests/mod.rs
+++ b/gateway/src/core/tests/mod.rs
@@ -31,7 +31,7 @@
 };
 use super::*;
 use crate::exchange::{CancelToken, Failure, Payload, Request, ResponseHead, ResponsePart};
-use crate::upstream::{Frame, ServerAfterReset};
+use crate::upstream::{Frame, Malformation, ServerAfterReset};
 
 const PREFILL_SERVERS: [u64; 2] = [11, 12];
 const DECODE_SERVERS: [u64; 2] = [21, 22];
@@ -258,7 +258,7 @@
         }
     };
     let frames = frames.inspect(move |_| _ = &in_flight).boxed_local();
-    Ok(Reply::Response { head: ResponseHead::default(), frames, timing: platform_timing() })
+    Ok(Reply::Response { head: ResponseHead::default(), frames, timing: Box::new(platform_timing()) })
 }
 
 fn settings() -> Settings {
--- a/gateway/src/core/tests/rejections.rs
+++ b/gateway/src/core/tests/rejections.rs
@@ -104,7 +104,7 @@
         ScriptedReply::NoReply,
         ScriptedReply::Error,
         ScriptedReply::Fail(CallError::Reset),
-        ScriptedReply::Fail(CallError::MalformedResponse),
+        ScriptedReply::Fail(CallError::MalformedResponse(Malformation::Event)),
     ] {
         assert!(!AttemptHistory::of_decode(decode.clone()).ends_in_rejection(), "decode: {decode:?}");
     }
--- a/gateway/src/core/tests/replay.rs
+++ b/gateway/src/core/tests/replay.rs
@@ -195,7 +195,7 @@
             MachineReply::Error => Ok(Reply::Error { report: None }),
             MachineReply::ConnectFailed => Err(CallError::ConnectFailed),
             MachineReply::Reset | MachineReply::ResetAndEnded => Err(CallError::Reset),
-            MachineReply::MalformedResponse => Err(CallError::MalformedResponse),
+            MachineReply::MalformedResponse => Err(CallError::MalformedResponse(Malformation::Event)),
             MachineReply::NotSent => Err(CallError::NotSent),
         };
         // Attempts that were not started made no call, so the number of the call may be lower than the
@@ -212,7 +212,7 @@
         self.streams.insert(attempt, frames);
         let first = stream::iter([Ok(Frame::Data("data: x\n\n".into()))]);
         let frames = first.chain(stream::poll_fn(move |context| sent.poll_recv(context))).boxed_local();
-        Reply::Response { head: ResponseHead::default(), frames, timing: platform_timing() }
+        Reply::Response { head: ResponseHead::default(), frames, timing: Box::new(platform_timing()) }
     }
 
     async fn end_stream(&mut self, attempt: usize, end: StreamEnd) {
@@ -220,7 +220,7 @@
             StreamEnd::Complete => Some(Ok(Frame::End { cached_tokens: 0.0, report: None })),
             StreamEnd::HandedOver => Some(Ok(Frame::HandedOver(stream_remainder()))),
             StreamEnd::Reset => Some(Err(CallError::Reset)),
-            StreamEnd::MalformedResponse => Some(Err(CallError::MalformedResponse)),
+            StreamEnd::MalformedResponse => Some(Err(CallError::MalformedResponse(Malformation::Event))),
             StreamEnd::IdleTimeout => None,
             StreamEnd::ClientStalled => {
                 drop(self.client.take());
--- a/gateway/src/core/tests/requests.rs
+++ b/gateway/src/core/tests/requests.rs
@@ -77,7 +77,7 @@
 fn an_at_most_once_request_that_may_have_run_is_not_retried() {
     for failure in [
         ScriptedReply::Fail(CallError::Reset),
-        ScriptedReply::Fail(CallError::MalformedResponse),
+        ScriptedReply::Fail(CallError::MalformedResponse(Malformation::Event)),
         ScriptedReply::Error,
         ScriptedReply::BrokenStream,
     ] {
@@ -225,7 +225,7 @@
         1 => Just(ScriptedReply::Fail(CallError::ConnectFailed)),
         1 => Just(ScriptedReply::Unprocessable),
         1 => Just(ScriptedReply::Fail(CallError::Reset)),
-        1 => Just(ScriptedReply::Fail(CallError::MalformedResponse)),
+        1 => Just(ScriptedReply::Fail(CallError::MalformedResponse(Malformation::Event))),
         1 => Just(ScriptedReply::Fail(CallError::NotSent)),
         1 => Just(ScriptedReply::NoReply),
     ];
--- a/gateway/src/engine/attempt.rs
+++ b/gateway/src/engine/attempt.rs
@@ -20,7 +20,7 @@
 use crate::exchange::{Payload, ResponseHead};
 use crate::log;
 use crate::response_clock::ResponseClock;
-use crate::upstream::{CallError, Frame, Reply};
+use crate::upstream::{CallError, Frame, Malformation, Reply};
 
 /// Maximum size in bytes of a response that is buffered until it is complete.
 const MAX_BUFFERED_BODY_BYTES: usize = 16 << 20;
@@ -90,7 +90,7 @@
     ) -> Result<Reply, CallError> {
         if !is_event_stream(&head) {
             log!("response of server {:x} has no event stream content type; treated as malformed", server.0);
-            return Err(CallError::MalformedResponse);
+            return Err(CallError::MalformedResponse(Malformation::ContentType));
         }
         let report = self.report_in_head(server, &head);
         // From here on the connection is dropped, and so closed, unless the stream is completed or handed over.
@@ -116,7 +116,7 @@
             }
         });
         let frames = once(async { Ok(Frame::Data(first)) }).chain(following).boxed_local();
-        Ok(Reply::Response { head, frames, timing: clock.timing() })
+        Ok(Reply::Response { head, frames, timing: Box::new(clock.timing()) })
     }
 
     /// Reads the complete body of a response and returns the reply.
@@ -139,7 +139,7 @@
             log!("response of server {:x} exceeds the size limit or the memory budget", server.0);
             return match head.status {
                 // The prefill has succeeded, so the server holds a state lease although the body was not read.
-                StatusCode::ACCEPTED => Err(CallError::MalformedResponse),
+                StatusCode::ACCEPTED => Err(CallError::MalformedResponse(Malformation::BodyTooLarge)),
                 _ => Ok(Reply::Error { report }),
             };
         };
@@ -165,7 +165,7 @@
             status if status == 200 || (public_api && (400..500).contains(&status)) => {
                 let end = Frame::End { cached_tokens: 0.0, report };
                 let frames = iter([Ok(Frame::Data(body)), Ok(end)]).boxed_local();
-                Reply::Response { head, frames, timing: clock.timing() }
+                Reply::Response { head, frames, timing: Box::new(clock.timing()) }
             }
             400..=499 => Reply::Unprocessable { report },
             _ => Reply::Error { report },
--- a/gateway/src/engine/event_stream.rs
+++ b/gateway/src/engine/event_stream.rs
@@ -15,7 +15,7 @@
 use super::body_read_state::BodyReadState;
 use super::events::{BodyEnd, EventBuffer, MalformedEvent};
 use super::response_fields::StreamTail;
-use crate::upstream::CallError;
+use crate::upstream::{CallError, Malformation};
 
 /// An event stream in progress.
 pub(super) struct EventStream {
@@ -76,7 +76,7 @@
                 // The engine owns the sender, so this cannot fail while the engine exists.
                 _ = self.handing_over.changed() => continue,
                 () = self.body_state.wait_paused() => continue,
-                () = self.body_state.wait_chunk_begun() => return Ok(StreamStep::Progress(Progress::ChunkBegun)),
+                progress = self.body_state.wait_framing_read() => return Ok(StreamStep::Progress(progress)),
             };
             let Some(frame) = frame else { break };
             let frame = frame.map_err(|error| broken_response(&error))?;
@@ -116,16 +116,21 @@
 
 impl From<MalformedEvent> for CallError {
     fn from(MalformedEvent: MalformedEvent) -> Self {
-        CallError::MalformedResponse
+        CallError::MalformedResponse(Malformation::Event)
     }
 }
 
 /// Classifies a failed response as incomplete or malformed. In either case the request may have run.
 pub(super) fn broken_response(error: &hyper::Error) -> CallError {
     let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
-    match cause.map(io::Error::kind) {
-        Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => CallError::MalformedResponse,
-        _ if error.is_parse() => CallError::MalformedResponse,
+    let malformation = cause.and_then(|cause| cause.get_ref()?.downcast_ref());
+    match (malformation, cause.map(io::Error::kind)) {
+        (Some(malformation), _) => CallError::MalformedResponse(*malformation),
+        // What the reader accepts hyper can still reject, such as the combination of a version and a header.
+        (None, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput)) => {
+            CallError::MalformedResponse(Malformation::HeadUnreadable)
+        }
+        _ if error.is_parse() => CallError::MalformedResponse(Malformation::HeadUnreadable),
         _ => CallError::Reset,
     }
 }
--- a/gateway/src/engine/response_reader.rs
+++ b/gateway/src/engine/response_reader.rs
@@ -1,13 +1,18 @@
 //! Reader between a connection's socket and hyper. It passes the head of a response to hyper once it is complete, and
 //! drops the interim responses (1xx) before it: hyper would treat a 101 as an upgrade. It reports the bytes of a head that
 //! is not complete, since hyper has no time limit for one.
+//!
+//! A chunked body is decoded here, and hyper gets its data in chunks that cannot be malformed: hyper accepts chunks of any
+//! stated size, and limits the extensions of a whole body together.
 
 use std::cell::Cell;
 use std::io;
+use std::mem::MaybeUninit;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 
+use glenrail_request_lifecycle::framing::{FramingLimits, ResponseFraming};
 use glenrail_request_lifecycle::response_timing::Progress;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
@@ -15,6 +20,7 @@
 use super::write_gate::WriteGate;
 use crate::counted_socket::CountedSocket;
 use crate::response_clock::ResponseClock;
+use crate::upstream::Malformation;
 
 /// Maximum size in bytes of a response head together with all interim responses before it.
 const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -22,6 +28,9 @@
 /// Maximum number of headers in a response head.
 const MAX_HEADERS: usize = 100;
 
+/// Maximum number of bytes of a body that are decoded at once.
+const BODY_READ_BYTES: usize = 16 << 10;
+
 /// The socket of a connection as hyper reads and writes it.
 pub struct ResponseReader {
     socket: CountedSocket,
@@ -38,15 +47,15 @@
     clock: ResponseClock,
 }
 
-fn malformed(detail: &'static str) -> io::Error {
-    io::Error::new(io::ErrorKind::InvalidData, detail)
+fn malformed(malformation: Malformation) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, malformation)
 }
 
-/// Returns whether the body of a response uses the chunked transfer coding.
-fn is_chunked(response: &httparse::Response<'_, '_>) -> bool {
-    response.headers.iter().any(|header| {
-        header.name.eq_ignore_ascii_case("transfer-encoding") && header.value.eq_ignore_ascii_case(b"chunked")
-    })
+/// Returns the framing of a response's body.
+fn framing(response: &httparse::Response<'_, '_>) -> io::Result<ResponseFraming> {
+    let headers = response.headers.iter().map(|header| (header.name, header.value));
+    let framing = ResponseFraming::of(response.code.unwrap_or_default(), headers, FramingLimits::RESPONSE);
+    framing.map_err(|error| malformed(Malformation::Framing(error)))
 }
 
 impl ResponseReader {
@@ -79,8 +88,9 @@
                     self.clock.observe(Progress::InterimHead);
                 }
                 Ok(httparse::Status::Complete(size)) => {
-                    self.body_state.begin_body(is_chunked(&response));
-                    self.body_state.advance(&self.buffered[size..]);
+                    self.body_state.begin_body(framing(&response)?);
+                    let body = self.buffered.split_off(size);
+                    self.body_state.decode(&body, &mut self.buffered);
                     self.deliverable = self.buffered.len();
                     self.interim_bytes = 0;
                     self.clock.observe(Progress::HeadComplete);
@@ -92,8 +102,10 @@
                 {
                     return Ok(false);
                 }
-                Ok(httparse::Status::Partial) => return Err(malformed("response head is too large")),
-                Err(_) => return Err(malformed("invalid response head")),
+                Ok(httparse::Status::Partial) | Err(httparse::Error::TooManyHeaders) => {
+                    return Err(malformed(Malformation::HeadTooLong));
+                }
+                Err(_) => return Err(malformed(Malformation::HeadUnreadable)),
             }
         }
     }
@@ -122,26 +134,33 @@
         self.deliverable -= count;
     }
 
-    /// Reads the body and passes it to hyper, up to the end of the current chunk if a pause was requested.
-    fn poll_body(&mut self, context: &mut Context<'_>, buffer: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    /// Reads a chunked body and decodes it, up to the end of the current chunk if a pause was requested. Returns once there is
+    /// something to deliver, or the server has closed its direction.
+    fn poll_chunks(&mut self, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         let body_state = self.body_state.clone();
-        if body_state.poll_paused(context) {
-            return Poll::Pending;
-        }
-        let mut read_ahead = body_state.read_ahead.borrow_mut();
-        if !body_state.is_pause_requested() && read_ahead.is_empty() {
-            let before = buffer.filled().len();
-            ready!(Pin::new(&mut self.socket).poll_read(context, buffer))?;
-            body_state.advance(&buffer.filled()[before..]);
-            return Poll::Ready(Ok(()));
-        }
-        if read_ahead.is_empty() {
-            ready!(self.socket.poll_read_into(context, &mut read_ahead))?;
+        while self.buffered.is_empty() {
+            if let Some(error) = body_state.framing_error() {
+                return Poll::Ready(Err(malformed(Malformation::Framing(error))));
+            }
+            if body_state.poll_paused(context) {
+                return Poll::Pending;
+            }
+            let mut read_ahead = body_state.read_ahead.borrow_mut();
+            if !read_ahead.is_empty() {
+                let decoded = body_state.decode(&read_ahead, &mut self.buffered);
+                read_ahead.drain(..decoded);
+                continue;
+            }
+            let mut space = [MaybeUninit::uninit(); BODY_READ_BYTES];
+            let mut read = ReadBuf::uninit(&mut space);
+            ready!(Pin::new(&mut self.socket).poll_read(context, &mut read))?;
+            if read.filled().is_empty() {
+                return Poll::Ready(Ok(()));
+            }
+            let decoded = body_state.decode(read.filled(), &mut self.buffered);
+            read_ahead.extend_from_slice(&read.filled()[decoded..]);
         }
-        let available = read_ahead.len().min(buffer.remaining());
-        let count = body_state.advance(&read_ahead[..available]);
-        buffer.put_slice(&read_ahead[..count]);
-        read_ahead.drain(..count);
+        self.deliverable = self.buffered.len();
         Poll::Ready(Ok(()))
     }
 
@@ -171,7 +190,12 @@
             return Poll::Ready(Ok(()));
         }
         reader.buffered = Vec::new();
-        reader.poll_body(context, buffer)
+        if !reader.body_state.is_in_chunked_body() {
+            return Pin::new(&mut reader.socket).poll_read(context, buffer);
+        }
+        ready!(reader.poll_chunks(context))?;
+        reader.deliver_buffered(buffer);
+        Poll::Ready(Ok(()))
     }
 }
 
--- a/gateway/src/engine/resumed_stream.rs
+++ b/gateway/src/engine/resumed_stream.rs
@@ -13,8 +13,8 @@
 
 use super::events::{BodyEnd, EventBuffer};
 use crate::exchange::StreamRemainder;
-use crate::upstream::{CallError, Frame, Frames};
-use glenrail_request_lifecycle::framing::{ChunkPosition, ReadUntil};
+use crate::upstream::{CallError, Frame, Frames, Malformation};
+use glenrail_request_lifecycle::framing::{ChunkPosition, ChunkStage, FramingLimits, ReadUntil};
 
 /// Number of bytes read from the socket at once.
 const READ_SIZE_BYTES: usize = 16 << 10;
@@ -25,6 +25,8 @@
     /// Bytes that were read and not yet parsed.
     read_ahead: BytesMut,
     position: ChunkPosition,
+    /// Stage of which the progress was reported last.
+    reported_stage: ChunkStage,
     events: EventBuffer,
     /// Becomes true when the stream is to be handed over to the next successor process.
     handing_over: watch::Receiver<bool>,
@@ -73,21 +75,25 @@
     /// Parses the bytes read so far into a frame; `None` if nothing was read.
     fn parse(&mut self) -> Result<Option<Frame>, CallError> {
         let mut data = BytesMut::new();
-        let read = self
-            .position
-            .read(&self.read_ahead, ReadUntil::EndOfBody, |part| data.extend_from_slice(part))
-            .map_err(|_| CallError::MalformedResponse)?;
+        let until = ReadUntil::EndOfBody;
+        let read = self.position.read(&self.read_ahead, until, |part| data.extend_from_slice(part));
         let _ = self.read_ahead.split_to(read);
         let data = data.freeze();
+        if !data.is_empty() {
+            self.reported_stage = ChunkStage::Data;
+        }
         let complete = self.events.push(&data)?;
         if let Some(complete) = complete {
             return Ok(Some(self.frame_of(complete)));
         }
+        if let Some(error) = self.position.error() {
+            return Err(CallError::MalformedResponse(Malformation::Framing(error)));
+        }
         if self.position.is_ended() {
             let rest = self.events.finish(BodyEnd::Marked)?;
             return Ok(Some(rest.map_or(Frame::End { cached_tokens: 0.0, report: None }, Frame::Ignored)));
         }
-        Ok(self.progress_after(read, &data).map(Frame::Progress))
+        Ok(self.progress_after(&data).map(Frame::Progress))
     }
 
     /// Returns the frame of these complete events and lines.
@@ -100,15 +106,14 @@
         Frame::Ignored(complete)
     }
 
-    /// Returns the progress shown by `read` bytes that contained this incomplete data; `None` if it is none.
-    fn progress_after(&self, read: usize, data: &Bytes) -> Option<Progress> {
-        let in_data = self.events.received().incomplete_progress();
-        match in_data {
-            Some(progress) => Some(progress),
-            None if !data.is_empty() => Some(Progress::OtherBytes),
-            None if read > 0 && self.position.is_before_chunk_data() => Some(Progress::ChunkBegun),
-            None => None,
+    /// Returns the progress shown by bytes that contained this incomplete data; `None` if it was reported before.
+    fn progress_after(&mut self, data: &Bytes) -> Option<Progress> {
+        if !data.is_empty() {
+            return self.events.received().incomplete_progress().or(Some(Progress::OtherBytes));
         }
+        let stage = self.position.stage();
+        let is_new = std::mem::replace(&mut self.reported_stage, stage) != stage;
+        is_new.then(|| Progress::of_framing(stage)).flatten()
     }
 
     fn hand_over(&mut self) -> Result<Frame, CallError> {
@@ -134,7 +139,8 @@
     let resumed = ResumedStream {
         socket: Some(socket),
         read_ahead: BytesMut::from(&remainder.read_ahead[..]),
-        position: ChunkPosition::default(),
+        position: ChunkPosition::new(FramingLimits::RESPONSE),
+        reported_stage: ChunkStage::BetweenChunks,
         events: EventBuffer::resumed(),
         handing_over,
         unreported: None,
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -11,6 +11,7 @@
 use bytes::Bytes;
 use futures_util::stream::LocalBoxStream;
 use glenrail_request_lifecycle::evidence::Observation;
+use glenrail_request_lifecycle::framing::FramingError;
 use glenrail_request_lifecycle::response_timing::{Expiry, OnPause, Progress, ResponseTiming};
 use glenrail_router::{LoadReport, ServerId};
 use tokio::time::Instant;
@@ -121,7 +122,7 @@
         /// The body, from its first frame on.
         frames: Frames,
         /// The time limits of the response, for what follows its first frame.
-        timing: ResponseTiming<Instant>,
+        timing: Box<ResponseTiming<Instant>>,
     },
     /// The server rejected the attempt, so the attempt never ran.
     Rejected {
@@ -184,6 +185,50 @@
     }
 }
 
+/// Why a response is malformed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Malformation {
+    /// The head, with the interim responses before it, exceeds its limit.
+    #[error("the head exceeds its limit")]
+    HeadTooLong,
+    /// The head cannot be read.
+    #[error("the head cannot be read")]
+    HeadUnreadable,
+    /// A stream does not have the content type of one.
+    #[error("the content type is not that of an event stream")]
+    ContentType,
+    /// A body that is buffered exceeds its limit or the memory budget.
+    #[error("the body exceeds its limit or the memory budget")]
+    BodyTooLarge,
+    /// A stream contains what is no event.
+    #[error("an event cannot be read")]
+    Event,
+    /// The body is framed badly.
+    #[error(transparent)]
+    Framing(FramingError),
+}
+
+impl Malformation {
+    /// Returns all reasons, in the order of the operators' counters.
+    pub fn all() -> impl Iterator<Item = Malformation> {
+        use Malformation::{BodyTooLarge, ContentType, Event, HeadTooLong, HeadUnreadable};
+        let others = [HeadTooLong, HeadUnreadable, ContentType, BodyTooLarge, Event];
+        others.into_iter().chain(FramingError::ALL.map(Malformation::Framing))
+    }
+
+    /// Returns the name of the reason in the log and in the operators' counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Malformation::HeadTooLong => "head_too_long",
+            Malformation::HeadUnreadable => "head_unreadable",
+            Malformation::ContentType => "content_type",
+            Malformation::BodyTooLarge => "body_too_large",
+            Malformation::Event => "event_unreadable",
+            Malformation::Framing(error) => error.name(),
+        }
+    }
+}
+
 /// Why a call failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallError {
@@ -191,8 +236,8 @@
     ConnectFailed,
     /// The connection ended; the call may have run.
     Reset,
-    /// The response could not be parsed; the call may have run.
-    MalformedResponse,
+    /// The response is malformed; the call may have run.
+    MalformedResponse(Malformation),
     /// The response began and did not go on within its time limit; the call may have run.
     ResponseExpired(Expiry),
     /// The call was not sent: the server accepts no new calls, the call is no longer needed, or its deadline has passed.
--- a/gateway/tests/common/instant.rs
+++ b/gateway/tests/common/instant.rs
@@ -30,7 +30,7 @@
             Ok(Reply::Response {
                 head: ResponseHead::default(),
                 frames: stream::iter(frames).boxed_local(),
-                timing,
+                timing: Box::new(timing),
             })
         }
         _ => Ok(Reply::Done),
--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -10,7 +10,8 @@
 use futures_util::StreamExt;
 use glenrail::engine::ServerAddress;
 use glenrail::exchange::{CancelToken, Payload};
-use glenrail::upstream::{Call, CallError, ConnectionCheck, Frame, Reply};
+use glenrail::upstream::{Call, CallError, ConnectionCheck, Frame, Malformation, Reply};
+use glenrail_request_lifecycle::framing::FramingError;
 use glenrail_request_lifecycle::response_timing::OnPause;
 use glenrail_router::ServerId;
 use proptest::prelude::*;
@@ -371,28 +372,49 @@
     }
 }
 
+/// Returns beginnings of malformed streams without an event, each with its reason.
+fn malformed_openings(noise: &str) -> Vec<(String, Malformation)> {
+    let framing = Malformation::Framing;
+    vec![
+        ("nonsense\r\n\r\n".to_string(), Malformation::HeadUnreadable),
+        ("HTTP/1.1 2x0 OK\r\n\r\n".into(), Malformation::HeadUnreadable),
+        (format!("HTTP/1.1 200 OK\r\n{}", "x-more: y\r\n".repeat(3_000)), Malformation::HeadTooLong),
+        (format!("HTTP/1.1 200 OK\r\nx: {}", "y".repeat(30_000)), Malformation::HeadTooLong),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nfour".into(),
+            Malformation::ContentType,
+        ),
+        (
+            "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\ncontent-length: 3221225472\r\n\r\n".into(),
+            framing(FramingError::LengthTooLarge),
+        ),
+        (format!("{OPENING}{noise}"), Malformation::Event),
+        (format!("{OPENING}zz\r\n"), framing(FramingError::SizeUnreadable)),
+        (format!("{OPENING}{}", "0".repeat(30_000)), framing(FramingError::SizeLineTooLong)),
+        (format!("{OPENING}fffffffffffffffffff\r\n"), framing(FramingError::ChunkTooLarge)),
+        (format!("{OPENING}c0000000\r\n{}", "n".repeat(100_000)), framing(FramingError::ChunkTooLarge)),
+        (format!("{OPENING}c0000000\r\ndata: {}", "n".repeat(300_000)), framing(FramingError::ChunkTooLarge)),
+        (format!("{OPENING}0\r\n\r\n"), Malformation::Event),
+    ]
+}
+
 /// Guards the client from a stream that is spoilt: before its first event it is a failed attempt that may have
 /// run, after that a broken answer of which only whole events were passed on; and its connection is not used again.
 #[test]
 fn a_malformed_stream_is_recognised_and_its_connection_dropped() {
     let noise = "5\r\n\u{1}\u{2}\u{3}\u{4}\u{5}\r\n";
-    for opening in [
-        "nonsense\r\n\r\n".to_string(),
-        "HTTP/1.1 2x0 OK\r\n\r\n".into(),
-        format!("HTTP/1.1 200 OK\r\n{}", "x-more: y\r\n".repeat(3_000)),
-        "HTTP/1.1 200 OK\r\ncontent-type: text/plain\r\ncontent-length: 4\r\n\r\nfour".into(),
-        format!("{OPENING}{noise}"),
-        format!("{OPENING}zz\r\n"),
-        format!("{OPENING}fffffffffffffffffff\r\n"),
-        format!("{OPENING}c0000000\r\n{}", "n".repeat(100_000)),
-        format!("{OPENING}c0000000\r\ndata: {}", "n".repeat(300_000)),
-        format!("{OPENING}0\r\n\r\n"),
-    ] {
+    let framing = Malformation::Framing;
+    for (opening, reason) in malformed_openings(noise) {
         run(async {
             let (engine, connections) = raw_server(vec![opening.clone().into_bytes()]).await;
             for n in 1..3 {
                 let told = streamed(&engine).await;
-                assert_eq!(told, Err(CallError::MalformedResponse), "{}", &opening[..opening.len().min(200)]);
+                assert_eq!(
+                    told,
+                    Err(CallError::MalformedResponse(reason)),
+                    "{}",
+                    &opening[..opening.len().min(200)]
+                );
                 // A connection that ended well in HTTP's terms may be used again.
                 assert!(
                     connections.get() == n || opening.ends_with("four") || opening.ends_with("0\r\n\r\n")
@@ -400,11 +422,13 @@
             }
         });
     }
-    for later in [
-        noise.to_string(),
-        "zz\r\n".into(),
-        format!("c0000000\r\n{}", "n".repeat(100_000)),
-        "9\r\ndata: cut\r\n0\r\n\r\n".into(),
+    for (later, reason) in [
+        (noise.to_string(), Malformation::Event),
+        ("zz\r\n".into(), framing(FramingError::SizeUnreadable)),
+        ("5\r\ndata: cut\r\n".into(), framing(FramingError::DataMisfit)),
+        (format!("0\r\nx: {}", "y".repeat(30_000)), framing(FramingError::TrailerTooLong)),
+        (format!("c0000000\r\n{}", "n".repeat(100_000)), framing(FramingError::ChunkTooLarge)),
+        ("9\r\ndata: cut\r\n0\r\n\r\n".into(), Malformation::Event),
     ] {
         run(async {
             let whole = format!("{OPENING}{EVENT}").into_bytes();
@@ -413,7 +437,7 @@
                 let told = streamed(&engine).await;
                 assert_eq!(
                     told,
-                    Ok((b"data: {}\n\n".to_vec(), Some(CallError::MalformedResponse))),
+                    Ok((b"data: {}\n\n".to_vec(), Some(CallError::MalformedResponse(reason)))),
                     "{later}"
                 );
                 assert_eq!(connections.get(), n);
--- a/gateway/tests/leases.rs
+++ b/gateway/tests/leases.rs
@@ -81,6 +81,6 @@
             on_pause: OnPause::Retry,
             cancel_token: CancelToken::default(),
         };
-        assert!(matches!(engine.oneshot(call).await, Err(CallError::MalformedResponse)));
+        assert!(matches!(engine.oneshot(call).await, Err(CallError::MalformedResponse(_))));
     });
 }
--- a/gateway/tests/response_framing.rs
+++ b/gateway/tests/response_framing.rs
@@ -138,11 +138,13 @@
 /// Guards the client of a stream that was handed over: its server's framing is judged in the successor as in the predecessor.
 #[test]
 fn a_stream_ends_in_time_in_the_process_that_continues_it() {
+    // A stream is handed over 2 s after SIGTERM, and a pause ends it after 4.6 s.
+    let pause = millis(3_500);
     for (name, steps) in [
         ("resumed-chunk", endless_chunk("c0000000", millis(500))),
         ("resumed-zeros", endless_size_line("0", "0")),
     ] {
-        let writer = server(begun([vec![Pause(millis(1_500))], steps].concat()));
+        let writer = server(begun([vec![Pause(pause)], steps].concat()));
         let prefill = reader();
         run(async move {
             let host = |name: &str, kind: &str, at: std::net::SocketAddr| {
@@ -163,13 +165,12 @@
             let _second = place.start().await;
             first.signal("-TERM");
             assert!(first.ended().await);
-            assert!(last_event.elapsed() < millis(1_500), "{name}: {:?}", last_event.elapsed());
+            assert!(last_event.elapsed() < pause, "{name}: {:?}", last_event.elapsed());
             let ended = tokio::time::timeout(AGES, async {
                 while client.read_buf(&mut got).await.is_ok_and(|read| read > 0) {}
             });
             ended.await.expect("an end");
-            // The server began to write what is malformed 1.5 s after its last event.
-            assert!(last_event.elapsed() < millis(1_500) + WAIT_LIMIT, "{name}: {:?}", last_event.elapsed());
+            assert!(last_event.elapsed() < pause + WAIT_LIMIT, "{name}: {:?}", last_event.elapsed());
             assert!(!got.ends_with(LAST_CHUNK.as_bytes()), "{name}");
         });
     }
--- a/model-checker/src/cases.rs
+++ b/model-checker/src/cases.rs
@@ -4,7 +4,7 @@
 
 use glenrail_request_lifecycle::request::RetrySafety;
 
-use crate::{budget, client, request, request_ids, response_timing, server};
+use crate::{budget, client, framing, request, request_ids, response_timing, server};
 
 /// One world with a name.
 pub struct Case<S> {
@@ -255,3 +255,16 @@
     }];
     reach.select(quick, long)
 }
+
+/// The bounds from which the worlds of a body's framing are derived.
+pub(crate) const FRAMING_BASE: framing::Setup = framing::Setup { bytes: 12, fault: None };
+
+/// The worlds of a body's framing.
+pub fn framing_cases(reach: Reach) -> Vec<Case<framing::Setup>> {
+    let quick = vec![Case { name: "the framing of a body, twelve bytes", setup: FRAMING_BASE }];
+    let long = vec![Case {
+        name: "the framing of a body, eighteen bytes",
+        setup: framing::Setup { bytes: 18, ..FRAMING_BASE },
+    }];
+    reach.select(quick, long)
+}
--- a/model-checker/src/lib.rs
+++ b/model-checker/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod client;
 pub mod corners;
 pub mod coverage;
+pub mod framing;
 pub mod mutants;
 pub mod request;
 pub mod request_ids;
--- a/model-checker/src/main.rs
+++ b/model-checker/src/main.rs
@@ -75,6 +75,9 @@
     for case in cases::response_timing_cases(reach) {
         success &= check_case(&case, threads, traces)?;
     }
+    for case in cases::framing_cases(reach) {
+        success &= check_case(&case, threads, traces)?;
+    }
     for case in cases::request_cases(reach) {
         success &= check_case(&case, threads, traces)?;
     }
@@ -132,6 +135,9 @@
         let setup = mutants::response_timing_setup(*fault);
         success &= find_mutant(format!("{fault:?}"), *rule, &setup, traces)?;
     }
+    for Mutant { fault, rule } in mutants::FRAMING_MUTANTS {
+        success &= find_mutant(format!("{fault:?}"), *rule, &mutants::framing_setup(*fault), traces)?;
+    }
     Ok(success)
 }
 
--- a/model-checker/src/mutants.rs
+++ b/model-checker/src/mutants.rs
@@ -2,15 +2,15 @@
 
 use glenrail_overload::budget as budget_machine;
 use glenrail_request_lifecycle::{
-    client as client_machine, request as request_machine, request_ids as request_ids_machine,
-    response_timing as response_timing_machine, server as server_machine,
+    client as client_machine, framing as framing_parser, request as request_machine,
+    request_ids as request_ids_machine, response_timing as response_timing_machine, server as server_machine,
 };
 
 use crate::cases::{
-    client_case, server_case, BUDGET_BASE, REQUEST_BASE, REQUEST_IDS_BASE, RESPONSE_TIMING_BASE,
+    client_case, server_case, BUDGET_BASE, FRAMING_BASE, REQUEST_BASE, REQUEST_IDS_BASE, RESPONSE_TIMING_BASE,
 };
 use crate::rules::Rule;
-use crate::{budget, client, request, request_ids, response_timing, server};
+use crate::{budget, client, framing, request, request_ids, response_timing, server};
 
 /// A planted fault, and the rule that it was planted to break.
 pub struct Mutant<F> {
@@ -115,6 +115,18 @@
     UnboundedEvent => SlowEventIsBounded,
     CountsSuspension => WrittenEventNotCut,
     CountsHeadFromItsBegin => SlowHeadNotCut,
+    ExtendsFraming => ClientReleasedInTime,
+    KeepsFraming => WrittenEventNotCut,
+});
+
+mutants!(
+    /// Faults of the parser of chunked bodies.
+    FRAMING_MUTANTS: framing_parser::Fault {
+    ComparesBeforeLastDigit => MalformedFramingIsTold,
+    IgnoresZerosInLine => MalformedFramingIsTold,
+    IgnoresExtensionsInLine => MalformedFramingIsTold,
+    CountsTrailerLinesAlone => MalformedFramingIsTold,
+    AcceptsMisfit => MalformedFramingIsTold,
 });
 
 /// The world in which a request's fault is searched for: small, with a slot only where the fault concerns slots.
@@ -157,3 +169,8 @@
 pub fn response_timing_setup(fault: response_timing_machine::Fault) -> response_timing::Setup {
     response_timing::Setup { fault: Some(fault), ..RESPONSE_TIMING_BASE }
 }
+
+/// The world in which a fault of the parser of chunked bodies is searched for.
+pub fn framing_setup(fault: framing_parser::Fault) -> framing::Setup {
+    framing::Setup { fault: Some(fault), ..FRAMING_BASE }
+}
--- a/model-checker/src/response_timing.rs
+++ b/model-checker/src/response_timing.rs
@@ -19,6 +19,8 @@
 const EVENT_INTERVAL: u8 = 3;
 /// Maximum duration of one event, in ticks.
 const EVENT_DURATION: u8 = 5;
+/// Maximum duration of a size line, in ticks.
+const FRAMING_DURATION: u8 = 2;
 
 /// The bounds of the world.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -61,13 +63,30 @@
     }
 }
 
+/// What the server has written behind the last data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Framing {
+    Complete,
+    Incomplete { began: u8 },
+    ChunkBegun(Written),
+}
+
+impl Framing {
+    fn chunk(self) -> Option<Written> {
+        match self {
+            Framing::ChunkBegun(chunk) => Some(chunk),
+            _ => None,
+        }
+    }
+}
+
 /// How far the server has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Stage {
     AwaitingHead,
     Head { last_byte: u8 },
     Body { last_byte: u8 },
-    Events { last_event: u8, event: Option<Written>, chunk: Option<Written> },
+    Events { last_event: u8, event: Option<Written>, framing: Framing },
 }
 
 /// A state of the world. Times are in ticks in which the gateway reads.
@@ -96,6 +115,7 @@
         pause: Some(ticks(PAUSE)),
         event_interval: ticks(EVENT_INTERVAL),
         event_duration: ticks(EVENT_DURATION),
+        framing_duration: ticks(FRAMING_DURATION),
         activity: Activity::Events,
     }
 }
@@ -163,7 +183,11 @@
             Stage::AwaitingHead => &[Progress::HeadBytes, Progress::HeadComplete],
             Stage::Head { .. } => &[Progress::HeadBytes, Progress::InterimHead, Progress::HeadComplete],
             Stage::Body { .. } => &[Progress::EventBytes, Progress::OtherBytes, Progress::EventComplete],
+            Stage::Events { framing: Framing::Incomplete { .. }, .. } => {
+                &[Progress::FramingBytes, Progress::FramingComplete, Progress::ChunkBegun]
+            }
             Stage::Events { .. } => &[
+                Progress::FramingBytes,
                 Progress::ChunkBegun,
                 Progress::EventBytes,
                 Progress::OtherBytes,
@@ -172,11 +196,11 @@
             ],
         };
         actions.extend(progress.iter().copied().map(Action::Observe));
-        if let Stage::Events { event, chunk, .. } = self.stage {
+        if let Stage::Events { event, framing, .. } = self.stage {
             if self.suspensions > 0 {
                 actions.push(Action::Observe(Progress::ReadingSuspended));
             }
-            if self.hand_overs > 0 && event.is_none() && chunk.is_none() {
+            if self.hand_overs > 0 && event.is_none() && framing == Framing::Complete {
                 actions.push(Action::HandOver);
             }
         }
@@ -209,8 +233,9 @@
             _ if self.is_suspended => false,
             Stage::AwaitingHead => false,
             Stage::Head { last_byte } | Stage::Body { last_byte } => now - last_byte >= PAUSE,
-            Stage::Events { last_event, event, chunk } => {
-                let written = [event, chunk].into_iter().flatten();
+            Stage::Events { framing: Framing::Incomplete { began }, .. } => now - began >= FRAMING_DURATION,
+            Stage::Events { last_event, event, framing } => {
+                let written = [event, framing.chunk()].into_iter().flatten();
                 now - last_event >= EVENT_INTERVAL
                     && !written.into_iter().any(|written| written.is_still_being_written(now))
             }
@@ -218,8 +243,8 @@
     }
 
     fn has_event_too_long(&self) -> bool {
-        let Stage::Events { event, chunk, .. } = self.stage else { return false };
-        [event, chunk].into_iter().flatten().any(|written| written.is_too_long(self.read_ticks))
+        let Stage::Events { event, framing, .. } = self.stage else { return false };
+        [event, framing.chunk()].into_iter().flatten().any(|written| written.is_too_long(self.read_ticks))
     }
 
     fn observe(&mut self, progress: Progress) {
@@ -236,21 +261,42 @@
 
     fn stage_after(&self, progress: Progress) -> Stage {
         let now = self.read_ticks;
-        let continued = |written: Option<Written>| {
-            Some(Written { began: written.map_or(now, |written| written.began), last_byte: now })
+        let continued = |written: Option<Written>| Written {
+            began: written.map_or(now, |written| written.began),
+            last_byte: now,
         };
-        match (self.stage, progress) {
-            (_, Progress::EventComplete) => Stage::Events { last_event: now, event: None, chunk: None },
-            (Stage::Events { last_event, event, chunk }, Progress::EventBytes) => {
-                Stage::Events { last_event, event: continued(event.or(chunk)), chunk: None }
+        let Stage::Events { last_event, event, framing } = self.stage else {
+            return self.stage_before_events(progress);
+        };
+        let behind_data = |event| Stage::Events { last_event, event, framing: Framing::Complete };
+        match progress {
+            Progress::EventComplete => {
+                Stage::Events { last_event: now, event: None, framing: Framing::Complete }
             }
-            (Stage::Events { last_event, event, chunk }, Progress::ChunkBegun) => {
-                Stage::Events { last_event, event, chunk: continued(chunk.or(event)) }
+            Progress::EventBytes => behind_data(Some(continued(event.or(framing.chunk())))),
+            Progress::FramingBytes => {
+                let began = match framing {
+                    Framing::Incomplete { began } => began,
+                    Framing::Complete | Framing::ChunkBegun(_) => now,
+                };
+                Stage::Events { last_event, event, framing: Framing::Incomplete { began } }
             }
-            (Stage::Events { last_event, .. }, Progress::IgnoredBytes) => {
-                Stage::Events { last_event, event: None, chunk: None }
+            Progress::ChunkBegun => {
+                let chunk = continued(framing.chunk().or(event));
+                Stage::Events { last_event, event, framing: Framing::ChunkBegun(chunk) }
+            }
+            Progress::IgnoredBytes => behind_data(None),
+            _ => behind_data(event),
+        }
+    }
+
+    /// Returns the stage after progress before the first event.
+    fn stage_before_events(&self, progress: Progress) -> Stage {
+        let now = self.read_ticks;
+        match (self.stage, progress) {
+            (_, Progress::EventComplete) => {
+                Stage::Events { last_event: now, event: None, framing: Framing::Complete }
             }
-            (Stage::Events { last_event, event, .. }, _) => Stage::Events { last_event, event, chunk: None },
             (_, Progress::HeadBytes) => Stage::Head { last_byte: now },
             (_, Progress::InterimHead) => Stage::AwaitingHead,
             _ => Stage::Body { last_byte: now },
--- a/model-checker/src/rules.rs
+++ b/model-checker/src/rules.rs
@@ -77,6 +77,12 @@
     WrittenEventNotCut,
     /// A client does not wait longer than the limit after the last event, unless its server is writing another one.
     ClientReleasedInTime,
+    /// Framing that no sound body has is reported at its first byte.
+    MalformedFramingIsTold,
+    /// Framing within the limits is accepted.
+    SoundFramingIsAccepted,
+    /// The data of a body is what its framing states, no more and no less, and the body ends where its framing ends.
+    DataIsExact,
     /// An event that is never completed holds its stream for a bounded time.
     SlowEventIsBounded,
 }
--- a/model-checker/src/scenario.rs
+++ b/model-checker/src/scenario.rs
@@ -9,7 +9,7 @@
 
 use crate::request::Log;
 use crate::rules::Rule;
-use crate::{budget, client, request, request_ids, response_timing, server};
+use crate::{budget, client, framing, request, request_ids, response_timing, server};
 
 /// A world with bounds, small enough to explore.
 pub trait Scenario: Clone + Send + Sync + 'static {
@@ -53,6 +53,8 @@
     RequestIds(request_ids::Setup),
     /// The time limits of a response.
     ResponseTiming(response_timing::Setup),
+    /// The framing of a chunked body.
+    Framing(framing::Setup),
 }
 
 /// A scenario in the form that the checker explores.
--- a/model-checker/src/trace.rs
+++ b/model-checker/src/trace.rs
@@ -91,6 +91,7 @@
         AnyScenario::Budget(setup) => replay_world(&setup, header, &steps, 0),
         AnyScenario::RequestIds(setup) => replay_world(&setup, header, &steps, 0),
         AnyScenario::ResponseTiming(setup) => replay_world(&setup, header, &steps, 0),
+        AnyScenario::Framing(setup) => replay_world(&setup, header, &steps, 0),
     }
 }
 
--- a/model-checker/tests/explore.rs
+++ b/model-checker/tests/explore.rs
@@ -82,6 +82,18 @@
     }
 }
 
+/// Guards clients from framing that is accepted though no sound body has it, and sound answers from the opposite; each planted
+/// fault is found under the rule that it breaks.
+#[test]
+fn framing_is_judged_at_every_byte_and_its_planted_faults_are_found() {
+    let [case] = &cases::framing_cases(Reach::Quick)[..] else { panic!("one world of framing") };
+    assert!(every_rule_holds(&case.setup));
+    for mutant in mutants::FRAMING_MUTANTS {
+        let broken = broken_rule(&mutants::framing_setup(mutant.fault));
+        assert_eq!(broken, Some(mutant.rule), "{:?}", mutant.fault);
+    }
+}
+
 /// Guards the corners that must be explored, and the counterexamples that were fixed: each is still a path of its
 /// world, the machine alone answers the same again, and no rule is broken.
 #[test]
--- a/model-checker/tests/stored_traces.rs
+++ b/model-checker/tests/stored_traces.rs
@@ -42,6 +42,7 @@
         AnyScenario::Budget(setup) => rewrite_in(&setup, steps, description, path),
         AnyScenario::RequestIds(setup) => rewrite_in(&setup, steps, description, path),
         AnyScenario::ResponseTiming(setup) => rewrite_in(&setup, steps, description, path),
+        AnyScenario::Framing(setup) => rewrite_in(&setup, steps, description, path),
     }
 }
 
