Refuse a client's chunk that states more than a body may have, before it arrives

Callers saw 408 after 10.0 s where an error is owed within 3 s: a chunked body that states 3 GB and comes a byte each 0.25 s.

Cause: only data that had arrived was compared with the limit of a body; a stated length was, a stated chunk was not. The same class as in responses: hyper's limits on framing were presumed.

Change: the reader of requests judges chunked bodies with the parser of responses, with the front's own limit, and passes on what was accepted. The body then ends with 413.

--- a/gateway/src/admin.rs
+++ b/gateway/src/admin.rs
@@ -27,6 +27,9 @@
 /// limit, a new connection evicts the one that has been idle longest.
 pub const MAX_CONNECTIONS: usize = 8;
 
+/// Maximum size in bytes of the body of an order, which is not read.
+const MAX_BODY_BYTES: usize = 64 << 10;
+
 /// Common prefix of all paths.
 const PATH_PREFIX: &str = "/control/";
 
@@ -147,6 +150,7 @@
             invariants::counts().map(|(name, count)| (name.to_string(), Value::from(count))).collect();
         counters["connections_closed"] = closed_connections::to_json();
         counters["responses_ended_early"] = response_ends::to_json();
+        counters["malformed_responses"] = response_ends::malformed_to_json();
         if let Some(plugin) = &context.plugin {
             counters["hook_failures"] = plugin.failures();
         }
@@ -198,6 +202,10 @@
 }
 
 impl<U: Upstream> Front for AdminFront<U> {
+    fn max_body_bytes(&self) -> usize {
+        MAX_BODY_BYTES
+    }
+
     async fn handle(self, request: Request<Incoming>) -> Response<Body> {
         let mut response = self.respond(request.method(), request.uri().path());
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/gateway/src/front/body.rs
+++ b/gateway/src/front/body.rs
@@ -1,11 +1,13 @@
 //! Bodies of responses, which hyper writes, and of requests, which are collected within the memory budget.
 
+use std::error::Error;
 use std::io;
 use std::pin::{pin, Pin};
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use glenrail_request_lifecycle::framing::FramingError;
 use http::header::CONTENT_LENGTH;
 use http::HeaderMap;
 use http_body::{Frame, SizeHint};
@@ -94,6 +96,20 @@
     OutOfMemory,
 }
 
+impl BodyError {
+    /// Returns why reading a body failed.
+    fn from_read(error: &(dyn Error + 'static)) -> BodyError {
+        if error.is::<LengthLimitError>() {
+            return BodyError::TooLarge;
+        }
+        let cause = error.source().and_then(|source| source.downcast_ref::<io::Error>());
+        match cause.and_then(|cause| cause.get_ref()?.downcast_ref()) {
+            Some(FramingError::ChunkTooLarge) => BodyError::TooLarge,
+            _ => BodyError::Broken,
+        }
+    }
+}
+
 /// Collects a request body of at most `max_bytes`. Its announced length is claimed from the memory budget before any of it
 /// is read; without one, each part is claimed as it arrives.
 pub async fn collect(
@@ -122,8 +138,7 @@
                     }
                     collected.extend_from_slice(&data);
                 }
-                Err(error) if error.is::<LengthLimitError>() => return Err(BodyError::TooLarge),
-                Err(_) => return Err(BodyError::Broken),
+                Err(error) => return Err(BodyError::from_read(&*error)),
             }
         }
         Ok(())
--- a/gateway/src/front/connection.rs
+++ b/gateway/src/front/connection.rs
@@ -37,6 +37,8 @@
     pub request_counter: RequestCounterLookup,
     /// Returns the response to a request that is rejected before it reaches the front.
     pub reject: Rc<dyn Fn(&'static str) -> Response<Body>>,
+    /// Maximum size of a request body.
+    pub max_body_bytes: usize,
 }
 
 /// Hands connections over to the successor process.
@@ -158,8 +160,8 @@
         UnreadRecorder { state: entry.state.clone(), socket: Rc::downgrade(&socket.socket) };
     let end = {
         let shutdown = handover.shutdown.clone();
+        let reader = RequestReader::new(socket.clone(), entry.state.clone(), hooks.max_body_bytes);
         let service = ConnectionService { service, hooks, shutdown, state: entry.state.clone() };
-        let reader = RequestReader::new(socket.clone(), entry.state.clone());
         let connection = http1::Builder::new()
             .header_read_timeout(None)
             .max_buf_size(MAX_HEAD_BYTES)
--- a/gateway/src/front/inference/mod.rs
+++ b/gateway/src/front/inference/mod.rs
@@ -234,6 +234,10 @@
 }
 
 impl Front for Inference {
+    fn max_body_bytes(&self) -> usize {
+        self.0.max_body
+    }
+
     fn request_counter(&self, request: &Request<Incoming>) -> Option<RequestCounter> {
         let endpoint = Endpoint::of_path(request.uri().path())?;
         if request.method() != Method::POST {
--- a/gateway/src/front/mod.rs
+++ b/gateway/src/front/mod.rs
@@ -73,6 +73,9 @@
     /// Returns the counter for a request; `None` if the request belongs to no known class.
     fn request_counter(&self, request: &Request<Incoming>) -> Option<RequestCounter>;
 
+    /// Returns the maximum size of a request body. A chunk that states more is refused before it arrives.
+    fn max_body_bytes(&self) -> usize;
+
     /// Returns the response to a request that is rejected before it reaches the front, with a `Retry-After` header.
     fn reject(&self, why: &'static str) -> Response<Body> {
         let mut rejection = response(StatusCode::SERVICE_UNAVAILABLE, why);
--- a/gateway/src/front/platform/mod.rs
+++ b/gateway/src/front/platform/mod.rs
@@ -145,6 +145,10 @@
 }
 
 impl Front for Platform {
+    fn max_body_bytes(&self) -> usize {
+        MAX_BODY_BYTES
+    }
+
     fn request_counter(&self, request: &Request<Incoming>) -> Option<RequestCounter> {
         if request.uri().path() != CHAT_PATH || request.method() != Method::POST {
             return None;
--- a/gateway/src/front/request_reader.rs
+++ b/gateway/src/front/request_reader.rs
@@ -11,6 +11,7 @@
 use std::task::{ready, Context, Poll};
 
 use glenrail_request_lifecycle::client::{Framing, Input};
+use glenrail_request_lifecycle::framing::{ChunkPosition, FramingError, FramingLimits, ReadUntil};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 use super::connection_state::{ConnectionState, Stage};
@@ -22,12 +23,39 @@
 const MAX_HEADERS: usize = 100;
 
 /// Part of a request body that has not been read yet.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 enum RemainingBody {
     /// Its length in bytes.
     Length(u64),
-    /// The end of the body is found only by reading it.
-    Unknown,
+    /// It has the chunked coding; hyper decodes what this position has accepted.
+    Chunked(ChunkPosition),
+    /// hyper rejects the request for its framing.
+    Invalid,
+}
+
+impl RemainingBody {
+    /// Reads the framing of bytes that follow; returns the number of those before the first malformed one.
+    fn accept(&mut self, bytes: &[u8]) -> usize {
+        match self {
+            RemainingBody::Chunked(position) if !position.is_ended() => {
+                let accepted = position.read(bytes, ReadUntil::EndOfBody, |_| {});
+                // What follows the body belongs to no request that is served.
+                if position.is_ended() {
+                    bytes.len()
+                } else {
+                    accepted
+                }
+            }
+            _ => bytes.len(),
+        }
+    }
+
+    fn framing_error(&self) -> Option<FramingError> {
+        match self {
+            RemainingBody::Chunked(position) => position.error(),
+            RemainingBody::Length(_) | RemainingBody::Invalid => None,
+        }
+    }
 }
 
 /// Socket of a client as hyper reads it.
@@ -39,6 +67,7 @@
     /// Number of bytes at the start of `buffer` that may be passed on to hyper.
     passable: usize,
     remaining_body: RemainingBody,
+    framing_limits: FramingLimits,
 }
 
 /// Framing of a request body according to the headers.
@@ -79,9 +108,10 @@
 
 impl RequestReader {
     /// Creates a reader that reports what it reads to `state`.
-    pub fn new(socket: CountedSocket, state: Rc<ConnectionState>) -> Self {
+    pub fn new(socket: CountedSocket, state: Rc<ConnectionState>, max_body_bytes: usize) -> Self {
         let remaining_body = RemainingBody::Length(0);
-        RequestReader { socket, state, buffer: Vec::new(), passable: 0, remaining_body }
+        let framing_limits = FramingLimits::request(max_body_bytes as u64);
+        RequestReader { socket, state, buffer: Vec::new(), passable: 0, remaining_body, framing_limits }
     }
 
     /// Looks for a complete head in the buffer, and returns whether bytes may be passed on.
@@ -105,7 +135,10 @@
         self.state.framing_fault.set(framing.fault);
         match framing.known_length() {
             Some(length) => self.pass_head(head_size, length),
-            None => self.pass_head_of_unknown_length(),
+            None => {
+                let is_chunked = framing.has_transfer_encoding;
+                self.pass_head_of_unknown_length(head_size, is_chunked);
+            }
         }
         true
     }
@@ -121,9 +154,16 @@
 
     /// Passes on a head with a body of unknown length. Only hyper finds the end of a chunked body, so no
     /// request can follow it on this connection.
-    fn pass_head_of_unknown_length(&mut self) {
+    fn pass_head_of_unknown_length(&mut self, head_size: usize, is_chunked: bool) {
+        self.remaining_body = if is_chunked {
+            RemainingBody::Chunked(ChunkPosition::new(self.framing_limits))
+        } else {
+            RemainingBody::Invalid
+        };
+        let accepted = self.remaining_body.accept(&self.buffer[head_size..]);
+        // Malformed bytes stay unread: the body ends before them with an error.
+        self.buffer.truncate(head_size + accepted);
         self.passable = self.buffer.len();
-        self.remaining_body = RemainingBody::Unknown;
         // hyper stops reading when bytes follow the body, so a later disconnect does not show in reading.
         self.state.stop_reading();
         self.state.feed(Input::HeadComplete(Framing::UnknownLength));
@@ -159,11 +199,7 @@
     /// Reads a body directly into hyper's buffer, up to the end of the body if its length is known.
     fn poll_body(&mut self, context: &mut Context<'_>, output: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let RemainingBody::Length(remaining) = &mut self.remaining_body else {
-            let before = output.filled().len();
-            ready!(Pin::new(&mut self.socket).poll_read(context, output))
-                .inspect_err(|_| self.state.end.note_client_ended())?;
-            self.state.note_body_read(output.filled().len() - before);
-            return Poll::Ready(Ok(()));
+            return self.poll_body_of_unknown_length(context, output);
         };
         let max_length = output.remaining().min(usize::try_from(*remaining).unwrap_or(usize::MAX));
         let mut part = ReadBuf::new(output.initialize_unfilled_to(max_length));
@@ -179,6 +215,32 @@
         Poll::Ready(Ok(()))
     }
 
+    /// Reads a body directly into hyper's buffer, up to the first byte whose framing is malformed.
+    fn poll_body_of_unknown_length(
+        &mut self, context: &mut Context<'_>, output: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let malformed = |error| Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, error)));
+        // What arrives behind a response that was sent before the end of the body is dropped.
+        let is_wanted = self.state.stage() == Stage::Body;
+        if let Some(error) = self.remaining_body.framing_error().filter(|_| is_wanted) {
+            return malformed(error);
+        }
+        let before = output.filled().len();
+        ready!(Pin::new(&mut self.socket).poll_read(context, output))
+            .inspect_err(|_| self.state.end.note_client_ended())?;
+        let read = output.filled().len() - before;
+        self.state.note_body_read(read);
+        if !is_wanted {
+            return Poll::Ready(Ok(()));
+        }
+        let accepted = self.remaining_body.accept(&output.filled()[before..]);
+        output.set_filled(before + accepted);
+        match self.remaining_body.framing_error() {
+            Some(error) if accepted == 0 => malformed(error),
+            _ => Poll::Ready(Ok(())),
+        }
+    }
+
     fn note_write<T>(&self, written: Poll<T>) -> Poll<T> {
         self.state.feed(Input::WriteBlocked(written.is_pending()));
         written
--- a/gateway/src/front/server.rs
+++ b/gateway/src/front/server.rs
@@ -347,6 +347,7 @@
 fn front_hooks(front: impl Front) -> FrontHooks {
     let rejecting_front = front.clone();
     FrontHooks {
+        max_body_bytes: front.max_body_bytes(),
         request_counter: Rc::new(move |request| front.request_counter(request)),
         reject: Rc::new(move |why| rejecting_front.reject(why)),
     }
