Draw framing, sound and malformed, in the soak of slow answers; keep a pause's time

Change: servers draw sizes with zeros and extensions, size lines in pieces, one chunk for all events, stated lengths and trailers, all sound; and oversized chunks and lengths, endless size lines, trailers, line ends and heads, unreadable sizes and misfits, before the first event and later, and go on for 12 s. A sound server completes a size line within 4 s, as the line has a time of its own now; before, the soak drew pauses of 4.2 s within one, several of them.

Incomplete framing ends a response no earlier than 4.6 s after the last byte of an event, so that no server that pauses behind the line end's first byte is cut earlier than one that pauses between events.

--- a/crates/request-lifecycle/src/response_timing/limits.rs
+++ b/crates/request-lifecycle/src/response_timing/limits.rs
@@ -49,6 +49,8 @@
     pub event_duration: Duration,
     /// Maximum time from the first to the last byte of what frames the data: a size line, a line end or a trailer section.
     pub framing_duration: Duration,
+    /// Minimum time since the last byte of an event after which incomplete framing ends a response.
+    pub min_framing_wait: Duration,
     /// What extends the time between two events.
     pub activity: Activity,
 }
@@ -61,6 +63,7 @@
             event_interval: PLATFORM_EVENT_INTERVAL,
             event_duration: PLATFORM_EVENT_DURATION,
             framing_duration: FRAMING_DURATION,
+            min_framing_wait: PLATFORM_EVENT_INTERVAL,
             activity: Activity::Events,
         }
     }
@@ -72,6 +75,7 @@
             event_interval: max_silence,
             event_duration: max_silence,
             framing_duration: FRAMING_DURATION,
+            min_framing_wait: PLATFORM_EVENT_INTERVAL,
             activity: Activity::AnyBytes,
         }
     }
--- a/crates/request-lifecycle/src/response_timing/mod.rs
+++ b/crates/request-lifecycle/src/response_timing/mod.rs
@@ -166,8 +166,11 @@
             Stage::AwaitingHead => None,
             Stage::Head { last_byte } => paused(last_byte, Expiry::HeadStalled),
             Stage::Body { last_byte } => paused(last_byte, Expiry::BodyStalled),
-            Stage::Events { framing: Framing::Incomplete { began }, .. } => {
-                Some(Limit { at: began + self.limits.framing_duration, reason: Expiry::FramingOverdue })
+            Stage::Events { last_event, event, framing: Framing::Incomplete { began } } => {
+                let last_byte = event.map_or(last_event, |event| event.last_byte);
+                let pause_end = last_byte + self.limits.min_framing_wait;
+                let at = pause_end.max(began + self.limits.framing_duration);
+                Some(Limit { at, reason: Expiry::FramingOverdue })
             }
             Stage::Events { last_event, event, framing } => {
                 let overdue =
--- a/fault-tests/src/slow_answers/mod.rs
+++ b/fault-tests/src/slow_answers/mod.rs
@@ -1,8 +1,9 @@
-//! Soak test of slow answers: servers write at random paces ([`pace`]), alone or beside restarts, upgrades, changes of the
+//! Soak test of slow answers: servers write at random paces ([`pace`]) in any framing ([`framing`]), alone or beside restarts, upgrades, changes of the
 //! endpoint list and a crowd of idle clients, and what clients receive is judged against what servers have written
 //! ([`judge`]).
 
 pub mod client;
+pub mod framing;
 mod gateways;
 pub mod judge;
 pub mod pace;
--- a/fault-tests/src/slow_answers/pace.rs
+++ b/fault-tests/src/slow_answers/pace.rs
@@ -6,11 +6,15 @@
 use rand::rngs::StdRng;
 use rand::Rng;
 
+use super::framing::{self, SoundFraming};
+
 /// Pauses between two pieces of one head, event or comment, and between two events of an ordinary answer.
 const PIECE_PAUSE_MS: std::ops::Range<u64> = 100..1_500;
 const LONG_PIECE_PAUSE_MS: std::ops::Range<u64> = 1_500..4_200;
 const EVENT_PAUSE_MS: std::ops::Range<u64> = 10..300;
 const LONG_EVENT_PAUSE_MS: std::ops::Range<u64> = 500..10_000;
+/// Pauses between two events in an unusual framing.
+const FRAMED_PAUSE_MS: std::ops::Range<u64> = 20..1_500;
 const COMMENT_PAUSE_MS: std::ops::Range<u64> = 200..3_000;
 const LATE_REPORT_MS: std::ops::Range<u64> = 500..4_000;
 /// Time for which a server that has stopped keeps its connection.
@@ -41,6 +45,8 @@
     Other,
     /// The last chunk, complete.
     End,
+    /// What is malformed, and all that follows it.
+    Malformed,
 }
 
 /// One step of an answer.
@@ -72,9 +78,15 @@
     SlowBegin,
     /// Declines the request in pieces.
     Declines,
+    /// A sound answer in an unusual framing.
+    Framing,
+    /// After some events, framing that is malformed, and the server goes on.
+    MalformedChunk,
+    /// Malformed before the first event, and the server goes on.
+    MalformedBegin,
 }
 
-const PACES: [Pace; 10] = [
+const PACES: [Pace; 13] = [
     Pace::Ordinary,
     Pace::Pieces,
     Pace::Pauses,
@@ -85,6 +97,9 @@
     Pace::StopsWithin,
     Pace::SlowBegin,
     Pace::Declines,
+    Pace::Framing,
+    Pace::MalformedChunk,
+    Pace::MalformedBegin,
 ];
 
 /// Share of the answers with an ordinary pace, beside which the others are drawn evenly.
@@ -126,6 +141,13 @@
             self.pieces(DECLINED.as_bytes(), 4, 100..600, |_, _| Part::Head);
             return self.steps;
         }
+        if pace == Pace::MalformedBegin {
+            return framing::malformed_begin(STREAM_HEAD, self.random);
+        }
+        if pace == Pace::Framing {
+            let framing = SoundFraming::draw(self.random);
+            return self.framed(framing);
+        }
         let is_slow = pace == Pace::SlowBegin;
         let head_pieces = if is_slow { self.random.random_range(2..6) } else { 1 };
         self.pieces(STREAM_HEAD.as_bytes(), head_pieces, 50..500, |_, _| Part::Head);
@@ -165,6 +187,12 @@
                 }
                 self.steps.push(Step::Pause(STOP));
             }
+            Pace::MalformedChunk => {
+                let between = pause(self.random, EVENT_PAUSE_MS);
+                self.steps.push(between);
+                let malformed = framing::malformed_chunk(self.random);
+                self.steps.extend(malformed);
+            }
             Pace::StopsBetween => self.steps.push(Step::Pause(STOP)),
             Pace::StopsWithin => {
                 self.steps.push(Step::Write(b"20\r\ndata: ha".to_vec(), Part::EventBegun));
@@ -199,11 +227,72 @@
         self.chunk(&format!("data: {}\n\n", "x".repeat(length)), pieces, range);
     }
 
-    /// Writes an event as one chunk, in pieces.
+    /// Returns the steps of an answer in this framing.
+    fn framed(mut self, framing: SoundFraming) -> Vec<Step> {
+        let mut events: Vec<String> = (0..self.random.random_range(2..MAX_EVENTS))
+            .map(|_| format!("data: {}\n\n", "x".repeat(self.random.random_range(4..400))))
+            .collect();
+        events.push(DONE.into());
+        let length: usize = events.iter().map(String::len).sum();
+        let is_one_chunk = framing == SoundFraming::OneChunk;
+        let begin = match framing {
+            SoundFraming::StatedLength => {
+                STREAM_HEAD.replace("transfer-encoding: chunked", &format!("content-length: {length}"))
+            }
+            SoundFraming::OneChunk => format!("{STREAM_HEAD}{length:x}\r\n"),
+            _ => STREAM_HEAD.into(),
+        };
+        self.steps.push(Step::Write(begin.into_bytes(), Part::Head));
+        for event in &events {
+            if is_one_chunk || framing == SoundFraming::StatedLength {
+                self.steps.push(Step::Write(event.clone().into_bytes(), Part::EventComplete));
+            } else {
+                self.framed_chunk(framing, event);
+            }
+            let between = pause(self.random, FRAMED_PAUSE_MS);
+            self.steps.push(between);
+        }
+        let end = match framing {
+            SoundFraming::StatedLength => "",
+            SoundFraming::OneChunk => "\r\n0\r\n\r\n",
+            SoundFraming::Trailers => "0\r\nserver-timing: a;dur=1\r\nx-more: y\r\n\r\n",
+            _ => LAST_CHUNK,
+        };
+        if framing == SoundFraming::StatedLength {
+            // The body has ended with its last event.
+            self.steps.pop();
+        }
+        self.steps.push(Step::Write(end.into(), Part::End));
+        self.steps
+    }
+
+    /// Writes an event as one chunk in this framing.
+    fn framed_chunk(&mut self, framing: SoundFraming, event: &str) {
+        let size_line = framing.size_line(event.len(), self.random);
+        if framing == SoundFraming::SlowSizeLines {
+            let line = framing::size_line_in_pieces(&size_line, self.random);
+            self.steps.extend(line);
+        } else {
+            self.steps.push(Step::Write(size_line.into_bytes(), Part::EventBegun));
+        }
+        self.steps.push(Step::Write(format!("{event}\r\n").into_bytes(), Part::EventComplete));
+    }
+
+    /// Writes an event as one chunk, in pieces. The size line is complete within 4 s.
     fn chunk(&mut self, event: &str, pieces: usize, range: std::ops::Range<u64>) {
         let size_line = format!("{:x}\r\n", event.len());
-        let event_end = size_line.len() + event.len();
-        let bytes = format!("{size_line}{event}\r\n");
+        let mut rest = 0;
+        if pieces > 1 {
+            let line = framing::size_line_in_pieces(&size_line, self.random);
+            self.steps.extend(line);
+            if self.random.random_bool(0.5) {
+                let between = pause(self.random, range.clone());
+                self.steps.push(between);
+            }
+            rest = size_line.len();
+        }
+        let event_end = size_line.len() + event.len() - rest;
+        let bytes = format!("{size_line}{event}\r\n").split_off(rest);
         self.pieces(bytes.as_bytes(), pieces, range, |from, to| match () {
             () if from >= event_end => Part::Other,
             () if to >= event_end => Part::EventComplete,
--- a/fault-tests/src/slow_answers/server.rs
+++ b/fault-tests/src/slow_answers/server.rs
@@ -42,6 +42,11 @@
 }
 
 impl WrittenAnswer {
+    /// Returns the first piece that is malformed.
+    pub fn malformed(&self) -> Option<WrittenPiece> {
+        self.pieces.iter().copied().find(|piece| piece.part == Part::Malformed)
+    }
+
     /// Returns the last piece of these parts that was written by `until`.
     pub fn last(&self, until: Micros, parts: &[Part]) -> Option<WrittenPiece> {
         let pieces = self.pieces.iter().rev();
--- a/fault-tests/tests/slow_answers.rs
+++ b/fault-tests/tests/slow_answers.rs
@@ -71,10 +71,11 @@
 /// Guards the soak against a judge that finds nothing.
 #[test]
 fn each_rule_finds_its_planted_fault() {
-    use Part::{End, EventBegun, EventComplete, Other};
+    use Part::{End, EventBegun, EventComplete, Malformed, Other};
     let writing = written(&[(100, EventComplete), (2_000, EventBegun), (4_700, EventBegun)]);
     let stopped = written(&[(100, EventComplete), (3_000, Other)]);
     let finished = written(&[(100, EventComplete), (200, End)]);
+    let malformed = written(&[(100, EventComplete), (400, Malformed), (5_900, Malformed)]);
     let cases = [
         (received(Some(200), false, 4_800, &[100]), &writing, Some(Rule::NotCutWhileWriting)),
         (received(Some(200), false, 9_300, &[100]), &writing, None),
@@ -89,6 +90,11 @@
         (received(None, false, 1_000, &[]), &Vec::new(), Some(Rule::AnsweredInTime)),
         (received(Some(502), true, 1_000, &[]), &Vec::new(), Some(Rule::SlowIsNoFailure)),
         (received(Some(503), true, 1_000, &[]), &Vec::new(), None),
+        (received(Some(200), false, 6_000, &[100]), &malformed, Some(Rule::MalformedEndsInTime)),
+        (received(Some(200), true, 4_000, &[100]), &malformed, Some(Rule::NoFalseEnd)),
+        (received(Some(200), false, 410, &[100]), &malformed, None),
+        (received(Some(502), true, 410, &[]), &malformed, None),
+        (received(Some(504), true, 3_700, &[]), &malformed, Some(Rule::AnsweredInTime)),
     ];
     for (number, (received, written, rule)) in cases.into_iter().enumerate() {
         assert_eq!(broken(&received, written), rule, "case {number}");
--- a/model-checker/src/response_timing.rs
+++ b/model-checker/src/response_timing.rs
@@ -116,6 +116,7 @@
         event_interval: ticks(EVENT_INTERVAL),
         event_duration: ticks(EVENT_DURATION),
         framing_duration: ticks(FRAMING_DURATION),
+        min_framing_wait: ticks(EVENT_INTERVAL),
         activity: Activity::Events,
     }
 }
@@ -233,7 +234,10 @@
             _ if self.is_suspended => false,
             Stage::AwaitingHead => false,
             Stage::Head { last_byte } | Stage::Body { last_byte } => now - last_byte >= PAUSE,
-            Stage::Events { framing: Framing::Incomplete { began }, .. } => now - began >= FRAMING_DURATION,
+            Stage::Events { last_event, event, framing: Framing::Incomplete { began } } => {
+                let last_byte = event.map_or(last_event, |event| event.last_byte);
+                now - began >= FRAMING_DURATION && now - last_byte >= EVENT_INTERVAL
+            }
             Stage::Events { last_event, event, framing } => {
                 let written = [event, framing.chunk()].into_iter().flatten();
                 now - last_event >= EVENT_INTERVAL
