Count the line feed of an event's line as a byte of the event

Cause: EventBuffer compares the bytes of an incomplete event before and after a read, and left out line feeds, so that read looked like one that completes no line.

The new case slow-line-feed of slow_responses.rs was cut after 4.6 s before.

Measured: that case and each_byte_of_an_event_shows_that_it_is_written pass now, slow_responses.rs 8 of 8.

--- a/gateway/src/engine/events/mod.rs
+++ b/gateway/src/engine/events/mod.rs
@@ -34,7 +34,7 @@
     has_field: bool,
     /// Whether the incomplete event has a data line.
     has_data: bool,
-    /// Number of bytes of the complete lines of the incomplete event, without lines that readers ignore.
+    /// Number of bytes of the complete lines of the incomplete event with their line feeds, without lines that readers ignore.
     event_line_bytes: usize,
     /// Whether the stream's first bytes were compared with the byte order mark.
     is_past_start: bool,
@@ -120,7 +120,7 @@
     fn end_line(&mut self, end: usize) -> Result<(), MalformedEvent> {
         let kind = line::check_complete(&self.bytes[self.line_start..end], self.validated_text)?;
         if matches!(kind, LineKind::Data | LineKind::OtherField) {
-            self.event_line_bytes += end - self.line_start;
+            self.event_line_bytes += end + 1 - self.line_start;
         }
         self.examined = end + 1;
         self.line_start = self.examined;
--- a/gateway/src/engine/events/tests.rs
+++ b/gateway/src/engine/events/tests.rs
@@ -146,3 +146,19 @@
         assert_eq!(end(cut, BodyEnd::Marked), Err(MalformedEvent), "{cut:?}");
     }
 }
+
+/// Guards events that come byte by byte from being taken for a pause: each byte, line feeds too, shows that one is written.
+#[test]
+fn each_byte_of_an_event_shows_that_it_is_written() {
+    for event in [&b"data: abc\n\n"[..], b"event: a\ndata: b\nid: 1\n\n", b"data: a\r\ndata: b\r\n\r\n"] {
+        let mut buffer = EventBuffer::default();
+        buffer.push(&Bytes::from_static(b"data: first\n\n")).expect("an event");
+        let (last, begin) = event.split_last().expect("an event");
+        for (index, byte) in begin.iter().enumerate() {
+            buffer.push(&Bytes::copy_from_slice(&[*byte])).expect("bytes of an event");
+            assert!(buffer.received().writes_event, "{event:?} at {index}");
+        }
+        buffer.push(&Bytes::copy_from_slice(&[*last])).expect("an event");
+        assert!(buffer.received().completes_event, "{event:?}");
+    }
+}
--- a/gateway/tests/slow_responses.rs
+++ b/gateway/tests/slow_responses.rs
@@ -35,6 +35,19 @@
             ("slow-large", vec![first(), Pieces(chunk(&large), 70, millis(100)), end()]),
             ("slow-ending", vec![first(), Pieces(endings, 10, millis(700)), Write(LAST_CHUNK.into())]),
             ("slow-pauses", vec![first(), Pieces(chunk(event), 3, millis(3_500)), end()]),
+            // The first of the two line feeds that end the event is a piece of its own.
+            (
+                "slow-line-feed",
+                vec![
+                    first(),
+                    Write("b\r\ndata: abc".into()),
+                    Pause(millis(3_500)),
+                    Write("\n".into()),
+                    Pause(millis(3_500)),
+                    Write("\n\r\n".into()),
+                    end(),
+                ],
+            ),
             // The size line of the chunk is a piece of its own.
             (
                 "slow-size-line",
