Try both lengths at once, a second malformed answer, and embeddings of gigabytes

An answer of gigabytes to embeddings is a failed attempt at once, as it should be, but all four attempts go to that server within 4 ms and none to the sound one beside it.

--- a/gateway/tests/engine.rs
+++ b/gateway/tests/engine.rs
@@ -428,6 +428,8 @@
         ("5\r\ndata: cut\r\n".into(), framing(FramingError::DataMisfit)),
         (format!("0\r\nx: {}", "y".repeat(30_000)), framing(FramingError::TrailerTooLong)),
         (format!("c0000000\r\n{}", "n".repeat(100_000)), framing(FramingError::ChunkTooLarge)),
+        // A whole second answer behind it.
+        (format!("c0000000\r\n{OPENING}{EVENT}0\r\n\r\n"), framing(FramingError::ChunkTooLarge)),
         ("9\r\ndata: cut\r\n0\r\n\r\n".into(), Malformation::Event),
     ] {
         run(async {
--- a/gateway/tests/inference.rs
+++ b/gateway/tests/inference.rs
@@ -533,3 +533,35 @@
         );
     });
 }
+
+/// Guards requests for embeddings from an answer that states gigabytes: it is a failed attempt at once, and another server
+/// answers.
+#[test]
+fn an_answer_of_gigabytes_to_embeddings_is_a_failed_attempt() {
+    let spoilt = scripted::Engine::start(move |_, _| {
+        scripted::Says::ByHand(Box::new(move |socket: &mut std::net::TcpStream| {
+            use std::io::Write;
+            let head =
+                "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 3221225472\r\n\r\n{";
+            socket.write_all(head.as_bytes()).expect("written");
+            std::thread::sleep(Duration::from_secs(9));
+            false
+        }))
+    });
+    run(async move {
+        let sound = StandIn::start(|_, _| vectors()).await;
+        let text = format!(
+            "listen = '127.0.0.1:0'\n[embeddings]\nconnect_ms = 5000\nservers = [{{ name = 'a', dial = '{}' }}, \
+             {{ name = 'b', dial = '{}' }}]",
+            spoilt.address, sound.address
+        );
+        let g = gateway(parse_front(&text).expect("a file")).await;
+        for _ in 0..4 {
+            let asked = Instant::now();
+            let answer = ask(g.address, post("/v1/embeddings", &[], EMBED)).await;
+            assert_eq!(answer.status(), 200, "{:?}", answer.body());
+            assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+        }
+        assert!(spoilt.count("POST") > 0);
+    });
+}
--- a/gateway/tests/response_framing.rs
+++ b/gateway/tests/response_framing.rs
@@ -109,6 +109,7 @@
     let many = EVENT.repeat(13);
     let extended = format!("9;name=\"{}\"\r\n{EVENT}\r\n", "v".repeat(100)).repeat(400);
     let padded = format!("{}9;a=b\r\n{EVENT}\r\n", "0".repeat(300));
+    let two_lengths = HEAD.replace("transfer-encoding", "content-length: 5\r\ntransfer-encoding");
     let trailers = format!("{}0\r\nserver-timing: a;dur=1\r\nx: y\r\n\r\n", chunk(DONE));
     let pieces = [Pieces(format!("{:04x}", EVENT.len()), 4, millis(800)), Write(format!("\r\n{EVENT}\r\n"))];
     each(
@@ -126,6 +127,7 @@
             ("sound-extensions", begun(vec![Write(extended), end()])),
             ("sound-zeros", begun(vec![Write(padded), end()])),
             ("sound-size-in-pieces", begun([&pieces[..], &[end()]].concat())),
+            ("sound-two-lengths", vec![Write(format!("{two_lengths}{}{LAST_CHUNK}", chunk(DONE)))]),
             ("sound-trailers", begun(vec![Pause(millis(100)), Write(trailers)])),
         ],
         |name, received| {
